--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PROGRAMS := ibisfold ibisfold-agent ibisfold-entry ibisfold-standin
+MODULES := core $(PROGRAMS) proof
+SEED ?= 1
+STEPS ?= 20000
+SITE ?= eisweinruf
+COMMON := ibisfold.example
+
+.PHONY: all build test lint format tidy demo matrix fuzz bench experiment capacity
+
+all: lint test build
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/$$p ./$$p || exit 1; done
+
+test:
+	go test $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+# Prints the files whose format differs and fails if there are any.
+lint:
+	@files=$$(git ls-files '*.go' | xargs go tool goimports -l -local $(COMMON)); \
+	if [ -n "$$files" ]; then echo "not formatted:"; echo "$$files"; exit 1; fi
+	go vet $(addprefix ./,$(addsuffix /...,$(MODULES)))
+	go tool staticcheck $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+format:
+	git ls-files '*.go' | xargs go tool goimports -w -local $(COMMON)
+
+tidy:
+	@for m in $(MODULES) tools; do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
--- /dev/null
+++ b/core/packet/addrport.go
@@ -0,0 +1,25 @@
+package packet
+
+import (
+	"encoding/binary"
+	"net/netip"
+)
+
+// addrPortBytes is the length of an encoded address: 16 bytes of IP address,
+// IPv4 in its mapped form, and 2 bytes of port.
+const addrPortBytes = 18
+
+func appendAddrPort(b []byte, a netip.AddrPort) []byte {
+	ip := a.Addr().As16()
+	b = append(b, ip[:]...)
+
+	return binary.BigEndian.AppendUint16(b, a.Port())
+}
+
+// decodeAddrPort reads an address; b holds at least addrPortBytes.
+func decodeAddrPort(b []byte) netip.AddrPort {
+	ip := netip.AddrFrom16([16]byte(b[:16])).Unmap()
+	port := binary.BigEndian.Uint16(b[16:addrPortBytes])
+
+	return netip.AddrPortFrom(ip, port)
+}
--- /dev/null
+++ b/core/packet/tunnel.go
@@ -0,0 +1,141 @@
+package packet
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"ibisfold.example/core/keyring"
+)
+
+// TunnelKind says which process a tunnelled packet is meant for, and why.
+type TunnelKind uint8
+
+// Kinds of tunnelled packets.
+const (
+	// ToAgent carries a caller's packet from an entry to an agent.
+	ToAgent TunnelKind = iota + 1
+	// ToEntry carries a packet for a caller from an agent to an entry.
+	ToEntry
+	// ToOwner carries a caller's packet to the agent that a flow was handed to.
+	ToOwner
+	// Offer moves a request to a peer agent before it is run.
+	Offer
+	// OfferAnswer carries the answer to an offered request, or its refusal.
+	OfferAnswer
+	// OfferCancel withdraws an offered request.
+	OfferCancel
+	// Handover moves a flow to a peer agent.
+	Handover
+	// HandoverAck accepts a flow.
+	HandoverAck
+	// HandoverDone tells the previous owner that the caller uses the new token.
+	HandoverDone
+	// Heartbeat carries an agent's Load to the other agents of its service.
+	Heartbeat
+	tunnelKinds
+)
+
+var tunnelKindNames = [tunnelKinds]string{
+	ToAgent:      "to_agent",
+	ToEntry:      "to_entry",
+	ToOwner:      "to_owner",
+	Offer:        "offer",
+	OfferAnswer:  "offer_answer",
+	OfferCancel:  "offer_cancel",
+	Handover:     "handover",
+	HandoverAck:  "handover_ack",
+	HandoverDone: "handover_done",
+	Heartbeat:    "heartbeat",
+}
+
+// String returns the kind's name as used in metrics.
+func (k TunnelKind) String() string {
+	if k == 0 || k >= tunnelKinds {
+		return "unknown"
+	}
+
+	return tunnelKindNames[k]
+}
+
+const (
+	// tunnelVersion is the first byte of every tunnelled packet.
+	tunnelVersion = 0xB1
+	tunnelSigned  = 4 + 5*8 + 3*addrPortBytes
+	// TunnelBytes is the length of an encoded tunnel header.
+	TunnelBytes = tunnelSigned + 8
+)
+
+// Tunnel is the header before a packet between two processes of the system.
+// Its MAC covers the header only: the payload belongs to the caller.
+type Tunnel struct {
+	Kind TunnelKind
+	// Hops counts the agents that passed the packet on.
+	Hops uint8
+	// Ticket is the highest ticket number at the sender.
+	Ticket uint64
+	// Service is the identity of the service that the packet is meant for.
+	Service uint64
+	// Target is the identity of the receiving agent's target; 0 towards entries.
+	Target uint64
+	// Incarnation is the receiving agent's start; 0 if the sender does not know it.
+	Incarnation uint64
+	// SenderIncarnation is the sending agent's start; 0 from entries.
+	SenderIncarnation uint64
+	// Sender is the sender's own address.
+	Sender netip.AddrPort
+	// Entry is the entry that serves the caller.
+	Entry netip.AddrPort
+	// Caller is the caller's address as the entry saw it.
+	Caller netip.AddrPort
+}
+
+// Append appends the header with its MAC to b. The packet follows it.
+func (t *Tunnel) Append(b []byte, r *keyring.Keyring) []byte {
+	start := len(b)
+	b = append(b, tunnelVersion, r.Signer(), byte(t.Kind), t.Hops)
+	b = binary.BigEndian.AppendUint64(b, t.Ticket)
+	b = binary.BigEndian.AppendUint64(b, t.Service)
+	b = binary.BigEndian.AppendUint64(b, t.Target)
+	b = binary.BigEndian.AppendUint64(b, t.Incarnation)
+	b = binary.BigEndian.AppendUint64(b, t.SenderIncarnation)
+	b = appendAddrPort(b, t.Sender)
+	b = appendAddrPort(b, t.Entry)
+	b = appendAddrPort(b, t.Caller)
+	mac, _ := r.Sum(keyring.UseTunnel, r.Signer(), b[start:])
+
+	return binary.BigEndian.AppendUint64(b, mac)
+}
+
+// Decode reads the header at the start of b and returns the packet after it.
+// Errors: ErrMalformed, ErrKind, ErrMAC.
+func (t *Tunnel) Decode(b []byte, r *keyring.Keyring) ([]byte, error) {
+	if len(b) < TunnelBytes || b[0] != tunnelVersion {
+		return nil, ErrMalformed
+	}
+	if b[2] == 0 || b[2] >= byte(tunnelKinds) {
+		return nil, ErrKind
+	}
+	mac := binary.BigEndian.Uint64(b[tunnelSigned:])
+	if !r.Verify(keyring.UseTunnel, b[1], b[:tunnelSigned], mac) {
+		return nil, ErrMAC
+	}
+
+	t.Kind = TunnelKind(b[2])
+	t.Hops = b[3]
+	t.Ticket = binary.BigEndian.Uint64(b[4:])
+	t.Service = binary.BigEndian.Uint64(b[12:])
+	t.Target = binary.BigEndian.Uint64(b[20:])
+	t.Incarnation = binary.BigEndian.Uint64(b[28:])
+	t.SenderIncarnation = binary.BigEndian.Uint64(b[36:])
+	t.Sender = decodeAddrPort(b[44:])
+	t.Entry = decodeAddrPort(b[44+addrPortBytes:])
+	t.Caller = decodeAddrPort(b[44+2*addrPortBytes:])
+
+	return b[TunnelBytes:], nil
+}
+
+// IsTunnel reports whether b starts like a tunnelled packet. Caller packets
+// start with the tag of fieldKind, so the two can share a socket.
+func IsTunnel(b []byte) bool {
+	return len(b) > 0 && b[0] == tunnelVersion
+}
--- /dev/null
+++ b/core/settings/settings.go
@@ -0,0 +1,82 @@
+// Package settings reads and checks the YAML settings of the processes.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/juju/errors"
+
+	"ibisfold.example/core/keyring"
+)
+
+// MaxBytes is the largest settings file, in bytes.
+const MaxBytes = 1_000_000
+
+// Sentinel errors of this package.
+const (
+	ErrInvalid = errors.ConstError("invalid settings")
+	ErrTooLong = errors.ConstError("settings are longer than 1 MB")
+)
+
+// Process holds what all processes of the system need.
+type Process struct {
+	// Zone is the availability zone of the VM.
+	Zone string
+	// Listen is the address that the process binds for other processes.
+	Listen netip.AddrPort
+	// Advertise is the address that others use; by default Listen.
+	Advertise netip.AddrPort `yaml:",omitempty"`
+	// HTTP is the address of /metrics and /healthz.
+	HTTP netip.AddrPort
+	// Consul is the base URL of the configuration service.
+	Consul string
+	// Seeds are addresses of other processes.
+	Seeds []netip.AddrPort
+	// Keys authenticate messages between processes; the first one signs.
+	Keys []keyring.Key
+	// StopTimeout bounds a graceful shutdown.
+	StopTimeout time.Duration `yaml:",omitempty"`
+}
+
+// Entry holds the settings of an entry.
+type Entry struct {
+	Process `yaml:",inline"`
+	// Callers is the address at which the fabric delivers callers' packets.
+	Callers netip.AddrPort
+	// Threads is the number of traffic goroutines; by default 1.
+	Threads int `yaml:",omitempty"`
+}
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	Process `yaml:",inline"`
+	// Name is the target's name as tickets give it.
+	Name string
+	// Target is the address of the target on the same VM.
+	Target netip.AddrPort
+}
+
+// Load reads a settings file into v, an *Entry or an *Agent.
+func Load(path string, v any) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Annotate(err, "settings")
+	}
+
+	return Parse(b, v)
+}
+
+// Parse reads settings into v. Errors: ErrInvalid, ErrTooLong.
+func Parse(b []byte, v any) error {
+	if len(b) > MaxBytes {
+		return ErrTooLong
+	}
+	if err := yaml.UnmarshalWithOptions(b, v, yaml.Strict()); err != nil {
+		return errors.WithType(errors.Annotate(err, "settings"), ErrInvalid)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/core/ticket/ticket.go
@@ -0,0 +1,147 @@
+// Package ticket holds numbered configuration tickets and the state that they
+// merge into.
+package ticket
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"hash/fnv"
+	"net/netip"
+
+	"github.com/goccy/go-yaml"
+	"github.com/juju/errors"
+)
+
+// MaxBytes is the largest ticket, in bytes: the configuration service holds
+// values up to 1 MB.
+const MaxBytes = 1_000_000
+
+// Sentinel errors of this package.
+const (
+	ErrInvalid = errors.ConstError("invalid ticket")
+	ErrTooLong = errors.ConstError("ticket is longer than 1 MB")
+)
+
+// Version orders the writes to one object. The hash orders two tickets that
+// operators issued with the same number.
+type Version struct {
+	// Number is the ticket's number, from 1.
+	Number uint64
+	// Hash is the first 8 bytes of the SHA-256 of the ticket's text.
+	Hash uint64
+}
+
+// Less reports whether v comes before o.
+func (v Version) Less(o Version) bool {
+	if v.Number != o.Number {
+		return v.Number < o.Number
+	}
+
+	return v.Hash < o.Hash
+}
+
+// TargetState says whether a target takes new work.
+type TargetState string
+
+// States of a target.
+const (
+	// InService is the default.
+	InService TargetState = "InService"
+	// Draining means that the target gets no new work and finishes what it has.
+	Draining TargetState = "Draining"
+)
+
+// Zone is an availability zone.
+type Zone struct {
+	Name string
+	// InService is false for a zone that operators have taken out.
+	InService bool
+}
+
+// Service is what callers reach at its addresses.
+type Service struct {
+	Name string
+	// Tenant owns the service.
+	Tenant string
+	// Addresses are unique over all services in force; at a clash the service
+	// with the higher version keeps the address.
+	Addresses []netip.AddrPort
+}
+
+// Target serves one service from one zone, with an agent beside it.
+type Target struct {
+	Name string
+	// Service and Zone name objects; the target gets no traffic until both exist.
+	Service string
+	Zone    string
+	// Agent is the address of the agent beside the target.
+	Agent netip.AddrPort
+	// Slots is the number of requests that the target runs at a time, from 1.
+	Slots int
+	// Connections is the number of flows that the target holds, from 1.
+	Connections int
+	// State is empty for InService.
+	State TargetState `yaml:",omitempty"`
+}
+
+// Removal names one object that a ticket removes. One field is set.
+type Removal struct {
+	Zone    string `yaml:",omitempty"`
+	Service string `yaml:",omitempty"`
+	Target  string `yaml:",omitempty"`
+}
+
+// Ticket carries the whole new state of all objects that it touches.
+type Ticket struct {
+	// Number is unique and above 0.
+	Number uint64 `yaml:"Ticket"`
+	Reason string
+	// Complete tickets carry the whole state: what they do not list and has a
+	// lower number is removed.
+	Complete bool
+	Zones    []Zone
+	Services []Service
+	Targets  []Target
+	Removed  []Removal
+
+	// Version and Text are set by Parse.
+	Version Version `yaml:"-"`
+	Text    []byte  `yaml:"-"`
+}
+
+// Parse reads and checks a ticket. Acceptance depends on the text alone, so
+// that all nodes agree on it. Errors: ErrInvalid, ErrTooLong.
+func Parse(text []byte) (*Ticket, error) {
+	if len(text) > MaxBytes {
+		return nil, ErrTooLong
+	}
+
+	t := &Ticket{}
+	if err := yaml.UnmarshalWithOptions(text, t, yaml.Strict()); err != nil {
+		return nil, errors.WithType(errors.Annotate(err, "ticket"), ErrInvalid)
+	}
+	if t.Number == 0 {
+		return nil, errors.WithType(errors.New("ticket number is zero"), ErrInvalid)
+	}
+	t.Version = Version{
+		Number: t.Number,
+		Hash:   textHash(text),
+	}
+	t.Text = text
+
+	return t, nil
+}
+
+func textHash(text []byte) uint64 {
+	sum := sha256.Sum256(text)
+
+	return binary.BigEndian.Uint64(sum[:8])
+}
+
+// ID returns the 64-bit identity of an object's name, as packets carry it.
+func ID(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+
+	return h.Sum64()
+}
--- /dev/null
+++ b/ibisfold-entry/main.go
@@ -0,0 +1,5 @@
+// Command ibisfold-entry is not built yet.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/ibisfold-standin/main.go
@@ -0,0 +1,5 @@
+// Command ibisfold-standin is not built yet.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/ibisfold/main.go
@@ -0,0 +1,5 @@
+// Command ibisfold is not built yet.
+package main
+
+func main() {
+}
