Add stand-ins: configuration service, fabric, targets, callers and demo

The demo starts the product's programs as real processes and keeps the stand-ins in its own process, so that the targets' counts of runs can be compared with what callers were told. Not yet run with the programs, which are not built yet.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,7 @@
 
 tidy:
 	@for m in $(MODULES) tools; do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
+
+# Runs a site on loopback with real processes.
+demo: build
+	bin/ibisfold-standin demo --site $(SITE) --seed $(SEED) --examples examples --bin bin
--- /dev/null
+++ b/ibisfold-standin/callers/callers.go
@@ -0,0 +1,266 @@
+// Package callers stands in for callers: open-loop requests on many long flows
+// whose packets are sprayed over the entries. It checks each answer.
+package callers
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"ibisfold.example/ibisfold-standin/delay"
+)
+
+// Options describe a group of callers.
+type Options struct {
+	Entries *Entries
+	Zones   *Zones
+	// Delay is the one-way delay between callers and entries.
+	Delay time.Duration
+	// Listen is the IP address of the sockets; by default 127.0.0.1.
+	Listen netip.Addr
+	// Sockets is the number of sockets that the flows of a load share; zero
+	// means one for each flow.
+	Sockets int
+	Seed    uint64
+	Loads   []Load
+}
+
+// Callers run loads.
+type Callers struct {
+	options Options
+	line    *delay.Line
+	groups  []*group
+	sockets []*socket
+}
+
+// group is the callers of one load.
+type group struct {
+	load  *Load
+	stats *Stats
+
+	mu    sync.Mutex
+	rand  *rand.Rand
+	flows []*flow
+}
+
+// New prepares callers. Close ends them.
+func New(o Options) *Callers {
+	if !o.Listen.IsValid() {
+		o.Listen = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	}
+	if o.Zones == nil {
+		o.Zones = &Zones{}
+	}
+	c := &Callers{
+		options: o,
+		line:    delay.NewLine(),
+	}
+	for i := range o.Loads {
+		c.groups = append(c.groups, &group{
+			load:  &c.options.Loads[i],
+			stats: NewStats(),
+			rand:  rand.New(rand.NewPCG(o.Seed, uint64(i))),
+			flows: make([]*flow, o.Loads[i].Flows),
+		})
+	}
+
+	return c
+}
+
+// Stats returns the counts of the load with index i.
+func (c *Callers) Stats(i int) *Stats {
+	return c.groups[i].stats
+}
+
+// Total returns the sum of the counts that make up the verdict of a run.
+func (c *Callers) Total() Counts {
+	t := Counts{}
+	for _, g := range c.groups {
+		n := g.stats.Counts()
+		t.Flows += n.Flows
+		t.Broken += n.Broken
+		t.Silent += n.Silent
+		t.GivenUp += n.GivenUp
+		t.Requests += n.Requests
+		t.Answered += n.Answered
+		t.WrongService += n.WrongService
+		t.WrongAnswers += n.WrongAnswers
+	}
+
+	return t
+}
+
+// Open starts to keep all flows open until ctx is done.
+func (c *Callers) Open(ctx context.Context) error {
+	for _, g := range c.groups {
+		sockets, err := c.openSockets(g)
+		if err != nil {
+			return err
+		}
+		for i := range g.flows {
+			go g.keep(ctx, i, &c.options, sockets[i%len(sockets)])
+		}
+	}
+
+	return nil
+}
+
+func (c *Callers) openSockets(g *group) ([]*socket, error) {
+	n := len(g.flows)
+	if c.options.Sockets > 0 {
+		n = min(n, c.options.Sockets)
+	}
+	sockets := []*socket{}
+	for range n {
+		s, err := newSocket(&c.options, c.line)
+		if err != nil {
+			return nil, err
+		}
+		sockets = append(sockets, s)
+		c.sockets = append(c.sockets, s)
+	}
+
+	return sockets, nil
+}
+
+// keep opens the flow with index i, and a new one whenever it ends.
+func (g *group) keep(ctx context.Context, i int, o *Options, s *socket) {
+	for ctx.Err() == nil {
+		f := newFlow(g.newID(), g.load, o, g.stats, s)
+		if !f.connect(ctx) {
+			f.end(nil)
+			continue
+		}
+		g.set(i, f)
+		go f.keep(ctx)
+		select {
+		case <-f.ended:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (g *group) newID() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.rand.Uint64() | 1
+}
+
+func (g *group) set(i int, f *flow) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.flows[i] = f
+}
+
+func (g *group) get(i int) *flow {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.flows[i]
+}
+
+// OpenFlows returns the number of flows that are open.
+func (c *Callers) OpenFlows() int {
+	n := 0
+	for _, g := range c.groups {
+		for i := range g.flows {
+			if f := g.get(i); f != nil && f.isOpen() {
+				n++
+			}
+		}
+	}
+
+	return n
+}
+
+func (f *flow) isOpen() bool {
+	select {
+	case <-f.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Run sends the requests of all loads until ctx is done, then waits for the
+// answers that are due.
+func (c *Callers) Run(ctx context.Context) {
+	wg := sync.WaitGroup{}
+	for i, g := range c.groups {
+		wg.Go(func() {
+			g.run(ctx, c.options.Seed+uint64(i))
+		})
+	}
+	wg.Wait()
+}
+
+func (g *group) run(ctx context.Context, seed uint64) {
+	if g.load.Rate <= 0 || len(g.flows) == 0 {
+		return
+	}
+	arrivals := NewArrivals(*g.load, seed)
+	start := time.Now()
+	wg := sync.WaitGroup{}
+	defer wg.Wait()
+	for {
+		a := arrivals.Next()
+		due := start.Add(a.At)
+		if !sleepUntil(ctx, due) {
+			return
+		}
+		f := g.get(a.Flow)
+		if f == nil || !f.isOpen() {
+			g.stats.count(func(c *Counts) {
+				c.Requests++
+				c.NoFlow++
+			})
+
+			continue
+		}
+		wg.Go(func() {
+			f.do(context.WithoutCancel(ctx), a, due)
+		})
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// CloseFlows closes all flows that are open and waits until they are closed.
+// The context of Open must be done.
+func (c *Callers) CloseFlows() {
+	wg := sync.WaitGroup{}
+	for _, g := range c.groups {
+		for i := range g.flows {
+			if f := g.get(i); f != nil {
+				wg.Go(f.close)
+			}
+		}
+	}
+	wg.Wait()
+}
+
+// Close ends all sockets.
+func (c *Callers) Close() {
+	c.line.Close()
+	for _, s := range c.sockets {
+		_ = s.conn.Close()
+	}
+}
--- /dev/null
+++ b/ibisfold-standin/config/vms.go
@@ -0,0 +1,136 @@
+package config
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// VM is one row of the list of VMs.
+type VM struct {
+	Addr netip.AddrPort
+	Zone string
+	// Role is "entry" or "agent".
+	Role string
+}
+
+// Row is a VM in the form of the catalog API.
+type Row struct {
+	ServiceAddress string
+	ServicePort    uint16
+	ServiceMeta    Meta
+}
+
+// Meta is the metadata of a Row.
+type Meta struct {
+	Zone string
+	Role string
+}
+
+type vmChange struct {
+	at   time.Time
+	vm   VM
+	live bool
+}
+
+// VMs is the platform's list of VMs. Readers see each change after Lag. The
+// zero value is empty and has no lag.
+type VMs struct {
+	// Lag is the time until a change shows.
+	Lag time.Duration
+	// Now is the clock; by default time.Now.
+	Now func() time.Time
+
+	mu      sync.Mutex
+	changes []vmChange
+	// pinned are dead VMs that stay on the list, hidden are live ones that it misses.
+	pinned map[netip.AddrPort]bool
+	hidden map[netip.AddrPort]bool
+}
+
+// Join adds a VM.
+func (v *VMs) Join(vm VM) {
+	v.change(vm, true)
+}
+
+// Leave removes a VM.
+func (v *VMs) Leave(vm VM) {
+	v.change(vm, false)
+}
+
+// Pin keeps a VM on the list after it has left.
+func (v *VMs) Pin(a netip.AddrPort) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	if v.pinned == nil {
+		v.pinned = map[netip.AddrPort]bool{}
+	}
+	v.pinned[a] = true
+}
+
+// Hide leaves a live VM out of the list.
+func (v *VMs) Hide(a netip.AddrPort) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	if v.hidden == nil {
+		v.hidden = map[netip.AddrPort]bool{}
+	}
+	v.hidden[a] = true
+}
+
+func (v *VMs) now() time.Time {
+	if v.Now == nil {
+		return time.Now()
+	}
+
+	return v.Now()
+}
+
+func (v *VMs) change(vm VM, live bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	v.changes = append(v.changes, vmChange{
+		at:   v.now(),
+		vm:   vm,
+		live: live,
+	})
+}
+
+// List returns the rows of one service as a reader sees them now.
+func (v *VMs) List(service string) []Row {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	rows := []Row{}
+	if service != "ibisfold" {
+		return rows
+	}
+	seen := map[netip.AddrPort]bool{}
+	for i := len(v.changes) - 1; i >= 0; i-- {
+		c := v.changes[i]
+		if v.now().Sub(c.at) < v.Lag || seen[c.vm.Addr] {
+			continue
+		}
+		seen[c.vm.Addr] = true
+		if v.hidden[c.vm.Addr] || (!c.live && !v.pinned[c.vm.Addr]) {
+			continue
+		}
+		rows = append(rows, rowOf(c.vm))
+	}
+
+	return rows
+}
+
+func rowOf(vm VM) Row {
+	return Row{
+		ServiceAddress: vm.Addr.Addr().String(),
+		ServicePort:    vm.Addr.Port(),
+		ServiceMeta: Meta{
+			Zone: vm.Zone,
+			Role: vm.Role,
+		},
+	}
+}
--- /dev/null
+++ b/ibisfold-standin/demo/measure.go
@@ -0,0 +1,103 @@
+package demo
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// pollInterval is the time between two looks at the metrics of a process.
+	pollInterval = 50 * time.Millisecond
+	pollTimeout  = time.Second
+	ticketGauge  = "ibisfold_ticket"
+)
+
+var client = &http.Client{
+	Timeout: pollTimeout,
+}
+
+// healthy reports whether a process says that it takes traffic.
+func healthy(ctx context.Context, v *vm) bool {
+	r, err := get(ctx, v, "/healthz")
+	if err != nil {
+		return false
+	}
+	defer r.Body.Close()
+
+	return r.StatusCode == http.StatusOK
+}
+
+// ticketAt returns the number of the ticket in force at a process.
+func ticketAt(ctx context.Context, v *vm) (uint64, bool) {
+	r, err := get(ctx, v, "/metrics")
+	if err != nil {
+		return 0, false
+	}
+	defer r.Body.Close()
+
+	return parseGauge(r.Body, ticketGauge)
+}
+
+func get(ctx context.Context, v *vm, path string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.process.HTTP.String()+path, nil)
+	if err != nil {
+		return nil, err
+	}
+
+	return client.Do(r)
+}
+
+// parseGauge reads one gauge out of the text format of metrics.
+func parseGauge(r io.Reader, name string) (uint64, bool) {
+	s := bufio.NewScanner(r)
+	for s.Scan() {
+		rest, ok := strings.CutPrefix(s.Text(), name)
+		if !ok || rest == "" || (rest[0] != ' ' && rest[0] != '{') {
+			continue
+		}
+		f, err := strconv.ParseFloat(rest[strings.LastIndexByte(rest, ' ')+1:], 64)
+
+		return uint64(f), err == nil
+	}
+
+	return 0, false
+}
+
+// waitTicket waits until the ticket is in force at all processes that run, and
+// returns the longest time since published, or since a later start. It returns
+// the processes that do not have it when limit is over.
+func waitTicket(ctx context.Context, p *processes, number uint64, published time.Time, limit time.Duration) (time.Duration, []string) {
+	longest := time.Duration(0)
+	has := map[*process]bool{}
+	for {
+		missing := []string{}
+		for _, r := range p.running() {
+			if has[r] {
+				continue
+			}
+			if n, ok := ticketAt(ctx, r.vm); !ok || n < number {
+				missing = append(missing, r.vm.name)
+				continue
+			}
+			has[r] = true
+			longest = max(longest, time.Since(later(published, r.started)))
+		}
+		if len(missing) == 0 || time.Since(published) > limit || ctx.Err() != nil {
+			return longest, missing
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
--- /dev/null
+++ b/ibisfold-standin/demo/process.go
@@ -0,0 +1,123 @@
+package demo
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// process is one running program of the product.
+type process struct {
+	vm  *vm
+	cmd *exec.Cmd
+	// started is the time of the start.
+	started time.Time
+	// done is closed when the process has ended.
+	done chan struct{}
+	err  error
+}
+
+// processes are the programs that the demo started. It ends them by their id.
+type processes struct {
+	bin  string
+	logs string
+
+	mu  sync.Mutex
+	all []*process
+}
+
+// start starts the program of a VM; its log goes to a file of its own.
+func (p *processes) start(v *vm) (*process, error) {
+	program := "ibisfold-agent"
+	if v.isEntry() {
+		program = "ibisfold-entry"
+	}
+	out, err := os.OpenFile(filepath.Join(p.logs, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer out.Close()
+
+	r := &process{
+		vm:      v,
+		cmd:     exec.Command(filepath.Join(p.bin, program), "--settings", v.path),
+		started: time.Now(),
+		done:    make(chan struct{}),
+	}
+	r.cmd.Stdout = out
+	r.cmd.Stderr = out
+	if err := r.cmd.Start(); err != nil {
+		return nil, errors.Annotate(err, v.name)
+	}
+	go func() {
+		r.err = r.cmd.Wait()
+		close(r.done)
+	}()
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all = append(p.all, r)
+
+	return r, nil
+}
+
+func (r *process) alive() bool {
+	select {
+	case <-r.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (r *process) kill() {
+	_ = r.cmd.Process.Kill()
+	<-r.done
+}
+
+// terminate asks the process to stop and reports whether it did within limit.
+func (r *process) terminate(limit time.Duration) bool {
+	_ = r.cmd.Process.Signal(syscall.SIGTERM)
+	t := time.NewTimer(limit)
+	defer t.Stop()
+
+	select {
+	case <-r.done:
+		return true
+	case <-t.C:
+		return false
+	}
+}
+
+// running returns the processes that have not ended.
+func (p *processes) running() []*process {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	live := []*process{}
+	for _, r := range p.all {
+		if r.alive() {
+			live = append(live, r)
+		}
+	}
+
+	return live
+}
+
+// endAll ends all processes: with SIGTERM, and after limit with SIGKILL.
+func (p *processes) endAll(limit time.Duration) {
+	wg := sync.WaitGroup{}
+	for _, r := range p.running() {
+		wg.Go(func() {
+			if !r.terminate(limit) {
+				r.kill()
+			}
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/ibisfold-standin/demo/report.go
@@ -0,0 +1,127 @@
+package demo
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"ibisfold.example/ibisfold-standin/target"
+)
+
+// Bounds of the invariants, see section 2 of the design.
+const (
+	maxZoneOut = 3 * time.Second
+	maxTicket  = 5 * time.Second
+)
+
+// outage is the time for which a zone was out of service.
+type outage struct {
+	from time.Duration
+	// last is the time of the last packet in the zone, once the outage is over.
+	last time.Duration
+	over bool
+}
+
+type result struct {
+	ticket  time.Duration
+	zoneOut map[string]*outage
+}
+
+// zoneOutTime is the longest time for which a zone that is out got packets.
+func (r *run) zoneOutTime() time.Duration {
+	longest := time.Duration(0)
+	for z, o := range r.result.zoneOut {
+		last := o.last
+		if !o.over {
+			last = r.lastPacket(z)
+		}
+		longest = max(longest, last-o.from)
+	}
+
+	return longest
+}
+
+// report prints the tables and the last line. Error: ErrBroken.
+func (r *run) report() error {
+	r.printServices()
+	r.printTargets()
+	imbalance := r.printImbalance()
+
+	c := r.callers.Total()
+	doubles := len(r.ledger.Doubles())
+	falseNotRun, wrong, over := 0, c.WrongService, 0
+	for i := range r.site.start.Services {
+		falseNotRun += r.callers.Stats(i).FalseNotRun(r.ledger)
+	}
+	for _, t := range r.targets {
+		wrong += t.Counters().WrongService
+		over += t.Counters().OverBound
+	}
+	zoneOut := r.zoneOutTime()
+	fmt.Printf("Flows=%d BrokenFlows=%d WrongService=%d DoubleRuns=%d FalseNotRun=%d Imbalance=%.2f ZoneOutSeconds=%.2f TicketSeconds=%.2f GivenUp=%d\n",
+		c.Flows, c.Broken, wrong, doubles, falseNotRun, imbalance, zoneOut.Seconds(), r.result.ticket.Seconds(), c.GivenUp)
+
+	bad := c.Broken + wrong + doubles + falseNotRun + c.WrongAnswers + over
+	if bad > 0 || c.Flows == 0 || c.Answered == 0 || zoneOut > maxZoneOut || r.result.ticket > maxTicket {
+		return ErrBroken
+	}
+
+	return nil
+}
+
+func table() *tabwriter.Writer {
+	const gap = 2
+
+	return tabwriter.NewWriter(os.Stdout, 0, 0, gap, ' ', 0)
+}
+
+func (r *run) printServices() {
+	w := table()
+	fmt.Fprintln(w, "Tenant\tService\tFlows\tBroken\tGivenUp\tRequests\tAnswered\tNotRun\tUnknown\tNoAnswer\tNoFlow\tEnded\tRefusals\tRepeats\tMoved\tWrongAnswers\tp50 ms\tp99 ms")
+	for i, l := range r.site.loads(r.options.Work, r.options.Share, r.options.Flows) {
+		s := r.callers.Stats(i)
+		c := s.Counts()
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\n",
+			l.Tenant, l.Service, c.Flows, c.Broken, c.GivenUp, c.Requests, c.Answered, c.NotRun, c.Unknown, c.NoAnswer,
+			c.NoFlow, c.Ended, c.Refusals, c.Repeats, c.Moved, c.WrongAnswers,
+			milliseconds(s.Latency(50)), milliseconds(s.Latency(99)))
+	}
+	_ = w.Flush()
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
+func (r *run) printTargets() {
+	w := table()
+	fmt.Fprintln(w, "Target\tZone\tPackets\tRuns\tShed\tOverBound\tSurprised\tFalls\tWrongService\tCancelled")
+	for _, v := range r.site.agents {
+		c := r.targets[v.name].Counters()
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n",
+			v.name, v.process.Zone, c.Packets, c.Runs, c.Shed, c.OverBound, c.Surprised, c.Falls, c.WrongService, c.Cancelled)
+	}
+	_ = w.Flush()
+}
+
+// printImbalance prints the imbalance of each service and window and returns
+// the highest one.
+func (r *run) printImbalance() float64 {
+	highest := 0.0
+	for _, s := range r.site.start.Services {
+		usage := []target.Usage{}
+		for name, t := range r.targets {
+			if r.state.Targets[name].Value.Service == s.Name {
+				usage = append(usage, t.Usage())
+			}
+		}
+		windows := target.Imbalance(usage)
+		fmt.Printf("Imbalance of %s by window of %v: %.2f\n", s.Name, target.Window, windows)
+		for _, x := range windows {
+			highest = max(highest, x)
+		}
+	}
+
+	return highest
+}
--- a/ibisfold-standin/main.go
+++ b/ibisfold-standin/main.go
@@ -1,5 +1,39 @@
-// Command ibisfold-standin is not built yet.
+// Command ibisfold-standin stands in for what surrounds ibisfold: the network
+// fabric, the configuration service, targets and callers.
 package main
 
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"ibisfold.example/ibisfold-standin/callers"
+	"ibisfold.example/ibisfold-standin/config"
+	"ibisfold.example/ibisfold-standin/demo"
+	"ibisfold.example/ibisfold-standin/fabric"
+	"ibisfold.example/ibisfold-standin/target"
+)
+
+var commands = []subcommands.Command{
+	&callers.Command{},
+	&config.Command{},
+	&demo.Command{},
+	&fabric.Command{},
+	&target.Command{},
+}
+
 func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	for _, c := range commands {
+		subcommands.Register(c, "")
+	}
+	flag.Parse()
+
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(int(subcommands.Execute(ctx)))
 }
