--- /dev/null
+++ b/core/entry/route.go
@@ -0,0 +1,211 @@
+package entry
+
+import (
+	"net/netip"
+	"time"
+
+	"ibisfold.example/core/keyring"
+	"ibisfold.example/core/packet"
+)
+
+const (
+	// retryAfter tells callers when to come back to a service without targets.
+	retryAfter = time.Second
+	// resetAttempt is the attempt from which a flow of a suspected agent gets a
+	// reset. Suspicion is a hint, so several attempts through other entries
+	// have to fail first.
+	resetAttempt = 6
+)
+
+// Action says what to do with a caller's packet.
+type Action uint8
+
+// Actions of a Decision.
+const (
+	// Drop ignores the packet; the caller repeats it if it still matters.
+	Drop Action = iota
+	// Forward tunnels the packet to Decision.Agent.
+	Forward
+	// Reply answers the caller with Decision.Kind.
+	Reply
+)
+
+// Reason explains a decision in counters.
+type Reason uint8
+
+// Reasons of a Decision.
+const (
+	ReasonNone Reason = iota
+	// ReasonUnconfirmed means that the lease on the view has ended.
+	ReasonUnconfirmed
+	// ReasonKind means that callers may not send this kind of packet.
+	ReasonKind
+	// ReasonToken means that the token is missing or does not verify. It may
+	// be signed with a key that this entry has not yet got, so the flow lives on.
+	ReasonToken
+	// ReasonZoneOut means that the zone of the flow's target was taken out.
+	ReasonZoneOut
+	// ReasonNoService means that no service has the address.
+	ReasonNoService
+	// ReasonNoTarget means that the service has no target for new flows.
+	ReasonNoTarget
+	// ReasonAgentDown means that the flow's agent has been silent for long.
+	ReasonAgentDown
+	reasons
+)
+
+var reasonNames = [reasons]string{
+	ReasonNone:        "none",
+	ReasonUnconfirmed: "unconfirmed",
+	ReasonKind:        "kind",
+	ReasonToken:       "token",
+	ReasonZoneOut:     "zone_out",
+	ReasonNoService:   "no_service",
+	ReasonNoTarget:    "no_target",
+	ReasonAgentDown:   "agent_down",
+}
+
+// Reasons is the number of reasons, for arrays of counters.
+const Reasons = int(reasons)
+
+// String returns the reason's name as used in metrics.
+func (r Reason) String() string {
+	if r >= reasons {
+		return "invalid"
+	}
+
+	return reasonNames[r]
+}
+
+// Decision is the outcome of Route.
+type Decision struct {
+	Action Action
+	Reason Reason
+	// Agent, Service, Target and Incarnation are set for Forward. Incarnation
+	// is 0 for Open.
+	Agent       netip.AddrPort
+	Service     uint64
+	Target      uint64
+	Incarnation uint64
+	// Kind, Status and RetryAfter are set for Reply.
+	Kind       packet.Kind
+	Status     packet.Status
+	RetryAfter time.Duration
+}
+
+// Route verifies the packet's token and decides where the packet goes. It does
+// not allocate.
+func Route(n *Snapshot, r *keyring.Keyring, now time.Duration, p *packet.Packet) Decision {
+	if p.Kind != packet.Open && (p.Token.IsZero() || !p.Token.Verify(r, p.Flow)) {
+		return drop(ReasonToken)
+	}
+
+	return Decide(n, now, p)
+}
+
+// Decide is Route for a packet whose token is known to verify.
+func Decide(n *Snapshot, now time.Duration, p *packet.Packet) Decision {
+	if now >= n.ConfirmedUntil {
+		return drop(ReasonUnconfirmed)
+	}
+
+	switch p.Kind {
+	case packet.Open:
+		return n.open(p)
+	case packet.Request, packet.Cancel, packet.Close, packet.KeepAlive:
+		return n.forward(p)
+	default:
+		return drop(ReasonKind)
+	}
+}
+
+func drop(r Reason) Decision {
+	return Decision{
+		Action: Drop,
+		Reason: r,
+	}
+}
+
+func (n *Snapshot) open(p *packet.Packet) Decision {
+	t := n.tables.find(p.Service)
+	if t == nil {
+		return refuse(ReasonNoService)
+	}
+	c, ok := t.pick(p.Flow, p.Attempt)
+	if !ok {
+		return refuse(ReasonNoTarget)
+	}
+
+	return Decision{
+		Action:  Forward,
+		Agent:   c.agent,
+		Service: t.service,
+		Target:  c.target,
+	}
+}
+
+// refuse answers an Open. Opening runs nothing, so "not run" is true.
+func refuse(r Reason) Decision {
+	return Decision{
+		Action:     Reply,
+		Reason:     r,
+		Kind:       packet.Refused,
+		Status:     packet.StatusNotRun,
+		RetryAfter: retryAfter,
+	}
+}
+
+// forward routes by token alone, so an entry needs no memory of the flow.
+func (n *Snapshot) forward(p *packet.Packet) Decision {
+	if _, out := n.zonesOut[p.Token.Zone]; out {
+		return reset(ReasonZoneOut)
+	}
+	if p.Attempt >= resetAttempt && n.suspects[p.Token.Target] == p.Token.Incarnation {
+		return reset(ReasonAgentDown)
+	}
+
+	return Decision{
+		Action:      Forward,
+		Agent:       p.Token.Agent,
+		Service:     p.Token.Service,
+		Target:      p.Token.Target,
+		Incarnation: p.Token.Incarnation,
+	}
+}
+
+// reset ends a flow. An earlier copy of a request may have run.
+func reset(r Reason) Decision {
+	return Decision{
+		Action: Reply,
+		Reason: r,
+		Kind:   packet.Reset,
+		Status: packet.StatusOutcomeUnknown,
+	}
+}
+
+// Header returns the tunnel header for a packet that is forwarded. The entry
+// is reached at self and the caller at caller.
+func (d Decision) Header(n *Snapshot, self, caller netip.AddrPort) packet.Tunnel {
+	return packet.Tunnel{
+		Kind:        packet.ToAgent,
+		Ticket:      n.Ticket,
+		Service:     d.Service,
+		Target:      d.Target,
+		Incarnation: d.Incarnation,
+		Sender:      self,
+		Entry:       self,
+		Caller:      caller,
+	}
+}
+
+// Answer returns the packet for the caller of p.
+func (d Decision) Answer(p *packet.Packet) packet.Packet {
+	return packet.Packet{
+		Kind:       d.Kind,
+		Service:    p.Service,
+		Flow:       p.Flow,
+		Request:    p.Request,
+		Status:     d.Status,
+		RetryAfter: d.RetryAfter,
+	}
+}
--- /dev/null
+++ b/core/entry/route_test.go
@@ -0,0 +1,236 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/entry"
+	"ibisfold.example/core/keyring"
+	"ibisfold.example/core/packet"
+	"ibisfold.example/core/ticket"
+)
+
+const second = time.Second
+
+func newKeys(t testing.TB) *keyring.Keyring {
+	t.Helper()
+	r, err := keyring.New([]keyring.Key{
+		{
+			ID:     1,
+			Secret: "00112233445566778899aabbccddeeff",
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return r
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 3, byte(i >> 8), byte(i)}), 80)
+}
+
+// site builds a state with services of equal size, targets spread over zones.
+func site(services, targets, zones int) *ticket.State {
+	t := &ticket.Ticket{
+		Number: 1,
+		Version: ticket.Version{
+			Number: 1,
+		},
+	}
+	for i := range zones {
+		t.Zones = append(t.Zones, ticket.Zone{
+			Name:      fmt.Sprint("zone-", i),
+			InService: true,
+		})
+	}
+	for i := range services {
+		t.Services = append(t.Services, ticket.Service{
+			Name:      fmt.Sprint("service-", i),
+			Addresses: []netip.AddrPort{address(i)},
+		})
+	}
+	for i := range targets {
+		t.Targets = append(t.Targets, ticket.Target{
+			Name:    fmt.Sprint("target-", i),
+			Service: fmt.Sprint("service-", i%services),
+			Zone:    fmt.Sprint("zone-", i%zones),
+			Agent:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, byte(i >> 8), byte(i)}), 7100),
+			Slots:   2,
+		})
+	}
+	s := &ticket.State{}
+	s.Merge(t)
+
+	return s
+}
+
+func open(flow uint64) *packet.Packet {
+	return &packet.Packet{
+		Kind:    packet.Open,
+		Service: address(0),
+		Flow:    flow,
+	}
+}
+
+// Guards against forwarding on an old view after a pause.
+func TestRouteDropsWithoutLease(t *testing.T) {
+	is := is.New(t)
+	n := entry.Build(site(1, 7, 3), nil).Renew(2 * second)
+
+	is.Equal(entry.Decide(n, 1*second, open(1)).Action, entry.Forward)
+	is.Equal(entry.Decide(n, 2*second, open(1)).Reason, entry.ReasonUnconfirmed)
+}
+
+// Guards against an entry that needs memory or configuration to route an
+// established flow: the token alone has to be enough.
+func TestRouteByTokenNeedsNoState(t *testing.T) {
+	is := is.New(t)
+	keys := newKeys(t)
+	p := &packet.Packet{
+		Kind: packet.Request,
+		Flow: 9,
+		Token: packet.Token{
+			Agent:       address(77),
+			Zone:        ticket.ID("zone-0"),
+			Incarnation: 5,
+		},
+	}
+	p.Token.Sign(keys, p.Flow)
+	empty := entry.Build(&ticket.State{}, nil).Renew(second)
+
+	d := entry.Route(empty, keys, 0, p)
+	is.Equal(d.Action, entry.Forward)
+	is.Equal(d.Agent, address(77))
+	is.Equal(d.Incarnation, uint64(5))
+
+	p.Flow = 10
+	is.Equal(entry.Route(empty, keys, 0, p).Reason, entry.ReasonToken)
+}
+
+// Guards against packets to a zone that was taken out.
+func TestRouteResetsFlowsOfZoneOut(t *testing.T) {
+	is := is.New(t)
+	s := site(1, 6, 2)
+	s.Merge(&ticket.Ticket{
+		Number: 2,
+		Version: ticket.Version{
+			Number: 2,
+		},
+		Zones: []ticket.Zone{
+			{
+				Name: "zone-0",
+			},
+		},
+	})
+	n := entry.Build(s, nil).Renew(second)
+
+	for f := range uint64(1000) {
+		d := entry.Decide(n, 0, open(f))
+		is.Equal(d.Agent.Addr().As4()[3]%2, byte(1)) // a target of zone-1
+	}
+	p := &packet.Packet{
+		Kind: packet.Request,
+		Token: packet.Token{
+			Zone: ticket.ID("zone-0"),
+		},
+	}
+	is.Equal(entry.Decide(n, 0, p).Kind, packet.Reset)
+}
+
+// Guards against moving more new flows than the share of the target that left.
+func TestOpenMovesOnlyFlowsOfLeavingTarget(t *testing.T) {
+	is := is.New(t)
+	s := site(1, 7, 1)
+	before := entry.Build(s, nil).Renew(second)
+	s.Merge(&ticket.Ticket{
+		Number: 2,
+		Version: ticket.Version{
+			Number: 2,
+		},
+		Removed: []ticket.Removal{
+			{
+				Target: "target-3",
+			},
+		},
+	})
+	after := entry.Build(s, nil).Renew(second)
+
+	for f := range uint64(10_000) {
+		was := entry.Decide(before, 0, open(f))
+		if was.Target != ticket.ID("target-3") {
+			is.Equal(entry.Decide(after, 0, open(f)).Target, was.Target)
+		}
+	}
+}
+
+// Guards against attempts of one Open that all go to the same dead agent.
+func TestOpenAttemptsReachOtherTargets(t *testing.T) {
+	is := is.New(t)
+	n := entry.Build(site(1, 3, 1), nil).Renew(second)
+	seen := map[uint64]bool{}
+	for a := range uint32(3) {
+		p := open(4)
+		p.Attempt = a
+		seen[entry.Decide(n, 0, p).Target] = true
+	}
+	is.Equal(len(seen), 3)
+}
+
+// Guards against a reset on suspicion alone.
+func TestResetOfSuspectNeedsAttempts(t *testing.T) {
+	is := is.New(t)
+	n := entry.Build(site(1, 3, 1), map[uint64]uint64{8: 5}).Renew(second)
+	p := &packet.Packet{
+		Kind: packet.Request,
+		Token: packet.Token{
+			Target:      8,
+			Incarnation: 5,
+		},
+	}
+	is.Equal(entry.Decide(n, 0, p).Action, entry.Forward)
+	p.Attempt = 6
+	is.Equal(entry.Decide(n, 0, p).Reason, entry.ReasonAgentDown)
+	p.Token.Incarnation = 6
+	is.Equal(entry.Decide(n, 0, p).Action, entry.Forward)
+}
+
+// BenchmarkDecide measures the decision for one packet apart from the MAC.
+func BenchmarkDecide(b *testing.B) {
+	for _, c := range []struct{ services, targets int }{
+		{1, 10}, {1, 100}, {1, 1000}, {1, 3700}, {100, 3700}, {960, 3700},
+	} {
+		n := entry.Build(site(c.services, c.targets, 9), nil).Renew(second)
+		p := open(0)
+		addresses := make([]netip.AddrPort, c.services)
+		for i := range addresses {
+			addresses[i] = address(i)
+		}
+		b.Run(fmt.Sprintf("addresses=%d/targets=%d", c.services, c.targets), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Flow++
+				p.Service = addresses[int(p.Flow)%c.services]
+				entry.Decide(n, 0, p)
+			}
+		})
+	}
+}
+
+// BenchmarkToken measures the MAC of a token.
+func BenchmarkToken(b *testing.B) {
+	keys := newKeys(b)
+	k := packet.Token{
+		Agent: address(1),
+	}
+	k.Sign(keys, 3)
+	b.ReportAllocs()
+	for b.Loop() {
+		k.Verify(keys, 3)
+	}
+}
--- /dev/null
+++ b/core/entry/snapshot.go
@@ -0,0 +1,109 @@
+// Package entry holds the decisions of an entry: where a caller's packet goes,
+// from the packet and an immutable snapshot alone.
+package entry
+
+import (
+	"net/netip"
+	"time"
+
+	"ibisfold.example/core/ticket"
+)
+
+// Snapshot is what an entry needs of the state to route packets. It is
+// immutable once published; traffic goroutines share it.
+type Snapshot struct {
+	// Ticket is the highest ticket number merged.
+	Ticket uint64
+	// Digest identifies the state that the snapshot was built from.
+	Digest ticket.Digest
+	// ConfirmedUntil is the end of the lease on this view; zero before the first.
+	ConfirmedUntil time.Duration
+
+	tables   addressIndex
+	zonesOut map[uint64]struct{}
+	// suspects maps a target to the incarnation of its agent that is silent.
+	suspects map[uint64]uint64
+}
+
+// Build derives a snapshot from the state and the suspected agents. The lease
+// is zero: see Renew.
+func Build(s *ticket.State, suspects map[uint64]uint64) *Snapshot {
+	n := &Snapshot{
+		Ticket:   s.Highest(),
+		Digest:   s.Digest(),
+		zonesOut: zonesOut(s),
+		suspects: suspects,
+	}
+	groups := groupTargets(s, suspects)
+	owners := map[netip.AddrPort]ticket.Version{}
+	tables := map[netip.AddrPort]*table{}
+	for name, o := range s.Services {
+		if o.Removed {
+			continue
+		}
+		t := newTable(o.Value, groups[name])
+		for _, a := range o.Value.Addresses {
+			if v, ok := owners[a]; ok && !beats(o.Version, name, v, tables[a].name) {
+				continue
+			}
+			owners[a] = o.Version
+			tables[a] = t
+		}
+	}
+	n.tables = newAddressIndex(tables)
+
+	return n
+}
+
+// beats orders two services that claim one address: the higher version keeps
+// it, and the name decides between two services of the same ticket.
+func beats(v ticket.Version, name string, than ticket.Version, other string) bool {
+	if v != than {
+		return than.Less(v)
+	}
+
+	return name > other
+}
+
+// Renew returns a snapshot of the same state with a new lease.
+func (n *Snapshot) Renew(until time.Duration) *Snapshot {
+	c := *n
+	c.ConfirmedUntil = until
+
+	return &c
+}
+
+func zonesOut(s *ticket.State) map[uint64]struct{} {
+	m := map[uint64]struct{}{}
+	for name, o := range s.Zones {
+		if !o.Removed && !o.Value.InService {
+			m[ticket.ID(name)] = struct{}{}
+		}
+	}
+
+	return m
+}
+
+// groupTargets lists the targets that may get new flows, by service.
+func groupTargets(s *ticket.State, suspects map[uint64]uint64) map[string][]candidate {
+	m := map[string][]candidate{}
+	for name, o := range s.Targets {
+		t := o.Value
+		if o.Removed || t.State == ticket.Draining {
+			continue
+		}
+		if z, ok := s.Zones[t.Zone]; !ok || z.Removed || !z.Value.InService {
+			continue
+		}
+		id := ticket.ID(name)
+		_, suspect := suspects[id]
+		m[t.Service] = append(m[t.Service], candidate{
+			agent:   t.Agent,
+			target:  id,
+			slots:   int32(t.Slots),
+			suspect: suspect,
+		})
+	}
+
+	return m
+}
--- /dev/null
+++ b/core/entry/table.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"cmp"
+	"math/bits"
+	"net/netip"
+	"slices"
+
+	"ibisfold.example/core/ticket"
+)
+
+const (
+	// pointsPerSlot spreads a target over the ring in proportion to its slots.
+	// Agents even out the unevenness of about 1/sqrt(pointsPerSlot*slots).
+	pointsPerSlot = 32
+	maxPoints     = 512
+	minBuckets    = 256
+)
+
+// candidate is a target that may get new flows.
+type candidate struct {
+	agent   netip.AddrPort
+	target  uint64
+	slots   int32
+	suspect bool
+}
+
+// table maps the hash of a flow to targets of one service.
+type table struct {
+	service uint64
+	name    string
+	// candidates is sorted by target, so that all entries agree.
+	candidates []candidate
+	// buckets holds the first candidate of each range of hashes. Its length is
+	// a power of two; it is empty without candidates. One index a bucket keeps
+	// the tables of 960 services within the processor's second-level cache.
+	buckets []uint16
+}
+
+func newTable(s ticket.Service, candidates []candidate) *table {
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Compare(a.target, b.target)
+	})
+	t := &table{
+		service:    ticket.ID(s.Name),
+		name:       s.Name,
+		candidates: candidates,
+	}
+	if len(candidates) == 0 {
+		return t
+	}
+
+	points := t.points()
+	t.buckets = make([]uint16, bucketCount(len(points)))
+	shift := 64 - bits.TrailingZeros(uint(len(t.buckets)))
+	next := 0
+	for i := range t.buckets {
+		for next < len(points) && points[next].position < uint64(i)<<shift {
+			next++
+		}
+		t.buckets[i] = t.successor(points, next)
+	}
+
+	return t
+}
+
+func bucketCount(points int) int {
+	n := minBuckets
+	for n < points {
+		n *= 2
+	}
+
+	return n
+}
+
+// point is one position of a target on the ring of consistent hashing.
+type point struct {
+	position uint64
+	index    uint16
+}
+
+// points places the candidates on the ring. A target's positions depend on the
+// target alone, so a target that leaves moves only its own share of new flows.
+func (t *table) points() []point {
+	points := []point{}
+	for i, c := range t.candidates {
+		for k := range min(max(int(c.slots), 1)*pointsPerSlot, maxPoints) {
+			points = append(points, point{
+				position: mix(mix(c.target) + uint64(k)),
+				index:    uint16(i),
+			})
+		}
+	}
+	slices.SortFunc(points, func(a, b point) int {
+		return cmp.Compare(a.position, b.position)
+	})
+
+	return points
+}
+
+// successor returns the first candidate from points[next] on that is not
+// suspected. A suspicion may be wrong, so it counts only if there is another.
+func (t *table) successor(points []point, next int) uint16 {
+	for i := range points {
+		c := points[(next+i)%len(points)].index
+		if !t.candidates[c].suspect {
+			return c
+		}
+	}
+
+	return points[next%len(points)].index
+}
+
+// mix is the finalizer of SplitMix64: every input bit changes every output bit.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+
+	return x ^ x>>31
+}
+
+// pick returns the target for an attempt of a flow; ok is false without any.
+// Repeated attempts go through all other targets, from a random one on.
+func (t *table) pick(flow uint64, attempt uint32) (*candidate, bool) {
+	n := uint32(len(t.candidates))
+	if n == 0 {
+		return nil, false
+	}
+
+	h := mix(flow)
+	first := uint32(t.buckets[h>>(64-bits.TrailingZeros(uint(len(t.buckets))))])
+	if attempt == 0 || n == 1 {
+		return &t.candidates[first], true
+	}
+	skip := 1 + (uint32(h)%(n-1)+attempt-1)%(n-1)
+
+	return &t.candidates[(first+skip)%n], true
+}
