--- /dev/null
+++ b/core/control/loop.go
@@ -0,0 +1,155 @@
+// Package control runs a process's mesh core: one goroutine owns the control
+// state, does its timers and passes what it publishes to the traffic side.
+package control
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"ibisfold.example/core/mesh"
+)
+
+const (
+	// inboxSize is the number of messages that may wait for the control goroutine.
+	inboxSize = 1024
+	// listInterval is the least time between two reads of the list of VMs.
+	listInterval = 10 * time.Second
+)
+
+// Source reads the platform's services.
+type Source interface {
+	// Tickets returns the texts of tickets not returned before. With wait above
+	// zero it waits that long for one to appear.
+	Tickets(ctx context.Context, wait time.Duration) ([][]byte, error)
+	// VMs returns the processes on the listed VMs.
+	VMs(ctx context.Context) ([]mesh.Node, error)
+}
+
+// Loop drives a mesh core. Set the exported fields before Run.
+type Loop struct {
+	Core *mesh.Core
+	// Clock is the process's monotonic clock.
+	Clock func() time.Duration
+	// Send transmits a message to another process without blocking.
+	Send func(to netip.AddrPort, m mesh.Wire)
+	// Source may be nil for a process without a configuration service.
+	Source Source
+	// Publish runs in the control goroutine after each change of the core.
+	Publish func(c *mesh.Core)
+	// Dropped counts messages that found the inbox full.
+	Dropped atomic.Uint64
+
+	inbox chan mesh.Message
+	calls chan func(c *mesh.Core)
+}
+
+// New returns a loop that can take messages before it runs.
+func New() *Loop {
+	return &Loop{
+		inbox: make(chan mesh.Message, inboxSize),
+		calls: make(chan func(c *mesh.Core)),
+	}
+}
+
+// Post hands a message to the core and never blocks; a full inbox drops it,
+// which the protocol repairs like any lost message.
+func (l *Loop) Post(m mesh.Message) {
+	select {
+	case l.inbox <- m:
+	default:
+		l.Dropped.Add(1)
+	}
+}
+
+// Do runs f in the control goroutine and waits for it.
+func (l *Loop) Do(ctx context.Context, f func(c *mesh.Core)) error {
+	done := make(chan struct{})
+	call := func(c *mesh.Core) {
+		f(c)
+		close(done)
+	}
+
+	select {
+	case l.calls <- call:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	<-done
+
+	return nil
+}
+
+// Run drives the core until ctx is done.
+func (l *Loop) Run(ctx context.Context) error {
+	t := time.NewTicker(mesh.TickInterval)
+	defer t.Stop()
+
+	l.update(ctx, mesh.Tick{})
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			l.update(ctx, mesh.Tick{})
+		case m := <-l.inbox:
+			l.update(ctx, m)
+		case f := <-l.calls:
+			f(l.Core)
+		}
+	}
+}
+
+func (l *Loop) update(ctx context.Context, m mesh.Message) {
+	for _, c := range l.Core.Update(l.Clock(), m) {
+		l.execute(ctx, c)
+	}
+}
+
+func (l *Loop) execute(ctx context.Context, c mesh.Command) {
+	switch c := c.(type) {
+	case mesh.Send:
+		l.Send(c.To, c.Body)
+	case mesh.ReadConfig:
+		go l.readConfig(ctx, c.Wait)
+	case mesh.ListVMs:
+		go l.listVMs(ctx)
+	case mesh.Publish:
+		l.Publish(l.Core)
+	}
+}
+
+func (l *Loop) readConfig(ctx context.Context, wait time.Duration) {
+	if l.Source == nil {
+		l.Post(mesh.ConfigFailed{})
+
+		return
+	}
+
+	texts, err := l.Source.Tickets(ctx, wait)
+	if err != nil {
+		l.Post(mesh.ConfigFailed{})
+
+		return
+	}
+	l.Post(mesh.ConfigRead{
+		Texts: texts,
+	})
+}
+
+func (l *Loop) listVMs(ctx context.Context) {
+	if l.Source == nil {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, listInterval)
+	defer cancel()
+	nodes, err := l.Source.VMs(ctx)
+	if err != nil {
+		return
+	}
+	l.Post(mesh.VMsListed{
+		Nodes: nodes,
+	})
+}
--- a/core/entry/snapshot.go
+++ b/core/entry/snapshot.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -65,6 +66,12 @@
 	return name > other
 }
 
+// Matches reports whether the snapshot was built from a state with digest d and
+// from these suspects.
+func (n *Snapshot) Matches(d ticket.Digest, suspects map[uint64]uint64) bool {
+	return n.Digest == d && maps.Equal(n.suspects, suspects)
+}
+
 // Renew returns a snapshot of the same state with a new lease.
 func (n *Snapshot) Renew(until time.Duration) *Snapshot {
 	c := *n
--- a/core/packet/tunnel.go
+++ b/core/packet/tunnel.go
@@ -139,3 +139,14 @@
 func IsTunnel(b []byte) bool {
 	return len(b) > 0 && b[0] == tunnelVersion
 }
+
+// HasPacket reports whether a Packet follows the header; otherwise another
+// body does.
+func (k TunnelKind) HasPacket() bool {
+	switch k {
+	case Handover, HandoverAck, HandoverDone, Heartbeat:
+		return false
+	default:
+		return true
+	}
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -80,3 +80,24 @@
 
 	return nil
 }
+
+// DefaultStopTimeout bounds a graceful shutdown if the settings do not.
+const DefaultStopTimeout = 30 * time.Second
+
+// Self returns the address that other processes use.
+func (p *Process) Self() netip.AddrPort {
+	if p.Advertise.IsValid() {
+		return p.Advertise
+	}
+
+	return p.Listen
+}
+
+// StopTime returns the longest time of a graceful shutdown.
+func (p *Process) StopTime() time.Duration {
+	if p.StopTimeout > 0 {
+		return p.StopTimeout
+	}
+
+	return DefaultStopTimeout
+}
