Read tickets and settings with Pascal case keys

Cause: goccy/go-yaml expects lower case keys for fields without a tag, so the documented Pascal case keys were refused as unknown fields. Every field now names its key.

--- a/core/keyring/keyring.go
+++ b/core/keyring/keyring.go
@@ -38,9 +38,9 @@
 // Key is one shared secret, as written in the settings.
 type Key struct {
 	// ID is between 1 and 255 and unique within a keyring.
-	ID int
+	ID int `yaml:"ID"`
 	// Secret is hexadecimal and at least SecretBytes long when decoded.
-	Secret string
+	Secret string `yaml:"Secret"`
 }
 
 type subkeys [uses][2]uint64
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -24,39 +24,39 @@
 // Process holds what all processes of the system need.
 type Process struct {
 	// Zone is the availability zone of the VM.
-	Zone string
+	Zone string `yaml:"Zone"`
 	// Listen is the address that the process binds for other processes.
-	Listen netip.AddrPort
+	Listen netip.AddrPort `yaml:"Listen"`
 	// Advertise is the address that others use; by default Listen.
-	Advertise netip.AddrPort `yaml:",omitempty"`
+	Advertise netip.AddrPort `yaml:"Advertise,omitempty"`
 	// HTTP is the address of /metrics and /healthz.
-	HTTP netip.AddrPort
+	HTTP netip.AddrPort `yaml:"HTTP"`
 	// Consul is the base URL of the configuration service.
-	Consul string
+	Consul string `yaml:"Consul"`
 	// Seeds are addresses of other processes.
-	Seeds []netip.AddrPort
+	Seeds []netip.AddrPort `yaml:"Seeds"`
 	// Keys authenticate messages between processes; the first one signs.
-	Keys []keyring.Key
+	Keys []keyring.Key `yaml:"Keys"`
 	// StopTimeout bounds a graceful shutdown.
-	StopTimeout time.Duration `yaml:",omitempty"`
+	StopTimeout time.Duration `yaml:"StopTimeout,omitempty"`
 }
 
 // Entry holds the settings of an entry.
 type Entry struct {
 	Process `yaml:",inline"`
 	// Callers is the address at which the fabric delivers callers' packets.
-	Callers netip.AddrPort
+	Callers netip.AddrPort `yaml:"Callers"`
 	// Threads is the number of traffic goroutines; by default 1.
-	Threads int `yaml:",omitempty"`
+	Threads int `yaml:"Threads,omitempty"`
 }
 
 // Agent holds the settings of an agent.
 type Agent struct {
 	Process `yaml:",inline"`
 	// Name is the target's name as tickets give it.
-	Name string
+	Name string `yaml:"Name"`
 	// Target is the address of the target on the same VM.
-	Target netip.AddrPort
+	Target netip.AddrPort `yaml:"Target"`
 }
 
 // Load reads a settings file into v, an *Entry or an *Agent.
--- a/core/ticket/ticket.go
+++ b/core/ticket/ticket.go
@@ -53,56 +53,56 @@
 
 // Zone is an availability zone.
 type Zone struct {
-	Name string
+	Name string `yaml:"Name"`
 	// InService is false for a zone that operators have taken out.
-	InService bool
+	InService bool `yaml:"InService"`
 }
 
 // Service is what callers reach at its addresses.
 type Service struct {
-	Name string
+	Name string `yaml:"Name"`
 	// Tenant owns the service.
-	Tenant string
+	Tenant string `yaml:"Tenant"`
 	// Addresses are unique over all services in force; at a clash the service
 	// with the higher version keeps the address.
-	Addresses []netip.AddrPort
+	Addresses []netip.AddrPort `yaml:"Addresses"`
 }
 
 // Target serves one service from one zone, with an agent beside it.
 type Target struct {
-	Name string
+	Name string `yaml:"Name"`
 	// Service and Zone name objects; the target gets no traffic until both exist.
-	Service string
-	Zone    string
+	Service string `yaml:"Service"`
+	Zone    string `yaml:"Zone"`
 	// Agent is the address of the agent beside the target.
-	Agent netip.AddrPort
+	Agent netip.AddrPort `yaml:"Agent"`
 	// Slots is the number of requests that the target runs at a time, from 1.
-	Slots int
+	Slots int `yaml:"Slots"`
 	// Connections is the number of flows that the target holds, from 1.
-	Connections int
+	Connections int `yaml:"Connections"`
 	// State is empty for InService.
-	State TargetState `yaml:",omitempty"`
+	State TargetState `yaml:"State,omitempty"`
 }
 
 // Removal names one object that a ticket removes. One field is set.
 type Removal struct {
-	Zone    string `yaml:",omitempty"`
-	Service string `yaml:",omitempty"`
-	Target  string `yaml:",omitempty"`
+	Zone    string `yaml:"Zone,omitempty"`
+	Service string `yaml:"Service,omitempty"`
+	Target  string `yaml:"Target,omitempty"`
 }
 
 // Ticket carries the whole new state of all objects that it touches.
 type Ticket struct {
 	// Number is unique and above 0.
 	Number uint64 `yaml:"Ticket"`
-	Reason string
+	Reason string `yaml:"Reason"`
 	// Complete tickets carry the whole state: what they do not list and has a
 	// lower number is removed.
-	Complete bool
-	Zones    []Zone
-	Services []Service
-	Targets  []Target
-	Removed  []Removal
+	Complete bool      `yaml:"Complete"`
+	Zones    []Zone    `yaml:"Zones"`
+	Services []Service `yaml:"Services"`
+	Targets  []Target  `yaml:"Targets"`
+	Removed  []Removal `yaml:"Removed"`
 
 	// Version and Text are set by Parse.
 	Version Version `yaml:"-"`
--- a/core/ticket/yaml.go
+++ b/core/ticket/yaml.go
@@ -1,8 +1,8 @@
 package ticket
 
 type rawZone struct {
-	Name      string
-	InService *bool
+	Name      string `yaml:"Name"`
+	InService *bool  `yaml:"InService"`
 }
 
 // UnmarshalYAML reads a zone; InService defaults to true.
