--- /dev/null
+++ b/core/mesh/core.go
@@ -0,0 +1,186 @@
+package mesh
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"ibisfold.example/core/ticket"
+)
+
+// Core is the control plane of one process. It is not safe for concurrent use.
+type Core struct {
+	options  Options
+	random   *rand.Rand
+	state    ticket.State
+	counters Counters
+	budget   budget
+	view     view
+	index    index
+	store    store
+	confirm  confirmation
+	exchange exchanges
+	fetch    fetches
+	readers  readers
+	rumours  rumours
+	pushes   []push
+
+	started  bool
+	now      time.Duration
+	lastTick time.Duration
+	changed  bool
+	out      []Command
+}
+
+// New returns a core without state or peers.
+func New(o Options) *Core {
+	if o.Parse == nil {
+		o.Parse = ticket.Parse
+	}
+	c := &Core{
+		options: o,
+		random:  rand.New(rand.NewPCG(o.Seed, o.Self.Incarnation)),
+	}
+	c.budget.tokens = BudgetBurst
+
+	return c
+}
+
+// Update handles one message and returns what the runtime must do. Now is a
+// monotonic time that all calls share.
+func (c *Core) Update(now time.Duration, m Message) []Command {
+	c.out = nil
+	c.advance(now)
+
+	switch m := m.(type) {
+	case Tick:
+		c.tick()
+	case Received:
+		c.receive(m)
+	case ConfigRead:
+		c.configRead(m)
+	case ConfigFailed:
+		c.configFailed()
+	case VMsListed:
+		c.vmsListed(m)
+	case LocalSuspect:
+		c.localRumour(m.Target, m.Incarnation, true)
+	case LocalAlive:
+		c.localRumour(m.Target, m.Incarnation, false)
+	}
+
+	if c.changed {
+		c.changed = false
+		c.out = append(c.out, Publish{})
+	}
+
+	return c.out
+}
+
+// advance moves the clock and detects a pause before anything else happens.
+func (c *Core) advance(now time.Duration) {
+	if !c.started {
+		c.start(now)
+	}
+	c.now = max(now, c.now)
+	c.budget.refill(c.now)
+	if c.now-c.lastTick > PauseGap {
+		c.wake()
+		c.lastTick = c.now
+	}
+}
+
+func (c *Core) start(now time.Duration) {
+	c.started = true
+	c.now = now
+	c.lastTick = now
+	c.budget.at = now
+	c.confirm.since = now
+	c.readers.start(c)
+	c.view.nextProbe = now
+}
+
+func (c *Core) tick() {
+	c.lastTick = c.now
+	c.flush()
+	c.pushTick()
+	c.exchangeTick()
+	c.fetchTick()
+	c.readerTick()
+	c.rumourTick()
+	c.confirmTick()
+}
+
+func (c *Core) receive(m Received) {
+	n := m.Body.Bytes()
+	c.budget.spend(n)
+	c.counters.BytesReceived += uint64(n)
+	c.counters.MessagesReceived++
+	c.view.heard(m.From, c.now)
+
+	switch b := m.Body.(type) {
+	case Digest:
+		c.onDigest(m.From, b)
+	case DigestAck:
+		c.onDigestAck(m.From, b)
+	case Summary:
+		c.onParts(m.From, b.Parts)
+	case Fetch:
+		c.onFetch(m.From, b)
+	case Announce:
+		c.onAnnounce(m.From, b)
+	case Body:
+		c.onBody(m.From, b)
+	case ChunkRequest:
+		c.onChunkRequest(m.From, b)
+	case Chunk:
+		c.onChunk(m.From, b)
+	case ChunkRefused:
+		c.onChunkRefused(m.From, b)
+	case Rumours:
+		c.onRumours(b.Items)
+	}
+}
+
+// State returns the merged state. It is only valid until the next Update.
+func (c *Core) State() *ticket.State {
+	return &c.state
+}
+
+// Counters returns a copy of the counters.
+func (c *Core) Counters() Counters {
+	return c.counters
+}
+
+// Peers returns the peers of the partial view, ordered by address.
+func (c *Core) Peers() []Node {
+	nodes := []Node{}
+	for _, p := range c.view.peers {
+		nodes = append(nodes, p.node)
+	}
+	slices.SortFunc(nodes, func(a, b Node) int {
+		return a.Addr.Compare(b.Addr)
+	})
+
+	return nodes
+}
+
+// empty reports whether the core has no state yet.
+func (c *Core) empty() bool {
+	return c.state.Highest() == 0
+}
+
+// pick returns a random element; s must not be empty.
+func pick[T any](r *rand.Rand, s []T) T {
+	return s[r.IntN(len(s))]
+}
+
+// jitter returns d with a random deviation of at most a tenth.
+func (c *Core) jitter(d time.Duration) time.Duration {
+	return d + time.Duration((c.random.Float64()-0.5)*0.2*float64(d))
+}
+
+func contains(s []netip.AddrPort, a netip.AddrPort) bool {
+	return slices.Contains(s, a)
+}
--- /dev/null
+++ b/core/mesh/index.go
@@ -0,0 +1,151 @@
+package mesh
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"sort"
+
+	"github.com/dchest/siphash"
+
+	"ibisfold.example/core/ticket"
+)
+
+const (
+	// listItems is the largest number of versions that is listed instead of hashed.
+	listItems = 8
+	// splits is the number of ranges into which a differing range is divided.
+	splits = 8
+	// maxSummaryBytes keeps a summary within a datagram.
+	maxSummaryBytes = 1000
+)
+
+// index holds the sorted versions of all held tickets with prefix hashes, so
+// that the hash of any range costs two look-ups. It is rebuilt on use after a merge.
+type index struct {
+	valid    bool
+	versions []ticket.Version
+	// prefix[i] is the XOR of the hashes of the first i versions.
+	prefix []uint64
+	// agents are the sorted addresses of agents in the state.
+	agents      []netip.AddrPort
+	agentsValid bool
+}
+
+func (c *Core) indexed() *index {
+	x := &c.index
+	if x.valid {
+		return x
+	}
+
+	x.valid = true
+	x.versions = c.state.Versions()
+	x.prefix = make([]uint64, 1, len(x.versions)+1)
+	for i, v := range x.versions {
+		x.prefix = append(x.prefix, x.prefix[i]^mix(v))
+	}
+
+	return x
+}
+
+// agents returns the addresses of all agents in the state.
+func (c *Core) agents() []netip.AddrPort {
+	x := &c.index
+	if x.agentsValid {
+		return x.agents
+	}
+
+	x.agentsValid = true
+	x.agents = nil
+	for _, o := range c.state.Targets {
+		if o.Value.Agent.IsValid() {
+			x.agents = append(x.agents, o.Value.Agent)
+		}
+	}
+	slices.SortFunc(x.agents, netip.AddrPort.Compare)
+
+	return x.agents
+}
+
+func (c *Core) invalidate() {
+	c.index.valid = false
+	c.index.agentsValid = false
+}
+
+func mix(v ticket.Version) uint64 {
+	var b [16]byte
+
+	binary.BigEndian.PutUint64(b[:], v.Number)
+	binary.BigEndian.PutUint64(b[8:], v.Hash)
+
+	return siphash.Hash(0, 0, b[:])
+}
+
+// bounds returns the positions of the range from <= version < to.
+func (x *index) bounds(from, to ticket.Version) (int, int) {
+	lo := x.position(from)
+	if to == (ticket.Version{}) {
+		return lo, len(x.versions)
+	}
+
+	return lo, max(lo, x.position(to))
+}
+
+func (x *index) position(v ticket.Version) int {
+	return sort.Search(len(x.versions), func(i int) bool {
+		return !x.versions[i].Less(v)
+	})
+}
+
+func (x *index) hash(lo, hi int) uint64 {
+	return x.prefix[hi] ^ x.prefix[lo]
+}
+
+// describe appends parts for a range, the newest first: a list if it is short,
+// and otherwise a list of the newest versions and hashes of the rest.
+func (x *index) describe(parts []Part, from, to ticket.Version) []Part {
+	lo, hi := x.bounds(from, to)
+	if hi-lo <= listItems {
+		return append(parts, x.list(lo, hi, from, to))
+	}
+
+	top := hi - listItems
+	cut := x.versions[top]
+	parts = append(parts, x.list(top, hi, cut, to))
+	step := (top - lo + splits - 2) / (splits - 1)
+	for top > lo {
+		next := max(lo, top-step)
+		first := x.versions[next]
+		if next == lo {
+			first = from
+		}
+		parts = append(parts, Part{
+			From:  first,
+			To:    cut,
+			Count: uint32(top - next),
+			Hash:  x.hash(next, top),
+		})
+		cut = first
+		top = next
+	}
+
+	return parts
+}
+
+func (x *index) list(lo, hi int, from, to ticket.Version) Part {
+	return Part{
+		From:  from,
+		To:    to,
+		Count: uint32(hi - lo),
+		Hash:  x.hash(lo, hi),
+		List:  true,
+		Items: slices.Clone(x.versions[lo:hi]),
+	}
+}
+
+// differs reports whether the own tickets of p's range are others than the sender's.
+func (x *index) differs(p Part) bool {
+	lo, hi := x.bounds(p.From, p.To)
+
+	return uint32(hi-lo) != p.Count || x.hash(lo, hi) != p.Hash
+}
--- /dev/null
+++ b/core/mesh/meshtest/network.go
@@ -0,0 +1,280 @@
+// Package meshtest runs mesh cores on a virtual network with a virtual clock.
+// It serves tests and capacity runs only.
+package meshtest
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"ibisfold.example/core/mesh"
+	"ibisfold.example/core/ticket"
+)
+
+const (
+	step  = time.Millisecond
+	slots = 2048
+	tick  = int(mesh.TickInterval / step)
+)
+
+// Node is one process of the network.
+type Node struct {
+	Self   mesh.Node
+	Region int
+	Core   *mesh.Core
+	// Down nodes neither tick nor receive; Paused ones receive when they go on.
+	Down   bool
+	Paused bool
+	// InForce is when the watched ticket was merged, or zero.
+	InForce time.Duration
+	// Second counts the bytes sent and received in the current second, Peak
+	// the most in any second since ResetPeaks.
+	Second, Peak int
+	second       time.Duration
+	inbox        []mesh.Message
+}
+
+type event struct {
+	to   *Node
+	core *mesh.Core
+	// message is nil for a tick.
+	message mesh.Message
+}
+
+// Network connects nodes. It is deterministic for a seed.
+type Network struct {
+	Now    time.Duration
+	Nodes  []*Node
+	Config Config
+	// Watch is the ticket whose arrival sets InForce; Missing counts the
+	// nodes that lack it.
+	Watch   ticket.Version
+	Missing int
+	// Loss and Duplicate are probabilities of each message.
+	Loss, Duplicate float64
+	// Delay and Blocked may be replaced; the defaults are 5 to 10 ms and never.
+	Delay   func(from, to *Node) time.Duration
+	Blocked func(from, to *Node) bool
+	// Work is the real time spent in Update, if Timed.
+	Work  time.Duration
+	Timed bool
+
+	random *rand.Rand
+	ring   [slots][]event
+	byAddr map[netip.AddrPort]*Node
+	parsed map[string]*ticket.Ticket
+}
+
+// New returns an empty network.
+func New(seed uint64) *Network {
+	n := &Network{
+		random: rand.New(rand.NewPCG(seed, 0)),
+		byAddr: map[netip.AddrPort]*Node{},
+		parsed: map[string]*ticket.Ticket{},
+	}
+	n.Delay = func(*Node, *Node) time.Duration {
+		return 5*time.Millisecond + time.Duration(n.random.Int64N(int64(5*time.Millisecond)))
+	}
+	n.Blocked = func(*Node, *Node) bool { return false }
+
+	return n
+}
+
+// Add starts a node with the next address.
+func (n *Network) Add(role mesh.Role, zone string, region int, seeds ...netip.AddrPort) *Node {
+	i := len(n.Nodes) + 1
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7100)
+	v := &Node{
+		Self: mesh.Node{
+			Addr: a,
+			Zone: zone,
+			Role: role,
+		},
+		Region: region,
+	}
+	n.Nodes = append(n.Nodes, v)
+	n.byAddr[a] = v
+	n.Start(v, seeds...)
+
+	return v
+}
+
+// Start starts a node, or restarts it empty.
+func (n *Network) Start(v *Node, seeds ...netip.AddrPort) {
+	v.Self.Incarnation++
+	v.Down = false
+	v.inbox = nil
+	v.Core = mesh.New(mesh.Options{
+		Self:  v.Self,
+		Seeds: seeds,
+		Seed:  n.random.Uint64(),
+		Parse: n.parse,
+	})
+	n.put(v, nil, time.Duration(1+n.random.IntN(tick))*step)
+}
+
+// parse shares parsed tickets among the nodes, which saves memory.
+func (n *Network) parse(text []byte) (*ticket.Ticket, error) {
+	if t := n.parsed[string(text)]; t != nil {
+		return t, nil
+	}
+	t, err := ticket.Parse(text)
+	if err == nil {
+		n.parsed[string(text)] = t
+	}
+
+	return t, err
+}
+
+func (n *Network) put(v *Node, m mesh.Message, after time.Duration) {
+	i := int((n.Now+max(after, step))/step) % slots
+	n.ring[i] = append(n.ring[i], event{
+		to:      v,
+		core:    v.Core,
+		message: m,
+	})
+}
+
+// Run moves the clock by d.
+func (n *Network) Run(d time.Duration) {
+	n.RunUntil(d, func() bool { return false })
+}
+
+// RunUntil moves the clock until done holds, at most by d, and reports whether it holds.
+func (n *Network) RunUntil(d time.Duration, done func() bool) bool {
+	for end := n.Now + d; n.Now < end; {
+		if n.Now%mesh.TickInterval == 0 {
+			n.Config.tick(n)
+			if done() {
+				return true
+			}
+		}
+		n.Now += step
+		i := int(n.Now/step) % slots
+		events := n.ring[i]
+		n.ring[i] = nil
+		for _, e := range events {
+			n.deliver(e)
+		}
+	}
+
+	return done()
+}
+
+func (n *Network) deliver(e event) {
+	v := e.to
+	if e.core != v.Core || v.Down {
+		return
+	}
+	if e.message == nil {
+		n.put(v, nil, mesh.TickInterval)
+	}
+	if v.Paused {
+		if e.message != nil && len(v.inbox) < 100 {
+			v.inbox = append(v.inbox, e.message)
+		}
+
+		return
+	}
+	for _, m := range v.inbox {
+		n.Update(v, m)
+	}
+	v.inbox = nil
+	if e.message == nil {
+		n.Update(v, mesh.Tick{})
+
+		return
+	}
+	n.Update(v, e.message)
+}
+
+// Update passes a message to a node now.
+func (n *Network) Update(v *Node, m mesh.Message) {
+	if r, ok := m.(mesh.Received); ok {
+		n.count(v, r.Body.Bytes())
+	}
+	var begin time.Time
+	if n.Timed {
+		begin = time.Now()
+	}
+	commands := v.Core.Update(n.Now, m)
+	if n.Timed {
+		n.Work += time.Since(begin)
+	}
+	for _, c := range commands {
+		n.run(v, c)
+	}
+}
+
+func (n *Network) run(v *Node, c mesh.Command) {
+	switch c := c.(type) {
+	case mesh.Send:
+		n.count(v, c.Body.Bytes())
+		n.transmit(v, c)
+	case mesh.ReadConfig:
+		n.Config.read(n, v, c.Wait)
+	case mesh.Publish:
+		if v.InForce == 0 && n.Watch.Number > 0 && v.Core.State().Held(n.Watch) != nil {
+			v.InForce = n.Now
+			n.Missing--
+		}
+	}
+}
+
+func (n *Network) transmit(v *Node, c mesh.Send) {
+	to := n.byAddr[c.To]
+	if to == nil || n.Blocked(v, to) {
+		return
+	}
+	m := mesh.Received{
+		From: v.Self.Addr,
+		Body: c.Body,
+	}
+	if n.random.Float64() >= n.Loss {
+		n.put(to, m, n.Delay(v, to))
+	}
+	if n.Duplicate > 0 && n.random.Float64() < n.Duplicate {
+		n.put(to, m, n.Delay(v, to))
+	}
+}
+
+func (n *Network) count(v *Node, bytes int) {
+	if s := n.Now / time.Second; s != v.second {
+		v.second = s
+		v.Second = 0
+	}
+	v.Second += bytes
+	v.Peak = max(v.Peak, v.Second)
+}
+
+// WatchFor starts to measure the arrival of a ticket.
+func (n *Network) WatchFor(v ticket.Version) {
+	n.Watch = v
+	n.Missing = 0
+	for _, d := range n.Nodes {
+		d.InForce = 0
+		d.Peak = 0
+		if !d.Down {
+			n.Missing++
+		}
+	}
+}
+
+// Converged reports whether all running nodes have the same state.
+func (n *Network) Converged() bool {
+	var first *ticket.Digest
+	for _, v := range n.Nodes {
+		if v.Down {
+			continue
+		}
+		d := v.Core.State().Digest()
+		if first == nil {
+			first = &d
+		}
+		if d != *first || d.Highest == 0 {
+			return false
+		}
+	}
+
+	return true
+}
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -6,6 +6,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"ibisfold.example/core/ticket"
 )
 
 // TickInterval is the time between two Tick messages.
@@ -38,7 +40,26 @@
 	Seeds []netip.AddrPort
 	// Seed makes the core's random choices repeatable.
 	Seed uint64
+	// Parse replaces ticket.Parse, so that simulations of many nodes share
+	// parsed tickets; nil means ticket.Parse.
+	Parse func(text []byte) (*ticket.Ticket, error)
 }
 
 // Wire is a message between two cores. Its types are in wire.go.
-type Wire interface{ isWire() }
+type Wire interface {
+	isWire()
+	// Bytes is the length of the message on the wire with all headers, in bytes.
+	Bytes() int
+}
+
+// String returns the role's name as used in metrics and status.
+func (r Role) String() string {
+	switch r {
+	case RoleEntry:
+		return "entry"
+	case RoleAgent:
+		return "agent"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/core/mesh/store.go
@@ -0,0 +1,237 @@
+package mesh
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/klauspost/compress/flate"
+
+	"ibisfold.example/core/ticket"
+)
+
+// Sentinel errors of compressed tickets.
+const (
+	// ErrBody means that a compressed ticket can't be unpacked.
+	ErrBody = errors.ConstError("compressed ticket can't be unpacked")
+	// ErrHash means that a ticket isn't the announced one.
+	ErrHash = errors.ConstError("ticket doesn't match the announced version")
+)
+
+const (
+	// maxSeen bounds the remembered hashes of tickets that are merged,
+	// superseded or invalid.
+	maxSeen = 8192
+	// pushFanout is the number of peers that a new ticket is pushed to.
+	pushFanout = 6
+	// urgentRounds is the number of pushes of a zone-out ticket: with 30% loss
+	// one round of six misses about 1.5% of the nodes, three miss none of 4,440.
+	urgentRounds = 3
+	urgentEvery  = 300 * time.Millisecond
+	maxPushes    = 16
+)
+
+// store holds the compressed bodies of held tickets and remembers tickets
+// that must not be fetched again.
+type store struct {
+	bodies map[ticket.Version][]byte
+	seen   map[uint64]bool
+	order  []uint64
+}
+
+type push struct {
+	version ticket.Version
+	rounds  int
+	next    time.Duration
+}
+
+func (s *store) body(v ticket.Version) []byte {
+	return s.bodies[v]
+}
+
+// mark remembers a text hash; the oldest is forgotten beyond maxSeen.
+func (s *store) mark(hash uint64) {
+	if s.seen == nil {
+		s.seen = map[uint64]bool{}
+	}
+	if s.seen[hash] {
+		return
+	}
+	if len(s.order) >= maxSeen {
+		delete(s.seen, s.order[0])
+		s.order = s.order[1:]
+	}
+	s.seen[hash] = true
+	s.order = append(s.order, hash)
+}
+
+// wants reports whether a ticket is worth fetching.
+func (c *Core) wants(v ticket.Version) bool {
+	return v.Number > 0 && !c.store.seen[v.Hash] && c.state.Wants(v)
+}
+
+// Compress packs a ticket's text as it is sent.
+func Compress(text []byte) []byte {
+	b := &bytes.Buffer{}
+	w, err := flate.NewWriter(b, flate.BestCompression)
+	if err != nil {
+		return nil
+	}
+	if _, err := w.Write(text); err != nil {
+		return nil
+	}
+	if err := w.Close(); err != nil {
+		return nil
+	}
+
+	return b.Bytes()
+}
+
+// Decompress unpacks a ticket's text of at most ticket.MaxBytes. Error: ErrBody.
+func Decompress(body []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(body))
+	text, err := io.ReadAll(io.LimitReader(r, ticket.MaxBytes+1))
+	if err != nil || len(text) > ticket.MaxBytes {
+		return nil, ErrBody
+	}
+
+	return text, nil
+}
+
+func textHash(text []byte) uint64 {
+	sum := sha256.Sum256(text)
+
+	return binary.BigEndian.Uint64(sum[:8])
+}
+
+// accept takes in a compressed ticket from a peer.
+func (c *Core) accept(from netip.AddrPort, v ticket.Version, body []byte) {
+	text, err := Decompress(body)
+	if err != nil {
+		c.counters.InvalidBody++
+
+		return
+	}
+	if textHash(text) != v.Hash {
+		c.counters.InvalidHash++
+
+		return
+	}
+	c.merge(from, text, body)
+}
+
+// merge parses a ticket, merges it and passes it on. Body may be nil.
+func (c *Core) merge(from netip.AddrPort, text, body []byte) {
+	hash := textHash(text)
+	if c.store.seen[hash] {
+		return
+	}
+	c.store.mark(hash)
+	t, err := c.options.Parse(text)
+	if err != nil {
+		c.counters.InvalidTicket++
+
+		return
+	}
+
+	changed := c.state.Merge(t)
+	c.invalidate()
+	if !changed {
+		return
+	}
+	c.counters.Merged++
+	c.changed = true
+	if body == nil {
+		body = Compress(text)
+	}
+	c.keep(t.Version, body)
+	c.push(from, t)
+}
+
+// keep stores a body and forgets those of tickets that are no longer held.
+func (c *Core) keep(v ticket.Version, body []byte) {
+	if c.store.bodies == nil {
+		c.store.bodies = map[ticket.Version][]byte{}
+	}
+	c.store.bodies[v] = body
+	for w := range c.store.bodies {
+		if c.state.Held(w) == nil {
+			delete(c.store.bodies, w)
+		}
+	}
+}
+
+// urgent reports whether a ticket takes a zone out of service.
+func urgent(t *ticket.Ticket) bool {
+	if t == nil {
+		return false
+	}
+	for _, z := range t.Zones {
+		if !z.InService {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (c *Core) push(from netip.AddrPort, t *ticket.Ticket) {
+	c.pushTo(from, t.Version)
+	if urgent(t) && len(c.pushes) < maxPushes {
+		c.pushes = append(c.pushes, push{
+			version: t.Version,
+			rounds:  urgentRounds - 1,
+			next:    c.now + urgentEvery,
+		})
+	}
+}
+
+func (c *Core) pushTo(except netip.AddrPort, v ticket.Version) {
+	b := c.store.body(v)
+	for _, a := range c.choose(pushFanout, except) {
+		if len(b) > MaxPushBytes {
+			c.send(classSmall, a, Announce{
+				Version: v,
+				Size:    uint32(len(b)),
+				Urgent:  urgent(c.state.Held(v)),
+			})
+
+			continue
+		}
+		c.send(classSmall, a, Body{
+			Version: v,
+			Data:    b,
+		})
+	}
+}
+
+// pushTick repeats the pushes of zone-out tickets.
+func (c *Core) pushTick() {
+	rest := c.pushes[:0]
+	for _, p := range c.pushes {
+		if c.now >= p.next {
+			p.rounds--
+			p.next = c.now + urgentEvery
+			c.pushTo(netip.AddrPort{}, p.version)
+		}
+		if p.rounds > 0 {
+			rest = append(rest, p)
+		}
+	}
+	c.pushes = rest
+}
+
+func (c *Core) onBody(from netip.AddrPort, m Body) {
+	if len(m.Data) > MaxPushBytes {
+		c.counters.InvalidWire++
+
+		return
+	}
+	if c.wants(m.Version) {
+		c.accept(from, m.Version, m.Data)
+	}
+}
--- /dev/null
+++ b/core/mesh/view.go
@@ -0,0 +1,252 @@
+package mesh
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// MaxPeers bounds the partial view.
+	MaxPeers = 16
+	// maxOwnZone bounds the peers of the own zone, so that others stay known.
+	maxOwnZone = 9
+	// maxMisses is the number of exchanges without an answer after which a
+	// peer leaves the view.
+	maxMisses = 3
+	// lostFor keeps a silent node out of the view unless it speaks up.
+	lostFor = 30 * time.Second
+	maxLost = 32
+	// freshFor bounds the silence of a peer that is passed on to others.
+	freshFor = 30 * time.Second
+	// probeEvery is the time between contacts outside the view. They find the
+	// other side again after a partition.
+	probeEvery = 10 * time.Second
+	// replaceOneIn is the chance that a new node replaces one of a full view,
+	// which keeps views random.
+	replaceOneIn = 4
+)
+
+type viewPeer struct {
+	node   Node
+	heard  time.Duration
+	misses int
+	direct bool
+}
+
+type lostPeer struct {
+	node  Node
+	until time.Duration
+}
+
+type view struct {
+	peers     []viewPeer
+	lost      []lostPeer
+	nextProbe time.Duration
+}
+
+func (v *view) find(a netip.AddrPort) *viewPeer {
+	for i := range v.peers {
+		if v.peers[i].node.Addr == a {
+			return &v.peers[i]
+		}
+	}
+
+	return nil
+}
+
+func (v *view) heard(a netip.AddrPort, now time.Duration) {
+	if p := v.find(a); p != nil {
+		p.heard = now
+		p.misses = 0
+		p.direct = true
+	}
+}
+
+// learn considers a node for the view. Direct nodes sent a message themselves.
+func (c *Core) learn(n Node, direct bool) {
+	v := &c.view
+	if n.Addr == c.options.Self.Addr || !n.Addr.IsValid() || n.Role == 0 {
+		return
+	}
+	if p := v.find(n.Addr); p != nil {
+		if n.Incarnation >= p.node.Incarnation {
+			p.node = n
+		}
+
+		return
+	}
+	if c.isLost(n, direct) {
+		return
+	}
+
+	p := viewPeer{
+		node:   n,
+		heard:  c.now,
+		direct: direct,
+	}
+	if c.hasRoom(n) {
+		v.peers = append(v.peers, p)
+
+		return
+	}
+	if c.random.IntN(replaceOneIn) == 0 {
+		*c.victim(n) = p
+	}
+}
+
+func (c *Core) isLost(n Node, direct bool) bool {
+	v := &c.view
+	i := slices.IndexFunc(v.lost, func(l lostPeer) bool { return l.node.Addr == n.Addr })
+	if i < 0 {
+		return false
+	}
+	l := v.lost[i]
+	if !direct && c.now < l.until && n.Incarnation <= l.node.Incarnation {
+		return true
+	}
+	v.lost = slices.Delete(v.lost, i, i+1)
+
+	return false
+}
+
+func (c *Core) own(n Node) bool {
+	return n.Zone == c.options.Self.Zone
+}
+
+func (c *Core) hasRoom(n Node) bool {
+	if len(c.view.peers) >= MaxPeers {
+		return false
+	}
+	own := 0
+	for _, p := range c.view.peers {
+		if c.own(p.node) {
+			own++
+		}
+	}
+	if c.own(n) {
+		return own < maxOwnZone
+	}
+
+	return len(c.view.peers)-own < MaxPeers-maxOwnZone
+}
+
+// victim returns the peer that n replaces: a random one of the most frequent
+// zone among the peers of the own zone or of the others, as n is.
+func (c *Core) victim(n Node) *viewPeer {
+	v := &c.view
+	counts := map[string]int{}
+	most := 0
+	for _, p := range v.peers {
+		if c.own(p.node) == c.own(n) {
+			counts[p.node.Zone]++
+			most = max(most, counts[p.node.Zone])
+		}
+	}
+	candidates := []int{}
+	for i, p := range v.peers {
+		if c.own(p.node) == c.own(n) && counts[p.node.Zone] == most {
+			candidates = append(candidates, i)
+		}
+	}
+	if len(candidates) == 0 {
+		return &v.peers[c.random.IntN(len(v.peers))]
+	}
+
+	return &v.peers[pick(c.random, candidates)]
+}
+
+// missed counts an exchange without an answer.
+func (c *Core) missed(a netip.AddrPort) {
+	v := &c.view
+	p := v.find(a)
+	if p == nil {
+		return
+	}
+	p.misses++
+	if p.misses < maxMisses {
+		return
+	}
+	if len(v.lost) >= maxLost {
+		v.lost = slices.Delete(v.lost, 0, 1)
+	}
+	v.lost = append(v.lost, lostPeer{
+		node:  p.node,
+		until: c.now + lostFor,
+	})
+	v.peers = slices.DeleteFunc(v.peers, func(p viewPeer) bool { return p.node.Addr == a })
+}
+
+// sample returns up to n random peers that were heard lately.
+func (c *Core) sample(n int) []Node {
+	nodes := []Node{}
+	for _, i := range c.random.Perm(len(c.view.peers)) {
+		p := c.view.peers[i]
+		if len(nodes) < n && p.direct && p.misses == 0 && c.now-p.heard < freshFor {
+			nodes = append(nodes, p.node)
+		}
+	}
+
+	return nodes
+}
+
+// choose returns up to n distinct peers for a push: at least a third are of
+// other zones, and silent peers come last.
+func (c *Core) choose(n int, except netip.AddrPort) []netip.AddrPort {
+	own := []netip.AddrPort{}
+	other := []netip.AddrPort{}
+	silent := []netip.AddrPort{}
+	for _, i := range c.random.Perm(len(c.view.peers)) {
+		p := c.view.peers[i]
+		switch {
+		case p.node.Addr == except:
+		case p.misses > 0:
+			silent = append(silent, p.node.Addr)
+		case c.own(p.node):
+			own = append(own, p.node.Addr)
+		default:
+			other = append(other, p.node.Addr)
+		}
+	}
+
+	k := min(len(other), max(n/3, n-len(own)))
+	all := append(other[:k:k], own...)
+	all = append(all, other[k:]...)
+	all = append(all, silent...)
+
+	return all[:min(n, len(all))]
+}
+
+// outside returns a random address outside the view, if one is known.
+func (c *Core) outside() (netip.AddrPort, bool) {
+	all := []netip.AddrPort{}
+	add := func(a netip.AddrPort) {
+		if a != c.options.Self.Addr && c.view.find(a) == nil {
+			all = append(all, a)
+		}
+	}
+	for _, a := range c.options.Seeds {
+		add(a)
+	}
+	for _, l := range c.view.lost {
+		add(l.node.Addr)
+	}
+	if len(all) > 0 && c.random.IntN(2) == 0 {
+		return pick(c.random, all), true
+	}
+	for _, a := range c.agents() {
+		add(a)
+	}
+	if len(all) == 0 {
+		return netip.AddrPort{}, false
+	}
+
+	return pick(c.random, all), true
+}
+
+// vmsListed takes nodes of the platform's list into the view.
+func (c *Core) vmsListed(m VMsListed) {
+	for _, i := range c.random.Perm(len(m.Nodes)) {
+		c.learn(m.Nodes[i], false)
+	}
+}
--- /dev/null
+++ b/core/peer/decode.go
@@ -0,0 +1,314 @@
+package peer
+
+import (
+	"slices"
+
+	"ibisfold.example/core/mesh"
+	"ibisfold.example/core/ticket"
+)
+
+// DecodeWire decodes a message. Lists are bounded by the limits of package
+// mesh, and the result doesn't alias b. Errors: ErrMalformed, ErrKind, ErrField.
+func DecodeWire(b []byte) (mesh.Wire, error) {
+	var m mesh.Wire
+
+	err := fields(b, func(f field) error {
+		if m != nil {
+			return ErrField
+		}
+		var err error
+		m, err = decodeKind(f)
+
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if m == nil {
+		return nil, ErrKind
+	}
+
+	return m, nil
+}
+
+func decodeKind(f field) (mesh.Wire, error) {
+	switch f.number {
+	case wireDigest:
+		x, err := decodeExchange(f.bytes)
+
+		return mesh.Digest{
+			Nonce:  x.Nonce,
+			Status: x.Status,
+		}, err
+	case wireDigestAck:
+		return decodeExchange(f.bytes)
+	case wireSummary:
+		x, err := decodeExchange(f.bytes)
+
+		return mesh.Summary{
+			Parts: x.Parts,
+		}, err
+	case wireFetch:
+		return decodeFetch(f.bytes)
+	case wireRumours:
+		return decodeRumours(f.bytes)
+	case wireAnnounce, wireBody, wireChunkRequest, wireChunk, wireChunkRefused:
+		return decodeTicketKind(f)
+	default:
+		return nil, ErrKind
+	}
+}
+
+func decodeVersion(b []byte) (ticket.Version, error) {
+	v := ticket.Version{}
+	err := fields(b, func(f field) error {
+		switch f.number {
+		case 1:
+			v.Number = f.value
+		case 2:
+			v.Hash = f.value
+		}
+
+		return nil
+	})
+
+	return v, err
+}
+
+func decodeNode(b []byte) (mesh.Node, error) {
+	n := mesh.Node{}
+	err := fields(b, func(f field) error {
+		var err error
+		switch f.number {
+		case 1:
+			n.Addr, err = f.addrPort()
+		case 2:
+			if len(f.bytes) > MaxZoneBytes {
+				return ErrField
+			}
+			n.Zone = string(f.bytes)
+		case 3:
+			if f.value > uint64(mesh.RoleAgent) {
+				return ErrField
+			}
+			n.Role = mesh.Role(f.value)
+		case 4:
+			n.Incarnation = f.value
+		}
+
+		return err
+	})
+
+	return n, err
+}
+
+func decodeStatus(b []byte) (mesh.Status, error) {
+	s := mesh.Status{}
+	err := fields(b, func(f field) error {
+		var err error
+		switch f.number {
+		case 1:
+			s.Self, err = decodeNode(f.bytes)
+		case 2:
+			s.State.Floor = f.value
+		case 3:
+			s.State.Highest = f.value
+		case 4:
+			s.State.Hash = f.value
+		case 5:
+			s.Confirmed = f.value != 0
+		case 6:
+			s.Sample, err = list(s.Sample, f, mesh.MaxSample, decodeNode)
+		case 7:
+			s.Beats, err = list(s.Beats, f, mesh.MaxBeats, decodeBeat)
+		case 8:
+			s.Rumours, err = list(s.Rumours, f, mesh.MaxRumours, decodeRumour)
+		}
+
+		return err
+	})
+
+	return s, err
+}
+
+func decodeBeat(b []byte) (mesh.Beat, error) {
+	v := mesh.Beat{}
+	err := fields(b, func(f field) error {
+		var err error
+		switch f.number {
+		case 1:
+			v.Addr, err = f.addrPort()
+		case 2:
+			v.Incarnation = f.value
+		case 3:
+			v.Count = f.value
+		}
+
+		return err
+	})
+
+	return v, err
+}
+
+// decodeExchange reads Digest, DigestAck and Summary, whose fields are numbered alike.
+func decodeExchange(b []byte) (mesh.DigestAck, error) {
+	m := mesh.DigestAck{}
+	err := fields(b, func(f field) error {
+		var err error
+		switch f.number {
+		case 1:
+			m.Nonce = f.value
+		case 2:
+			m.Status, err = decodeStatus(f.bytes)
+		case 3:
+			m.Parts, err = list(m.Parts, f, mesh.MaxParts, decodePart)
+		}
+
+		return err
+	})
+
+	return m, err
+}
+
+func decodePart(b []byte) (mesh.Part, error) {
+	p := mesh.Part{}
+	err := fields(b, func(f field) error {
+		var err error
+		switch f.number {
+		case 1:
+			p.From, err = decodeVersion(f.bytes)
+		case 2:
+			p.To, err = decodeVersion(f.bytes)
+		case 3:
+			p.Count, err = f.uint32()
+		case 4:
+			p.Hash = f.value
+		case 5:
+			p.List = f.value != 0
+		case 6:
+			p.Items, err = list(p.Items, f, mesh.MaxItems, decodeVersion)
+		}
+
+		return err
+	})
+
+	return p, err
+}
+
+func decodeFetch(b []byte) (mesh.Fetch, error) {
+	m := mesh.Fetch{}
+	err := fields(b, func(f field) error {
+		if f.number != 1 {
+			return nil
+		}
+		var err error
+		m.Versions, err = list(m.Versions, f, mesh.MaxItems, decodeVersion)
+
+		return err
+	})
+
+	return m, err
+}
+
+func decodeRumours(b []byte) (mesh.Rumours, error) {
+	m := mesh.Rumours{}
+	err := fields(b, func(f field) error {
+		if f.number != 1 {
+			return nil
+		}
+		var err error
+		m.Items, err = list(m.Items, f, mesh.MaxRumours, decodeRumour)
+
+		return err
+	})
+
+	return m, err
+}
+
+func decodeRumour(b []byte) (mesh.Rumour, error) {
+	r := mesh.Rumour{}
+	err := fields(b, func(f field) error {
+		var err error
+		switch f.number {
+		case 1:
+			r.Target = f.value
+		case 2:
+			r.Incarnation = f.value
+		case 3:
+			r.Change, err = f.uint32()
+		case 4:
+			r.Age, err = f.uint32()
+		}
+
+		return err
+	})
+
+	return r, err
+}
+
+// ticketFields are the fields of the messages that name a ticket.
+type ticketFields struct {
+	version ticket.Version
+	number  uint32
+	third   uint32
+	data    []byte
+}
+
+func decodeTicketKind(f field) (mesh.Wire, error) {
+	t, err := decodeTicketFields(f.bytes)
+	switch f.number {
+	case wireAnnounce:
+		return mesh.Announce{
+			Version: t.version,
+			Size:    t.number,
+			Urgent:  t.third != 0,
+		}, err
+	case wireBody:
+		return mesh.Body{
+			Version: t.version,
+			Data:    t.data,
+		}, err
+	case wireChunkRequest:
+		return mesh.ChunkRequest{
+			Version: t.version,
+			Index:   t.number,
+		}, err
+	case wireChunk:
+		return mesh.Chunk{
+			Version: t.version,
+			Index:   t.number,
+			Size:    t.third,
+			Data:    t.data,
+		}, err
+	default:
+		return mesh.ChunkRefused{
+			Version: t.version,
+			Index:   t.number,
+			Gone:    t.third != 0,
+		}, err
+	}
+}
+
+func decodeTicketFields(b []byte) (ticketFields, error) {
+	t := ticketFields{}
+	err := fields(b, func(f field) error {
+		var err error
+		switch f.number {
+		case 1:
+			t.version, err = decodeVersion(f.bytes)
+		case 2:
+			t.number, err = f.uint32()
+		case 3:
+			t.third, err = f.uint32()
+		case 4:
+			if len(f.bytes) > mesh.MaxPushBytes {
+				return ErrField
+			}
+			t.data = slices.Clone(f.bytes)
+		}
+
+		return err
+	})
+
+	return t, err
+}
--- /dev/null
+++ b/core/peer/field.go
@@ -0,0 +1,116 @@
+package peer
+
+import (
+	"net/netip"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// field is one decoded field of a message; value holds varints and fixed64s.
+type field struct {
+	number protowire.Number
+	kind   protowire.Type
+	value  uint64
+	bytes  []byte
+}
+
+// fields calls f for each field of b. Fields of unknown types are skipped.
+func fields(b []byte, f func(field) error) error {
+	for len(b) > 0 {
+		n, t, size := protowire.ConsumeTag(b)
+		if size < 0 {
+			return ErrMalformed
+		}
+		b = b[size:]
+
+		v := field{
+			number: n,
+			kind:   t,
+		}
+		switch t {
+		case protowire.VarintType:
+			v.value, size = protowire.ConsumeVarint(b)
+		case protowire.Fixed64Type:
+			v.value, size = protowire.ConsumeFixed64(b)
+		case protowire.BytesType:
+			v.bytes, size = protowire.ConsumeBytes(b)
+		default:
+			size = protowire.ConsumeFieldValue(n, t, b)
+		}
+		if size < 0 {
+			return ErrMalformed
+		}
+		b = b[size:]
+		if err := f(v); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func (f field) uint32() (uint32, error) {
+	if f.value > 1<<32-1 {
+		return 0, ErrField
+	}
+
+	return uint32(f.value), nil
+}
+
+func (f field) addrPort() (netip.AddrPort, error) {
+	a := netip.AddrPort{}
+	if err := a.UnmarshalBinary(f.bytes); err != nil || a.Addr().Zone() != "" || !a.IsValid() {
+		return a, ErrField
+	}
+
+	return a, nil
+}
+
+// list appends the value that decode reads from f, up to a limit.
+func list[T any](s []T, f field, limit int, decode func([]byte) (T, error)) ([]T, error) {
+	if len(s) >= limit {
+		return s, ErrField
+	}
+	v, err := decode(f.bytes)
+
+	return append(s, v), err
+}
+
+func appendVarint(b []byte, n protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	b = protowire.AppendTag(b, n, protowire.VarintType)
+
+	return protowire.AppendVarint(b, v)
+}
+
+func appendFixed(b []byte, n protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	b = protowire.AppendTag(b, n, protowire.Fixed64Type)
+
+	return protowire.AppendFixed64(b, v)
+}
+
+func appendBytes(b []byte, n protowire.Number, v []byte) []byte {
+	if len(v) == 0 {
+		return b
+	}
+
+	return appendMessage(b, n, v)
+}
+
+// appendMessage appends v even if it is empty, because its presence counts.
+func appendMessage(b []byte, n protowire.Number, v []byte) []byte {
+	b = protowire.AppendTag(b, n, protowire.BytesType)
+
+	return protowire.AppendBytes(b, v)
+}
+
+func appendAddrPort(b []byte, n protowire.Number, a netip.AddrPort) []byte {
+	v, _ := a.MarshalBinary()
+
+	return appendBytes(b, n, v)
+}
