--- /dev/null
+++ b/ibisfold-agent/process.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
+
+	"ibisfold.example/core/agent"
+	"ibisfold.example/core/consul"
+	"ibisfold.example/core/control"
+	"ibisfold.example/core/kernel"
+	"ibisfold.example/core/keyring"
+	"ibisfold.example/core/mesh"
+	"ibisfold.example/core/settings"
+	"ibisfold.example/core/udp"
+	"ibisfold.example/core/web"
+)
+
+// process is one running agent.
+type process struct {
+	settings settings.Agent
+	log      *log.Logger
+	keys     *keyring.Keyring
+	// self is the address that other processes use.
+	self    netip.AddrPort
+	started time.Time
+	metrics *metrics.Set
+	kernel  kernel.Kernel
+
+	processes *udp.Socket
+	target    *udp.Socket
+	// view is replaced by the control goroutine and read by the traffic goroutine.
+	view     atomic.Pointer[agent.View]
+	digest   atomic.Uint64
+	stopping atomic.Bool
+}
+
+func newProcess(s settings.Agent, l *log.Logger) (*process, error) {
+	keys, err := keyring.New(s.Keys)
+	if err != nil {
+		return nil, errors.Annotate(err, "settings")
+	}
+	processes, err := udp.Listen(s.Listen)
+	if err != nil {
+		return nil, errors.Annotate(err, "processes")
+	}
+	target, err := udp.Dial(s.Target.Addr(), s.Target)
+	if err != nil {
+		return nil, errors.Annotate(err, "target")
+	}
+
+	p := &process{
+		settings:  s,
+		log:       l,
+		keys:      keys,
+		self:      s.Self(),
+		started:   time.Now(),
+		metrics:   metrics.NewSet(),
+		processes: processes,
+		target:    target,
+	}
+	p.view.Store(&agent.View{})
+
+	return p, p.register()
+}
+
+// clock is the process's monotonic clock.
+func (p *process) clock() time.Duration {
+	return time.Since(p.started)
+}
+
+func (p *process) register() error {
+	incarnation := uint64(p.started.UnixNano())
+	plane := &control.Plane{
+		Node: mesh.Node{
+			Addr:        p.self,
+			Zone:        p.settings.Zone,
+			Role:        mesh.RoleAgent,
+			Incarnation: incarnation,
+		},
+		Name:     p.settings.Name,
+		Settings: p.settings.Process,
+		Keys:     p.keys,
+		Socket:   p.processes,
+		Clock:    p.clock,
+		Publish:  p.publish,
+		Metrics:  p.metrics,
+		Log:      p.log,
+		Source:   consul.NewSource(p.settings.Consul),
+	}
+	core := agent.New(agent.Options{
+		Self:        p.self,
+		Name:        p.settings.Name,
+		Incarnation: incarnation,
+		Keys:        p.keys,
+		Seed:        incarnation,
+		StopTimeout: p.settings.StopTime(),
+	})
+	services := []struct {
+		name    string
+		service any
+	}{
+		{"control", plane},
+		{"rpc", plane.Server()},
+		{"traffic", newTraffic(p, core, plane)},
+		{"http", &web.Server{
+			Addr:    p.settings.HTTP,
+			Healthy: p.healthy,
+			Metrics: p.metrics,
+		}},
+	}
+	for _, s := range services {
+		if err := p.kernel.Register(s.name, s.service); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func (p *process) healthy() bool {
+	v := p.view.Load()
+
+	return !p.stopping.Load() && v.Known && p.clock() < v.ConfirmedUntil
+}
+
+// publish runs in the control goroutine.
+func (p *process) publish(c *mesh.Core) {
+	old := p.view.Load()
+	v := *old
+	if d := c.State().Digest(); d.Hash != p.digest.Load() || d.Highest != old.Ticket {
+		p.digest.Store(d.Hash)
+		v = *agent.BuildView(c.State(), p.settings.Name)
+		p.log.Info("ticket in force", "ticket", v.Ticket)
+	}
+	v.ConfirmedUntil = c.ConfirmedUntil()
+	p.view.Store(&v)
+}
+
+// run serves until SIGTERM and the end of the graceful shutdown.
+func (p *process) run(term context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	context.AfterFunc(term, func() {
+		p.stopping.Store(true)
+		p.log.Info("graceful shutdown started")
+	})
+	context.AfterFunc(ctx, func() {
+		_ = p.processes.Close()
+		_ = p.target.Close()
+	})
+	p.log.Info("agent started", "address", p.self, "target", p.settings.Name)
+	err := p.kernel.Run(ctx)
+	p.log.Info("agent stopped")
+
+	return err
+}
