--- /dev/null
+++ b/core/admission/retry.go
@@ -0,0 +1,32 @@
+package admission
+
+const (
+	// retryShare is the share of first attempts that may be retried.
+	retryShare = 0.1
+	// retryBurst is the number of retries that a tenant may save up.
+	retryBurst = 5
+)
+
+// RetryBudget limits retries per tenant to a share of its first attempts, so
+// that retries can't multiply an overload. The zero value works.
+type RetryBudget struct {
+	tokens map[string]float64
+}
+
+// First notes a first attempt of a tenant.
+func (b *RetryBudget) First(tenant string) {
+	if b.tokens == nil {
+		b.tokens = map[string]float64{}
+	}
+	b.tokens[tenant] = min(retryBurst, b.tokens[tenant]+retryShare)
+}
+
+// Allow reports whether a tenant may retry now, and takes the retry from its budget.
+func (b *RetryBudget) Allow(tenant string) bool {
+	if b.tokens[tenant] < 1 {
+		return false
+	}
+	b.tokens[tenant]--
+
+	return true
+}
