Carry the sender's address in datagrams and show the control plane's counters

Cause: a process that is reached through another address than the one that it binds (Advertise) was answered at the wrong address. Change: the datagram header has the sender's address under the MAC.

--- a/core/mesh/size.go
+++ b/core/mesh/size.go
@@ -3,8 +3,8 @@
 // Sizes on the wire in bytes. They are upper bounds of what package peer
 // encodes, because the core must account for bytes without the codec.
 const (
-	// headerBytes is IPv4, UDP, first byte, key identifier, MAC and kind.
-	headerBytes  = 20 + 8 + 11
+	// headerBytes is IPv4, UDP, first byte, key identifier, MAC, sender and kind.
+	headerBytes  = 20 + 8 + 11 + 18
 	versionBytes = 18
 	digestBytes  = 29
 	beatBytes    = 27
--- a/core/peer/datagram.go
+++ b/core/peer/datagram.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 
 	"github.com/juju/errors"
 
@@ -21,8 +22,11 @@
 	// datagramMark is the first byte; packet.IsTunnel has another one.
 	datagramMark = 0xB2
 	macStart     = 2
-	// datagramHeader is the mark, the key identifier and the MAC.
-	datagramHeader = macStart + 8
+	// senderStart is after the mark, the key identifier and the MAC.
+	senderStart = macStart + 8
+	// datagramHeader ends with the sender's address: 16 bytes of IP address,
+	// IPv4 in its mapped form, and 2 bytes of port.
+	datagramHeader = senderStart + 18
 )
 
 // Sentinel errors of the datagram codec. Each names a reason for a drop counter.
@@ -39,11 +43,16 @@
 	return len(b) > 0 && b[0] == datagramMark
 }
 
-// AppendDatagram appends the encoded and signed message to b. Error: ErrTooLong.
-func AppendDatagram(b []byte, m mesh.Wire, r *keyring.Keyring) ([]byte, error) {
+// AppendDatagram appends the encoded and signed message to b. From is the
+// address at which the sender receives, which may differ from the address that
+// the datagram leaves from. Error: ErrTooLong.
+func AppendDatagram(b []byte, from netip.AddrPort, m mesh.Wire, r *keyring.Keyring) ([]byte, error) {
 	start := len(b)
 	b = append(b, datagramMark, r.Signer())
 	b = append(b, make([]byte, 8)...)
+	ip := from.Addr().As16()
+	b = append(b, ip[:]...)
+	b = binary.BigEndian.AppendUint16(b, from.Port())
 	b = AppendWire(b, m)
 	if len(b)-start > MaxDatagramBytes {
 		return b[:start], ErrTooLong
@@ -54,31 +63,42 @@
 	return b, nil
 }
 
-// datagramMAC covers the mark, the key identifier and the message.
+// datagramMAC covers the mark, the key identifier, the sender and the message.
 func datagramMAC(b []byte, r *keyring.Keyring) uint64 {
 	signed := make([]byte, 0, MaxDatagramBytes)
 	signed = append(signed, b[:macStart]...)
-	signed = append(signed, b[datagramHeader:]...)
+	signed = append(signed, b[senderStart:]...)
 	mac, _ := r.Sum(keyring.UseDatagram, b[1], signed)
 
 	return mac
 }
 
-// DecodeDatagram checks and decodes a datagram. The message doesn't alias b.
+// DecodeDatagram checks and decodes a datagram and returns the sender's address
+// with the message. The message doesn't alias b.
 // Errors: ErrMalformed, ErrTooLong, ErrMAC, ErrKind, ErrField.
-func DecodeDatagram(b []byte, r *keyring.Keyring) (mesh.Wire, error) {
+func DecodeDatagram(b []byte, r *keyring.Keyring) (mesh.Received, error) {
 	if len(b) > MaxDatagramBytes {
-		return nil, ErrTooLong
+		return mesh.Received{}, ErrTooLong
 	}
 	if len(b) < datagramHeader || b[0] != datagramMark {
-		return nil, ErrMalformed
+		return mesh.Received{}, ErrMalformed
 	}
+	mac := binary.BigEndian.Uint64(b[macStart:])
 	signed := make([]byte, 0, MaxDatagramBytes)
 	signed = append(signed, b[:macStart]...)
-	signed = append(signed, b[datagramHeader:]...)
-	if !r.Verify(keyring.UseDatagram, b[1], signed, binary.BigEndian.Uint64(b[macStart:])) {
-		return nil, ErrMAC
+	signed = append(signed, b[senderStart:]...)
+	if !r.Verify(keyring.UseDatagram, b[1], signed, mac) {
+		return mesh.Received{}, ErrMAC
 	}
 
-	return DecodeWire(b[datagramHeader:])
+	m, err := DecodeWire(b[datagramHeader:])
+	if err != nil {
+		return mesh.Received{}, err
+	}
+	ip := netip.AddrFrom16([16]byte(b[senderStart:])).Unmap()
+
+	return mesh.Received{
+		From: netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[datagramHeader-2:])),
+		Body: m,
+	}, nil
 }
--- a/core/peer/drops.go
+++ b/core/peer/drops.go
@@ -55,3 +55,14 @@
 
 	return 0
 }
+
+// Named returns the count of one reason, by its name in metrics.
+func (d *Drops) Named(reason string) uint64 {
+	for i, r := range reasons {
+		if r.name == reason {
+			return d.counts[i].Load()
+		}
+	}
+
+	return 0
+}
--- a/core/udp/pump.go
+++ b/core/udp/pump.go
@@ -19,7 +19,7 @@
 	Count int
 	// Refused tells that the peer of a connected socket refused a datagram.
 	Refused bool
-	free  chan<- *Reader
+	free    chan<- *Reader
 }
 
 // Done gives the buffers back.
