--- /dev/null
+++ b/core/agent/change.go
@@ -0,0 +1,131 @@
+package agent
+
+import (
+	"slices"
+	"time"
+)
+
+// changeView takes over a new view. Views of older tickets are ignored; one of
+// the same ticket renews the lease.
+func (c *Core) changeView(v *View) {
+	if v == nil || c.view != nil && v.Ticket < c.view.Ticket {
+		return
+	}
+
+	old := c.view
+	was := c.confirmed()
+	c.view = v
+	c.limiter.Slots = v.Slots
+	c.changeGroups(old)
+	c.changeDrain()
+	if old != nil && old.Known && !old.ZoneInService && v.ZoneInService {
+		c.limiter.Failed(c.now)
+	}
+	if v.Known && !v.ZoneInService {
+		c.giveUpAll(&c.Counters.FlowsGivenUp)
+	}
+	if !c.confirmed() {
+		return
+	}
+	if !was {
+		c.resume()
+	}
+	c.release()
+}
+
+// resume follows a time without a confirmed view, in which the own process may
+// have been paused: peers count as heard until they have had time to speak.
+func (c *Core) resume() {
+	if c.group == nil {
+		return
+	}
+	for _, q := range c.group.peers {
+		if !q.suspected {
+			q.heard = max(q.heard, c.now)
+		}
+	}
+}
+
+// changeGroups follows a change of the own service or of the peers.
+func (c *Core) changeGroups(old *View) {
+	v := c.view
+	if !v.Known {
+		c.leaveService()
+		return
+	}
+	if c.group != nil && c.group.service != v.Service {
+		c.leaveService()
+	}
+	if c.group == nil {
+		c.group = c.rejoin(v.Service)
+	}
+	if old == nil || old.Ticket != v.Ticket || !slices.Equal(old.Peers, v.Peers) {
+		c.group.update(c.now, v.Peers)
+	}
+	for _, f := range v.Former {
+		for _, g := range c.former {
+			if g.service == f.Service {
+				g.update(c.now, f.Peers)
+			}
+		}
+	}
+}
+
+// leaveService keeps the group of the service that the own target has left for
+// the flows that remain.
+func (c *Core) leaveService() {
+	if c.group == nil {
+		return
+	}
+	c.former = append(c.former, c.group)
+	c.group = nil
+	c.watchServices()
+}
+
+// rejoin returns the group of the new service, which may be a former one.
+func (c *Core) rejoin(service uint64) *group {
+	for i, g := range c.former {
+		if g.service == service {
+			c.former = slices.Delete(c.former, i, i+1)
+			c.watchServices()
+			return g
+		}
+	}
+
+	return &group{
+		service: service,
+	}
+}
+
+func (c *Core) watchServices() {
+	m := WatchServices{
+		Services: make([]uint64, 0, len(c.former)),
+	}
+	for _, g := range c.former {
+		m.Services = append(m.Services, g.service)
+	}
+	c.emit(m)
+}
+
+// formerTime is how long the group of a former service without flows is kept
+// for late packets.
+const formerTime = time.Minute
+
+// dropFormer forgets the groups of former services without flows.
+func (c *Core) dropFormer() {
+	if len(c.former) == 0 || c.now-c.drain.formerAt < formerTime {
+		return
+	}
+	c.drain.formerAt = c.now
+	used := map[uint64]bool{}
+	for k := range c.flows.flows {
+		used[k.service] = true
+	}
+	n := len(c.former)
+	c.former = slices.DeleteFunc(c.former, func(g *group) bool {
+		return !used[g.service]
+	})
+	if len(c.former) != n {
+		c.watchServices()
+	}
+}
--- a/core/agent/command.go
+++ b/core/agent/command.go
@@ -35,6 +35,12 @@
 	Incarnation uint64
 }
 
+// WatchServices tells which services' groups BuildView must add to the next
+// views, because flows of these services remain after a re-target.
+type WatchServices struct {
+	Services []uint64
+}
+
 // Stopped tells that the graceful shutdown is complete.
 type Stopped struct{}
 
@@ -42,4 +48,5 @@
 func (SendTarget) isCommand()    {}
 func (ReportSuspect) isCommand() {}
 func (ReportAlive) isCommand()   {}
+func (WatchServices) isCommand() {}
 func (Stopped) isCommand()       {}
--- /dev/null
+++ b/core/agent/core.go
@@ -0,0 +1,203 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"ibisfold.example/core/admission"
+	"ibisfold.example/core/packet"
+	"ibisfold.example/core/ticket"
+)
+
+// Core holds all flows and requests of one agent. One goroutine owns it.
+type Core struct {
+	// Counters count events since the start.
+	Counters Counters
+
+	options Options
+	// target is the identity of Options.Name; it fences packets.
+	target uint64
+	rand   *rand.Rand
+	now    time.Duration
+	out    []Command
+
+	view *View
+	// group is the current service's group, former the groups of services that
+	// the own target has left while flows remain.
+	group  *group
+	former []*group
+	hold   holdQueue
+
+	flows    flowTable
+	closed   recent[flowKey, struct{}]
+	passedOn recent[flowKey, uint64]
+	forwards forwardTable
+	// handing and handovers hold the handovers in progress, by flow and in order.
+	handing   map[flowKey]*handover
+	handovers []*handover
+	adoptions recent[flowKey, adoption]
+
+	progress requestList
+	answers  recent[answerKey, answer]
+	offers   map[offerKey]*request
+	offered  map[originKey]*request
+	// lastOffer is the number of the last offer. Numbers are never reused, since
+	// peers recognise copies by them.
+	lastOffer uint64
+	origins   originTable
+
+	queue   admission.Queue[*request]
+	limiter admission.Limiter
+	balance admission.Balance
+	retries admission.RetryBudget
+	busy    admission.Average
+	backend backend
+	drain   drainState
+
+	heartbeatAt time.Duration
+	tenants     map[string]string
+	picks       picks
+}
+
+// New returns a core without a view; it refuses everything until ViewChanged.
+func New(o Options) *Core {
+	o = o.withDefaults()
+	c := &Core{
+		options:  o,
+		target:   ticket.ID(o.Name),
+		rand:     rand.New(rand.NewPCG(o.Seed, o.Incarnation)),
+		handing:  map[flowKey]*handover{},
+		offers:   map[offerKey]*request{},
+		offered:  map[originKey]*request{},
+		tenants:  map[string]string{},
+		flows:    newFlowTable(),
+		forwards: newForwardTable(),
+	}
+	c.queue.Max = o.QueueMax
+	c.answers.limit(o.CacheTime, o.CacheBytes)
+	c.closed.limit(closedTime, closedMax)
+	c.passedOn.limit(halfOpenTime, passedOnMax)
+	c.adoptions.limit(o.IdleTimeout, adoptionsMax)
+
+	return c
+}
+
+// Update applies a message and returns the commands that follow from it. The
+// result and the payloads in it are valid until the next call.
+func (c *Core) Update(now time.Duration, m Message) []Command {
+	c.now = max(c.now, now)
+	clear(c.out)
+	c.out = c.out[:0]
+
+	switch m := m.(type) {
+	case FromTunnel:
+		c.fromTunnel(&m)
+	case FromTarget:
+		c.fromTarget(&m.Packet)
+	case TargetUnreachable:
+		c.targetUnreachable()
+	case ViewChanged:
+		c.changeView(m.View)
+	case Tick:
+		c.tick()
+	case Stop:
+		c.stop()
+	}
+	c.pump()
+
+	return c.out
+}
+
+func (c *Core) emit(m Command) {
+	c.out = append(c.out, m)
+}
+
+// tick runs all timers. What acts on the view waits until the view is confirmed.
+func (c *Core) tick() {
+	c.expireFlows()
+	c.expireRequests()
+	c.expireMemories()
+	c.pollTarget()
+	c.heartbeat()
+	c.checkPeers()
+	c.expireHeld()
+	c.finishStop()
+	if !c.confirmed() {
+		return
+	}
+	c.repeatOffers()
+	c.repeatHandovers()
+	c.advanceDrain()
+}
+
+func (c *Core) expireMemories() {
+	c.answers.expire(c.now)
+	c.closed.expire(c.now)
+	c.passedOn.expire(c.now)
+	c.adoptions.expire(c.now)
+	c.forwards.expire(c.now)
+}
+
+// tenant returns an interned copy of a tenant's name. Tenants beyond
+// tenantsMax share one name, so that callers can't grow the table.
+func (c *Core) tenant(name []byte) string {
+	if t, ok := c.tenants[string(name)]; ok {
+		return t
+	}
+	if len(c.tenants) >= tenantsMax {
+		return otherTenant
+	}
+	t := string(name)
+	c.tenants[t] = t
+
+	return t
+}
+
+const (
+	tenantsMax  = 1024
+	otherTenant = "other"
+)
+
+// Load returns what the agent tells its peers.
+func (c *Core) Load() Load {
+	l := admission.Load{
+		Target:      c.target,
+		Incarnation: c.options.Incarnation,
+		Busy:        c.busy.Value(c.now),
+		Running:     c.running(),
+		Waiting:     c.queue.Len(),
+		Limit:       c.limiter.Allow(),
+		Flows:       c.flows.len(),
+		Draining:    !c.acceptsWork(),
+	}
+	if c.view != nil {
+		l.Slots = c.view.Slots
+	}
+
+	return l
+}
+
+// send sends a packet through the tunnel under the own identity.
+func (c *Core) send(m SendTunnel) {
+	m.Header.SenderIncarnation = c.options.Incarnation
+	m.Header.Sender = c.options.Self
+	if c.view != nil {
+		m.Header.Ticket = c.view.Ticket
+	}
+	c.emit(m)
+}
+
+func (c *Core) token(service, flow uint64) packet.Token {
+	t := packet.Token{
+		Agent:       c.options.Self,
+		Service:     service,
+		Target:      c.target,
+		Incarnation: c.options.Incarnation,
+	}
+	if c.view != nil {
+		t.Zone = c.view.Zone
+	}
+	t.Sign(c.options.Keys, flow)
+
+	return t
+}
--- /dev/null
+++ b/core/agent/drain.go
@@ -0,0 +1,153 @@
+package agent
+
+import (
+	"time"
+
+	"ibisfold.example/core/packet"
+)
+
+// drainGrace is how long a leaving target still gets requests that no peer
+// takes. It is below the 3 s after which a leaving target gets no new work.
+const drainGrace = 2 * time.Second
+
+// drainState is the progress of a drain or a graceful shutdown.
+type drainState struct {
+	// since is when the target began to leave.
+	since   time.Duration
+	began   bool
+	stopped bool
+	// stopping is set by Stop; stopUntil bounds the shutdown.
+	stopping  bool
+	stopUntil time.Duration
+	formerAt  time.Duration
+}
+
+// changeDrain notes the begin and the end of a drain.
+func (c *Core) changeDrain() {
+	d := &c.drain
+	if !c.leaving() {
+		d.began = false
+		return
+	}
+	if d.began {
+		return
+	}
+	d.began = true
+	d.since = c.now
+	c.sendHeartbeats()
+	c.replaceWaiting()
+}
+
+// stop starts a graceful shutdown.
+func (c *Core) stop() {
+	d := &c.drain
+	if d.stopping {
+		return
+	}
+	d.stopping = true
+	d.stopUntil = c.now + c.options.StopTimeout
+	c.changeDrain()
+	c.finishStop()
+}
+
+// advanceDrain hands over flows that are to leave this agent.
+func (c *Core) advanceDrain() {
+	c.repeatMoved()
+	c.dropFormer()
+	if c.inService() && !c.leaving() && len(c.former) == 0 {
+		return
+	}
+
+	started := 0
+	for f := c.flows.live.first; f != nil && started < handoversPerTick && len(c.handovers) < handoversMax; f = f.next {
+		if f.state != active || f.open != nil || !c.leaves(f) {
+			continue
+		}
+		if q := c.flowPeer(f); q != nil {
+			c.startHandover(f, q)
+			started++
+		}
+	}
+}
+
+// leaves reports whether a flow is to be handed over.
+func (c *Core) leaves(f *flow) bool {
+	return c.leaving() || !c.view.Known || f.key.service != c.view.Service
+}
+
+// flowPeer returns the peer with the fewest flows for its slots, or nil.
+func (c *Core) flowPeer(f *flow) *peer {
+	g := c.groupOf(f.key.service)
+	if g == nil {
+		return nil
+	}
+
+	var best *peer
+	for _, q := range g.peers {
+		if !q.usable() || q.restUntil > c.now {
+			continue
+		}
+		if best == nil || q.load.Flows*max(1, best.Slots) < best.load.Flows*max(1, q.Slots) {
+			best = q
+		}
+	}
+
+	return best
+}
+
+// finishStop ends a graceful shutdown when nothing is left, or at its bound.
+func (c *Core) finishStop() {
+	d := &c.drain
+	if !d.stopping || d.stopped {
+		return
+	}
+	if c.now < d.stopUntil && (c.flows.len() > 0 || c.progress.len > 0 || c.forwards.open > 0) {
+		return
+	}
+
+	c.giveUpAll(&c.Counters.FlowsCut)
+	d.stopped = true
+	c.emit(Stopped{})
+}
+
+// giveUpAll ends everything. Requests that were not passed on did not run; the
+// others may have.
+func (c *Core) giveUpAll(flows *uint64) {
+	c.queue.Remove(func(*request) bool {
+		return true
+	})
+	for r := c.progress.first; r != nil; r = c.progress.first {
+		c.giveUp(r)
+	}
+	c.giveUpFlows(c.flows.half.first, flows)
+	c.giveUpFlows(c.flows.live.first, flows)
+}
+
+func (c *Core) giveUp(r *request) {
+	s := packet.StatusOutcomeUnknown
+	switch r.state {
+	case received:
+		s = packet.StatusNotRun
+	case offeredToPeer:
+		c.cancelOffer(r)
+	}
+	c.finish(r, c.refusal(s, retryAfterOut))
+}
+
+// giveUpFlows resets a list of flows. Copies that a peer still owns are only
+// forgotten.
+func (c *Core) giveUpFlows(f *flow, count *uint64) {
+	for f != nil {
+		next := f.next
+		if f.state != adopted {
+			*count++
+			c.reply(f, packet.Packet{
+				Kind:       packet.Reset,
+				Status:     packet.StatusNotRun,
+				RetryAfter: c.retryAfter(retryAfterOut),
+			})
+		}
+		c.forget(f)
+		f = next
+	}
+}
--- /dev/null
+++ b/core/agent/fence.go
@@ -0,0 +1,189 @@
+package agent
+
+import "ibisfold.example/core/packet"
+
+// confirmed reports whether the lease on the view holds.
+func (c *Core) confirmed() bool {
+	return c.view != nil && c.now <= c.view.ConfirmedUntil
+}
+
+// inService reports whether the own target and its zone may get anything.
+func (c *Core) inService() bool {
+	return c.view != nil && c.view.Known && c.view.ZoneInService
+}
+
+// acceptsWork reports whether new flows and requests of the current service
+// may go to the own target.
+func (c *Core) acceptsWork() bool {
+	return c.inService() && !c.leaving()
+}
+
+// leaving reports whether the own target drains or the agent stops.
+func (c *Core) leaving() bool {
+	return c.drain.stopping || c.view == nil || c.view.Draining
+}
+
+// serves reports whether flows of a service may be here: it is the current
+// service or one that the target has left.
+func (c *Core) serves(service uint64) bool {
+	return c.groupOf(service) != nil
+}
+
+// fromTunnel applies a packet of an entry or a peer. What would act on the view
+// is held while the view is unconfirmed.
+func (c *Core) fromTunnel(m *FromTunnel) {
+	if c.view != nil && !c.confirmed() && actsOnView(m.Header.Kind) {
+		c.holdPacket(m)
+		return
+	}
+
+	c.dispatch(m)
+}
+
+func actsOnView(k packet.TunnelKind) bool {
+	switch k {
+	case packet.ToAgent, packet.ToOwner, packet.Offer, packet.Handover:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *Core) dispatch(m *FromTunnel) {
+	h := &m.Header
+	switch h.Kind {
+	case packet.ToAgent:
+		c.toAgent(h, &m.Packet)
+	case packet.ToOwner:
+		c.toOwner(h, &m.Packet)
+	case packet.Offer:
+		c.takeOffer(h, &m.Packet)
+	case packet.OfferAnswer:
+		c.offerAnswered(h, &m.Packet)
+	case packet.OfferCancel:
+		c.offerCancelled(h, &m.Packet)
+	case packet.Handover:
+		c.takeHandover(h, m.Body)
+	case packet.HandoverAck:
+		c.handoverAcked(h, m.Body)
+	case packet.HandoverDone:
+		c.handoverDone(h, m.Body)
+	case packet.Heartbeat:
+		c.heartbeatFrom(h, m.Body)
+	default:
+		c.Counters.DroppedKind++
+	}
+}
+
+// meant reports whether a header names this target and this start of its agent.
+func (c *Core) meant(h *packet.Tunnel) bool {
+	return h.Target == c.target && (h.Incarnation == 0 || h.Incarnation == c.options.Incarnation)
+}
+
+// toAgent applies a caller's packet that an entry delivered.
+func (c *Core) toAgent(h *packet.Tunnel, p *packet.Packet) {
+	if !c.meant(h) {
+		c.Counters.DroppedFence++
+		c.reset(h, p)
+		return
+	}
+	if p.Kind == packet.Open {
+		c.open(h, p)
+		return
+	}
+	if !p.Token.Verify(c.options.Keys, p.Flow) {
+		c.Counters.DroppedToken++
+		return
+	}
+
+	t := &p.Token
+	if t.Target != c.target || t.Incarnation != c.options.Incarnation || t.Service != h.Service {
+		c.Counters.DroppedFence++
+		c.reset(h, p)
+		return
+	}
+	c.toFlow(h, p)
+}
+
+// toOwner applies a caller's packet that the flow's previous owner passed on.
+// Its token names that owner; the header names this start of the agent.
+func (c *Core) toOwner(h *packet.Tunnel, p *packet.Packet) {
+	if !c.meant(h) || h.Incarnation == 0 {
+		c.Counters.DroppedFence++
+		c.reset(h, p)
+		return
+	}
+	if p.Kind == packet.Open {
+		return
+	}
+	if !p.Token.Verify(c.options.Keys, p.Flow) || p.Token.Service != h.Service {
+		c.Counters.DroppedToken++
+		return
+	}
+	c.toFlow(h, p)
+}
+
+// toFlow finds the flow of a verified packet.
+func (c *Core) toFlow(h *packet.Tunnel, p *packet.Packet) {
+	k := flowKey{
+		service: h.Service,
+		flow:    p.Flow,
+	}
+	if f := c.flows.get(k); f != nil {
+		c.serve(f, h, p)
+		return
+	}
+	if w, ok := c.forwards.get(k); ok {
+		c.forward(w, h, p)
+		return
+	}
+	c.reset(h, p)
+}
+
+// serve applies a packet to a flow that is here.
+func (c *Core) serve(f *flow, h *packet.Tunnel, p *packet.Packet) {
+	if f.state == handingOver {
+		c.holdForHandover(f, h, p)
+		return
+	}
+
+	c.activate(f, h)
+	c.flows.use(c.now, f)
+	f.entry = h.Entry
+	f.caller = h.Caller
+	if p.Service.IsValid() {
+		f.address = p.Service
+	}
+
+	switch p.Kind {
+	case packet.Request:
+		c.receive(f, p)
+	case packet.Cancel:
+		c.cancel(f, p)
+	case packet.KeepAlive:
+		c.keepAlive(f, h, p)
+	case packet.Close:
+		c.close(f)
+	default:
+		c.Counters.DroppedKind++
+	}
+}
+
+// keepAlive renews an outdated token; a current one needs no reply.
+func (c *Core) keepAlive(f *flow, h *packet.Tunnel, p *packet.Packet) {
+	if h.Kind == packet.ToOwner || p.Token.Key != c.options.Keys.Signer() {
+		c.reply(f, packet.Packet{
+			Kind: packet.Moved,
+		})
+	}
+}
+
+// close ends a flow at its caller's wish.
+func (c *Core) close(f *flow) {
+	c.dropRequests(f)
+	c.reply(f, packet.Packet{
+		Kind: packet.Closed,
+	})
+	c.Counters.FlowsClosed++
+	c.forget(f)
+}
--- /dev/null
+++ b/core/agent/flow.go
@@ -0,0 +1,168 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// halfOpenTime is how long an opened flow waits for the caller's first use
+	// of the token.
+	halfOpenTime = 5 * time.Second
+	// closedTime is how long an ended flow is remembered, so that late copies of
+	// its packets can't open it again and run a request twice.
+	closedTime = time.Minute
+	closedMax  = 65536
+	// passedOnMax bounds the memory of opens passed to peers.
+	passedOnMax = 65536
+)
+
+// flowKey identifies a flow. Flow numbers are chosen by callers, so flows of
+// different services may share one.
+type flowKey struct {
+	service uint64
+	flow    uint64
+}
+
+type flowState uint8
+
+const (
+	// halfOpen means that the caller has not used the token yet.
+	halfOpen flowState = iota
+	// adopted means that a peer handed the flow over and still owns it until a
+	// packet arrives under the new token or from the peer.
+	adopted
+	// active flows are used by their caller.
+	active
+	// handingOver flows wait for a peer's acknowledgement.
+	handingOver
+)
+
+// flow is the state of one flow; with its table entry it takes at most 256
+// bytes. State of requests in progress is apart.
+type flow struct {
+	key  flowKey
+	prev *flow
+	next *flow
+	// entry delivered the last packet of the flow; caller is where it came from.
+	entry  netip.AddrPort
+	caller netip.AddrPort
+	// address is the service address that the caller uses.
+	address netip.AddrPort
+	window  window
+	used    time.Duration
+	// open lists the requests in progress.
+	open *request
+	// epoch counts the handovers tried in the flow's life. A copy of an older
+	// epoch never replaces a newer one.
+	epoch uint32
+	state flowState
+}
+
+// flowTable holds flows by key and in order of last use.
+type flowTable struct {
+	flows map[flowKey]*flow
+	// half lists half-open flows, live all others; the oldest is first.
+	half flowList
+	live flowList
+}
+
+func newFlowTable() flowTable {
+	return flowTable{
+		flows: map[flowKey]*flow{},
+	}
+}
+
+func (t *flowTable) get(k flowKey) *flow {
+	return t.flows[k]
+}
+
+func (t *flowTable) len() int {
+	return len(t.flows)
+}
+
+func (t *flowTable) list(f *flow) *flowList {
+	if f.state == halfOpen {
+		return &t.half
+	}
+
+	return &t.live
+}
+
+func (t *flowTable) add(f *flow) {
+	t.flows[f.key] = f
+	t.list(f).append(f)
+}
+
+func (t *flowTable) remove(f *flow) {
+	delete(t.flows, f.key)
+	t.list(f).remove(f)
+}
+
+// use notes a packet of the flow's caller.
+func (t *flowTable) use(now time.Duration, f *flow) {
+	t.list(f).remove(f)
+	f.used = now
+	if f.state == halfOpen {
+		f.state = active
+	}
+	t.live.append(f)
+}
+
+type flowList struct {
+	first *flow
+	last  *flow
+}
+
+func (l *flowList) append(f *flow) {
+	f.prev = l.last
+	f.next = nil
+	if l.last == nil {
+		l.first = f
+	} else {
+		l.last.next = f
+	}
+	l.last = f
+}
+
+func (l *flowList) remove(f *flow) {
+	if f.prev == nil {
+		l.first = f.next
+	} else {
+		f.prev.next = f.next
+	}
+	if f.next == nil {
+		l.last = f.prev
+	} else {
+		f.next.prev = f.prev
+	}
+	f.prev = nil
+	f.next = nil
+}
+
+// expireFlows ends half-open and idle flows. A flow with a request in progress
+// is not idle.
+func (c *Core) expireFlows() {
+	for f := c.flows.half.first; f != nil && f.used+halfOpenTime <= c.now; f = c.flows.half.first {
+		c.Counters.FlowsExpired++
+		c.forget(f)
+	}
+	for f := c.flows.live.first; f != nil && f.used+c.options.IdleTimeout <= c.now; f = c.flows.live.first {
+		if f.open != nil {
+			c.flows.use(c.now, f)
+			continue
+		}
+		c.Counters.FlowsExpired++
+		c.forget(f)
+	}
+}
+
+// forget removes a flow. One that may have run requests is remembered as
+// closed; an adopted copy was never owned here and may be adopted again.
+func (c *Core) forget(f *flow) {
+	c.abandon(f)
+	c.flows.remove(f)
+	if f.state == active || f.state == handingOver {
+		c.closed.put(c.now, f.key, struct{}{}, 1)
+	}
+}
--- /dev/null
+++ b/core/agent/flowbody.go
@@ -0,0 +1,250 @@
+package agent
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"ibisfold.example/core/packet"
+)
+
+const (
+	// flowBytesMax is the longest encoded flow; with the tunnel header it fits a
+	// packet. Cached answers that do not fit are left out.
+	flowBytesMax = packet.MaxBytes - packet.TunnelBytes - 256
+	ackBytesMax  = 64
+)
+
+// Field numbers of an encoded flow.
+const (
+	flowNumber  protowire.Number = 1
+	flowEpoch   protowire.Number = 2
+	flowOwner   protowire.Number = 3
+	flowZone    protowire.Number = 4
+	flowEntry   protowire.Number = 5
+	flowCaller  protowire.Number = 6
+	flowAddress protowire.Number = 7
+	flowHighest protowire.Number = 8
+	flowSeen    protowire.Number = 9
+	flowAnswer  protowire.Number = 10
+)
+
+// Field numbers of an encoded answer.
+const (
+	answerNumber protowire.Number = 1
+	answerKind   protowire.Number = 2
+	answerStatus protowire.Number = 3
+	answerRetry  protowire.Number = 4
+	answerPart   protowire.Number = 5
+)
+
+// Field numbers of an acknowledgement.
+const (
+	ackFlow     protowire.Number = 1
+	ackEpoch    protowire.Number = 2
+	ackAccepted protowire.Number = 3
+)
+
+// flowBody is the body of Handover.
+type flowBody struct {
+	flow  uint64
+	epoch uint32
+	// owner and zone are the previous owner's target and its zone.
+	owner   uint64
+	zone    uint64
+	entry   netip.AddrPort
+	caller  netip.AddrPort
+	address netip.AddrPort
+	window  window
+	answers []numberedAnswer
+}
+
+type numberedAnswer struct {
+	number uint64
+	answer answer
+}
+
+// encodeFlow encodes a flow with as many of its latest answers as fit.
+func (c *Core) encodeFlow(f *flow) []byte {
+	b := appendFixed(nil, flowNumber, f.key.flow)
+	b = appendVarint(b, flowEpoch, uint64(f.epoch))
+	b = appendFixed(b, flowOwner, c.target)
+	b = appendFixed(b, flowZone, c.view.Zone)
+	b = appendAddress(b, flowEntry, f.entry)
+	b = appendAddress(b, flowCaller, f.caller)
+	b = appendAddress(b, flowAddress, f.address)
+	b = appendVarint(b, flowHighest, f.window.highest)
+	b = appendFixed(b, flowSeen, f.window.seen)
+	for i := range uint64(windowBits) {
+		if f.window.seen&(1<<i) == 0 {
+			continue
+		}
+		n := f.window.highest - i
+		a, ok := c.answers.get(answerKey{
+			scope:  f.key.service,
+			flow:   f.key.flow,
+			number: n,
+		})
+		if ok && len(b)+a.bytes() <= flowBytesMax {
+			b = protowire.AppendTag(b, flowAnswer, protowire.BytesType)
+			b = protowire.AppendBytes(b, appendAnswer(nil, n, a))
+		}
+	}
+
+	return b
+}
+
+func appendAnswer(b []byte, number uint64, a answer) []byte {
+	b = appendVarint(b, answerNumber, number)
+	b = appendVarint(b, answerKind, uint64(a.kind))
+	b = appendVarint(b, answerStatus, uint64(a.status))
+	b = appendVarint(b, answerRetry, uint64(a.retryAfter.Milliseconds()))
+	for _, s := range a.parts {
+		b = protowire.AppendTag(b, answerPart, protowire.BytesType)
+		b = protowire.AppendBytes(b, s)
+	}
+
+	return b
+}
+
+func appendAddress(b []byte, n protowire.Number, a netip.AddrPort) []byte {
+	if !a.IsValid() {
+		return b
+	}
+	ip := a.Addr().As16()
+	b = protowire.AppendTag(b, n, protowire.BytesType)
+	b = protowire.AppendVarint(b, uint64(len(ip)+2))
+	b = append(b, ip[:]...)
+
+	return binary.BigEndian.AppendUint16(b, a.Port())
+}
+
+func decodeAddress(b []byte) (netip.AddrPort, error) {
+	if len(b) != 18 {
+		return netip.AddrPort{}, ErrBody
+	}
+	ip := netip.AddrFrom16([16]byte(b[:16])).Unmap()
+
+	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[16:])), nil
+}
+
+// decodeFlow reads an encoded flow without keeping b. Error: ErrBody.
+func decodeFlow(b []byte) (flowBody, error) {
+	m := flowBody{}
+	if len(b) > packet.MaxBytes {
+		return m, ErrBody
+	}
+	err := eachField(b, func(f field) error {
+		return m.set(f)
+	})
+	if err != nil {
+		return flowBody{}, err
+	}
+
+	return m, nil
+}
+
+func (m *flowBody) set(f field) error {
+	var err error
+
+	switch f.number {
+	case flowNumber:
+		m.flow = f.value
+	case flowEpoch:
+		m.epoch = uint32(f.value)
+	case flowOwner:
+		m.owner = f.value
+	case flowZone:
+		m.zone = f.value
+	case flowEntry:
+		m.entry, err = decodeAddress(f.bytes)
+	case flowCaller:
+		m.caller, err = decodeAddress(f.bytes)
+	case flowAddress:
+		m.address, err = decodeAddress(f.bytes)
+	case flowHighest:
+		m.window.highest = f.value
+	case flowSeen:
+		m.window.seen = f.value
+	case flowAnswer:
+		err = m.addAnswer(f.bytes)
+	}
+
+	return err
+}
+
+func (m *flowBody) addAnswer(b []byte) error {
+	a := numberedAnswer{}
+	err := eachField(b, func(f field) error {
+		return a.set(f)
+	})
+	if err != nil || len(m.answers) >= windowBits || len(a.answer.parts) > packet.MaxParts {
+		return ErrBody
+	}
+	if a.answer.kind != packet.Answer && a.answer.kind != packet.Refused {
+		return ErrBody
+	}
+	m.answers = append(m.answers, a)
+
+	return nil
+}
+
+func (a *numberedAnswer) set(f field) error {
+	switch f.number {
+	case answerNumber:
+		a.number = f.value
+	case answerKind:
+		a.answer.kind = packet.Kind(min(f.value, 255))
+	case answerStatus:
+		if f.value > uint64(packet.StatusCancelled) {
+			return ErrBody
+		}
+		a.answer.status = packet.Status(f.value)
+	case answerRetry:
+		a.answer.retryAfter = time.Duration(min(f.value, loadCountMax)) * time.Millisecond
+	case answerPart:
+		a.answer.parts = append(a.answer.parts, append([]byte{}, f.bytes...))
+	}
+
+	return nil
+}
+
+// ack is the body of HandoverAck and HandoverDone.
+type ack struct {
+	flow     uint64
+	epoch    uint32
+	accepted bool
+}
+
+func appendAck(b []byte, a ack) []byte {
+	b = appendFixed(b, ackFlow, a.flow)
+	b = appendVarint(b, ackEpoch, uint64(a.epoch))
+
+	return appendVarint(b, ackAccepted, protowire.EncodeBool(a.accepted))
+}
+
+func decodeAck(b []byte) (ack, error) {
+	a := ack{}
+	if len(b) > ackBytesMax {
+		return a, ErrBody
+	}
+	err := eachField(b, func(f field) error {
+		switch f.number {
+		case ackFlow:
+			a.flow = f.value
+		case ackEpoch:
+			a.epoch = uint32(f.value)
+		case ackAccepted:
+			a.accepted = f.value != 0
+		}
+
+		return nil
+	})
+	if err != nil {
+		return ack{}, err
+	}
+
+	return a, nil
+}
--- /dev/null
+++ b/core/agent/forward.go
@@ -0,0 +1,163 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"ibisfold.example/core/packet"
+)
+
+const (
+	// movedDelay is the time until a caller is told its new token again; it
+	// doubles up to movedDelayMax.
+	movedDelay    = 200 * time.Millisecond
+	movedDelayMax = 2 * time.Second
+	// doneTime is how long a forwarding entry is kept for late packets after the
+	// caller used the new token.
+	doneTime = 10 * time.Second
+	// chainMax bounds the chain of owners that a packet follows.
+	chainMax = 8
+)
+
+// forward is what remains of a flow that was handed over.
+type forward struct {
+	key     flowKey
+	to      remote
+	entry   netip.AddrPort
+	caller  netip.AddrPort
+	address netip.AddrPort
+	epoch   uint32
+	// done means that the caller has used the new token.
+	done     bool
+	until    time.Duration
+	repeatAt time.Duration
+	delay    time.Duration
+}
+
+// forwardTable holds forwarding entries, in order of their creation.
+type forwardTable struct {
+	entries map[flowKey]*forward
+	order   []*forward
+	// open counts the entries that are not done.
+	open int
+}
+
+func newForwardTable() forwardTable {
+	return forwardTable{
+		entries: map[flowKey]*forward{},
+	}
+}
+
+func (t *forwardTable) get(k flowKey) (*forward, bool) {
+	w, ok := t.entries[k]
+
+	return w, ok
+}
+
+func (t *forwardTable) add(w *forward) {
+	t.entries[w.key] = w
+	t.order = append(t.order, w)
+	t.open++
+}
+
+func (t *forwardTable) finish(now time.Duration, w *forward) {
+	if w.done {
+		return
+	}
+	w.done = true
+	w.until = now + doneTime
+	t.open--
+}
+
+func (t *forwardTable) expire(now time.Duration) {
+	n := 0
+	for _, w := range t.order {
+		if w.until > now {
+			t.order[n] = w
+			n++
+			continue
+		}
+		if !w.done {
+			t.open--
+		}
+		delete(t.entries, w.key)
+	}
+	clear(t.order[n:])
+	t.order = t.order[:n]
+}
+
+// forward passes a late packet on to the flow's new owner.
+func (c *Core) forward(w *forward, h *packet.Tunnel, p *packet.Packet) {
+	if h.Hops >= chainMax || c.view == nil || c.view.zoneOut(w.to.zone) {
+		c.reset(h, p)
+		return
+	}
+
+	w.entry = h.Entry
+	w.caller = h.Caller
+	o := *h
+	o.Kind = packet.ToOwner
+	o.Hops++
+	o.Target = w.to.target
+	o.Incarnation = w.to.incarnation
+	c.send(SendTunnel{
+		To:     w.to.agent,
+		Header: o,
+		Packet: *p,
+	})
+}
+
+// sendMoved tells the caller the token of the new owner.
+func (c *Core) sendMoved(w *forward) {
+	w.repeatAt = c.now + c.jitter(w.delay)
+	w.delay = min(movedDelayMax, 2*w.delay)
+	t := packet.Token{
+		Agent:       w.to.agent,
+		Service:     w.key.service,
+		Zone:        w.to.zone,
+		Target:      w.to.target,
+		Incarnation: w.to.incarnation,
+	}
+	t.Sign(c.options.Keys, w.key.flow)
+	c.send(SendTunnel{
+		To: w.entry,
+		Header: packet.Tunnel{
+			Kind:    packet.ToEntry,
+			Service: w.key.service,
+			Entry:   w.entry,
+			Caller:  w.caller,
+		},
+		Packet: packet.Packet{
+			Kind:    packet.Moved,
+			Service: w.address,
+			Flow:    w.key.flow,
+			Token:   t,
+		},
+	})
+}
+
+// repeatMoved tells callers their new token again until they use it.
+func (c *Core) repeatMoved() {
+	for _, w := range c.forwards.order {
+		if !w.done && c.now >= w.repeatAt {
+			c.sendMoved(w)
+		}
+	}
+}
+
+// handoverDone ends the repetition of Moved.
+func (c *Core) handoverDone(h *packet.Tunnel, body []byte) {
+	a, err := decodeAck(body)
+	if err != nil {
+		c.Counters.DroppedBody++
+		return
+	}
+	w, ok := c.forwards.get(flowKey{
+		service: h.Service,
+		flow:    a.flow,
+	})
+	if !ok || !c.meant(h) || w.epoch != a.epoch || h.SenderIncarnation != w.to.incarnation {
+		return
+	}
+	c.forwards.finish(c.now, w)
+}
--- /dev/null
+++ b/core/agent/hold.go
@@ -0,0 +1,121 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"ibisfold.example/core/packet"
+)
+
+const (
+	// holdMax bounds the packets that wait for a confirmed view.
+	holdMax = 512
+	// holdTime is how long a packet waits. After 5 s without an answer from
+	// anyone the mesh confirms the last view by itself.
+	holdTime = 6 * time.Second
+)
+
+type heldPacket struct {
+	message FromTunnel
+	at      time.Duration
+	until   time.Duration
+}
+
+// holdQueue keeps packets that arrived while the view was unconfirmed.
+type holdQueue struct {
+	packets []heldPacket
+}
+
+// holdPacket keeps a copy of a packet until the view is confirmed.
+func (c *Core) holdPacket(m *FromTunnel) {
+	if len(c.hold.packets) >= holdMax {
+		c.refuseHeld(m)
+		return
+	}
+
+	c.Counters.Held++
+	wait := holdTime
+	if d := m.Packet.Deadline; d > 0 {
+		wait = min(wait, d)
+	}
+	c.hold.packets = append(c.hold.packets, heldPacket{
+		message: m.clone(),
+		at:      c.now,
+		until:   c.now + wait,
+	})
+}
+
+func (m *FromTunnel) clone() FromTunnel {
+	o := *m
+	o.Packet.Tenant = slices.Clone(m.Packet.Tenant)
+	o.Packet.Payload = slices.Clone(m.Packet.Payload)
+	o.Body = slices.Clone(m.Body)
+
+	return o
+}
+
+// release applies the held packets in the order of their arrival.
+func (c *Core) release() {
+	held := c.hold.packets
+	c.hold.packets = nil
+	for i := range held {
+		m := &held[i].message
+		if m.Packet.Deadline > 0 {
+			m.Packet.Deadline = max(time.Millisecond, m.Packet.Deadline-(c.now-held[i].at))
+		}
+		c.dispatch(m)
+	}
+}
+
+// expireHeld refuses packets that waited too long.
+func (c *Core) expireHeld() {
+	n := 0
+	for _, o := range c.hold.packets {
+		if o.until > c.now {
+			c.hold.packets[n] = o
+			n++
+			continue
+		}
+		c.refuseHeld(&o.message)
+	}
+	clear(c.hold.packets[n:])
+	c.hold.packets = c.hold.packets[:n]
+}
+
+// refuseHeld answers a packet that can't be held. A request is refused only if
+// its flow is here and no other copy of it was received: then it is certainly
+// not run, and marking it keeps later copies from being run. Other packets are
+// repeated by their sender.
+func (c *Core) refuseHeld(m *FromTunnel) {
+	c.Counters.HeldRefused++
+	h := &m.Header
+	p := &m.Packet
+	if h.Kind != packet.ToAgent && h.Kind != packet.ToOwner {
+		return
+	}
+	if !c.meant(h) {
+		return
+	}
+	if p.Kind == packet.Open {
+		c.refuseOpen(h, p, retryAfterOut)
+		return
+	}
+	if p.Kind == packet.Request && p.Token.Verify(c.options.Keys, p.Flow) {
+		c.refuseHeldRequest(h, p)
+	}
+}
+
+func (c *Core) refuseHeldRequest(h *packet.Tunnel, p *packet.Packet) {
+	f := c.flows.get(flowKey{
+		service: h.Service,
+		flow:    p.Flow,
+	})
+	if f == nil || f.state != active || p.Request == 0 || f.window.check(p.Request) != unseen {
+		return
+	}
+
+	f.window.mark(p.Request)
+	f.entry = h.Entry
+	f.caller = h.Caller
+	c.finish(c.newRequest(f, p), c.refusal(packet.StatusNotRun, retryAfterOut))
+}
--- /dev/null
+++ b/core/agent/offer.go
@@ -0,0 +1,284 @@
+package agent
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"ibisfold.example/core/admission"
+	"ibisfold.example/core/packet"
+)
+
+const (
+	// offerDelay is the time until an unanswered offer is repeated; it doubles
+	// up to offerDelayMax. It is above a round trip between zones.
+	offerDelay    = 100 * time.Millisecond
+	offerDelayMax = time.Second
+	// offersMax bounds the offers in progress.
+	offersMax = 1024
+	// offerTriesMax bounds the peers that a request is offered to in turn.
+	offerTriesMax = 3
+	// offerSilence is how long a peer with an offer may be silent. It is longer
+	// than the suspicion time: giving up costs an unknown outcome.
+	offerSilence = 5 * time.Second
+)
+
+// offer is the owner's side of a request moved to a peer.
+type offer struct {
+	target      uint64
+	agent       netip.AddrPort
+	incarnation uint64
+	zone        uint64
+	number      uint64
+	// heard is when the peer last told about the offer, or when it was first sent.
+	heard    time.Duration
+	repeatAt time.Duration
+	delay    time.Duration
+}
+
+// offerKey identifies an offer in progress by the peer's address and the
+// number of the offer.
+type offerKey struct {
+	agent  netip.AddrPort
+	number uint64
+}
+
+func (o *offer) key() offerKey {
+	return offerKey{
+		agent:  o.agent,
+		number: o.number,
+	}
+}
+
+// pickPeer returns the peer that should run a request, or nil for the own target.
+func (c *Core) pickPeer(r *request) *peer {
+	if !c.confirmed() || r.hops >= maxHops || len(r.refusedBy) >= offerTriesMax || len(c.offers) >= offersMax {
+		return nil
+	}
+	loads := c.picks.collect(c.groupOf(r.key.service), func(q *peer) bool {
+		return q.usable() && !slices.Contains(r.refusedBy, q.Target) &&
+			(r.origin == nil || r.origin.agent != q.Agent)
+	})
+	if len(loads) == 0 {
+		return nil
+	}
+
+	if !c.prefersOwn(r) {
+		return c.picks.peers[leastBusy(loads)]
+	}
+	i := c.balance.PickRequest(c.now, c.Load(), loads, c.rand)
+	if i < 0 {
+		return nil
+	}
+
+	return c.picks.peers[i]
+}
+
+// prefersOwn reports whether the own target is as good as any other.
+func (c *Core) prefersOwn(r *request) bool {
+	return c.acceptsWork() && c.mayRun(r) && r.key.service == c.view.Service && c.backend.ready(c.now)
+}
+
+func leastBusy(loads []admission.Load) int {
+	best := 0
+	for i, l := range loads {
+		a := (l.Running + l.Waiting) * max(1, loads[best].Slots)
+		b := (loads[best].Running + loads[best].Waiting) * max(1, l.Slots)
+		if a < b {
+			best = i
+		}
+	}
+
+	return best
+}
+
+// offerTo moves a request to a peer. From here on it may have run there.
+func (c *Core) offerTo(r *request, q *peer) {
+	c.lastOffer++
+	r.state = offeredToPeer
+	r.parts = parts{}
+	r.offer = offer{
+		target:      q.Target,
+		agent:       q.Agent,
+		incarnation: q.incarnation,
+		zone:        q.Zone,
+		number:      c.lastOffer,
+		heard:       c.now,
+		delay:       offerDelay,
+	}
+	c.offers[r.offer.key()] = r
+	q.moved++
+	c.Counters.OffersSent++
+	c.sendOffer(r)
+}
+
+func (c *Core) sendOffer(r *request) {
+	r.offer.repeatAt = c.now + c.jitter(r.offer.delay)
+	r.offer.delay = min(offerDelayMax, 2*r.offer.delay)
+	p := r.offerPacket(packet.Request)
+	p.Service = r.address
+	p.Idempotent = r.idempotent
+	p.Deadline = r.remaining(c.now)
+	p.Tenant = []byte(r.tenant)
+	p.Payload = r.payload
+	c.sendToPeer(r, packet.Offer, p)
+}
+
+func (c *Core) cancelOffer(r *request) {
+	if c.view.zoneOut(r.offer.zone) {
+		return
+	}
+	c.sendToPeer(r, packet.OfferCancel, r.offerPacket(packet.Cancel))
+}
+
+// offerPacket starts a packet about an offer; Boot carries the offer's number.
+func (r *request) offerPacket(k packet.Kind) packet.Packet {
+	return packet.Packet{
+		Kind:    k,
+		Flow:    r.key.flow,
+		Request: r.number,
+		Boot:    r.offer.number,
+	}
+}
+
+// sendToPeer sends a packet about an offer. Its token names this agent, so that
+// the peer knows whom to answer.
+func (c *Core) sendToPeer(r *request, k packet.TunnelKind, p packet.Packet) {
+	p.Token = c.token(r.key.service, r.key.flow)
+	p.Running = uint32(c.running())
+	c.send(SendTunnel{
+		To: r.offer.agent,
+		Header: packet.Tunnel{
+			Kind:        k,
+			Hops:        r.hops + 1,
+			Service:     r.key.service,
+			Target:      r.offer.target,
+			Incarnation: r.offer.incarnation,
+		},
+		Packet: p,
+	})
+}
+
+// repeatOffers repeats unanswered offers to the same peer, until the peer has
+// been silent for too long.
+func (c *Core) repeatOffers() {
+	if len(c.offers) == 0 {
+		return
+	}
+	for r := c.progress.first; r != nil; {
+		next := r.next
+		if r.state == offeredToPeer && c.now >= r.offer.repeatAt {
+			c.repeatOffer(r)
+		}
+		r = next
+	}
+}
+
+func (c *Core) repeatOffer(r *request) {
+	if c.view.zoneOut(r.offer.zone) || c.peerGone(&r.offer) {
+		c.loseOffer(r)
+		return
+	}
+	c.sendOffer(r)
+}
+
+// peerGone reports whether the peer of an offer restarted or has been silent
+// for too long. A peer that left the group still answers its offers.
+func (c *Core) peerGone(o *offer) bool {
+	heard := o.heard
+	if q := c.peerOf(o.target); q != nil && q.Agent == o.agent {
+		if q.incarnation != o.incarnation {
+			return true
+		}
+		heard = max(heard, q.heard)
+	}
+
+	return c.now-heard > offerSilence
+}
+
+// loseOffer gives up an offer whose peer restarted or is gone.
+func (c *Core) loseOffer(r *request) {
+	c.Counters.OffersLost++
+	r.refusedBy = append(r.refusedBy, r.offer.target)
+	c.endOffer(r)
+	c.rerun(r)
+}
+
+// losePeer gives up the offers to an earlier start of a peer.
+func (c *Core) losePeer(agent netip.AddrPort, incarnation uint64) {
+	for r := c.progress.first; r != nil; {
+		next := r.next
+		if r.state == offeredToPeer && r.offer.agent == agent && r.offer.incarnation == incarnation {
+			c.loseOffer(r)
+		}
+		r = next
+	}
+}
+
+// endOffer forgets the offer of a request.
+func (c *Core) endOffer(r *request) {
+	if r.state != offeredToPeer {
+		return
+	}
+	r.state = received
+	delete(c.offers, r.offer.key())
+	if q := c.peerOf(r.offer.target); q != nil {
+		q.moved = max(0, q.moved-1)
+	}
+}
+
+// offerAnswered applies a peer's answer to an offer.
+func (c *Core) offerAnswered(h *packet.Tunnel, p *packet.Packet) {
+	r := c.offers[offerKey{
+		agent:  h.Sender,
+		number: p.Boot,
+	}]
+	if !c.meant(h) || h.Incarnation == 0 || r == nil || r.key.flow != p.Flow || r.number != p.Request {
+		c.Counters.LateAnswers++
+		return
+	}
+	if p.Kind == packet.Reset || h.SenderIncarnation != r.offer.incarnation {
+		c.loseOffer(r)
+		return
+	}
+
+	r.offer.heard = c.now
+	if q := c.peerOf(r.offer.target); q != nil {
+		q.heard = c.now
+		q.load.Running = int(p.Running)
+	}
+	switch {
+	case p.Kind == packet.KeepAlive:
+		// The peer still has the request in progress.
+	case p.Kind == packet.Answer:
+		c.offerRan(r, p)
+	case p.Status == packet.StatusNotRun:
+		c.offerRefused(r)
+	case p.Status == packet.StatusCancelled:
+		c.endOffer(r)
+		c.finish(r, c.refusal(packet.StatusCancelled, 0))
+	default:
+		c.loseOffer(r)
+	}
+}
+
+func (c *Core) offerRan(r *request, p *packet.Packet) {
+	if !r.parts.add(p) {
+		return
+	}
+	c.endOffer(r)
+	c.finish(r, answer{
+		kind:   packet.Answer,
+		status: p.Status,
+		parts:  r.parts.data,
+	})
+}
+
+// offerRefused places a request again that a peer certainly did not run.
+func (c *Core) offerRefused(r *request) {
+	c.Counters.OffersRefused++
+	c.balance.Refused(c.now, r.offer.target)
+	r.refusedBy = append(r.refusedBy, r.offer.target)
+	c.endOffer(r)
+	c.place(r)
+}
--- /dev/null
+++ b/core/agent/offered.go
@@ -0,0 +1,237 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"ibisfold.example/core/packet"
+)
+
+const (
+	// originTime is how long the offers of a silent owner are remembered. It is
+	// above the longest deadline, so no copy of an offer outlives it.
+	originTime = 2 * packet.MaxDeadline
+	originsMax = 1024
+)
+
+// originKey identifies an offer at the peer that received it.
+type originKey struct {
+	target      uint64
+	incarnation uint64
+	number      uint64
+}
+
+func (k originKey) answerKey() answerKey {
+	return answerKey{
+		offered: true,
+		scope:   k.target,
+		flow:    k.incarnation,
+		number:  k.number,
+	}
+}
+
+// origin names the agent that offered a request.
+type origin struct {
+	key     originKey
+	agent   netip.AddrPort
+	service uint64
+	zone    uint64
+}
+
+func originOf(p *packet.Packet) *origin {
+	return &origin{
+		key: originKey{
+			target:      p.Token.Target,
+			incarnation: p.Token.Incarnation,
+			number:      p.Boot,
+		},
+		agent:   p.Token.Agent,
+		service: p.Token.Service,
+		zone:    p.Token.Zone,
+	}
+}
+
+// owner is one start of an agent that offers requests.
+type owner struct {
+	target      uint64
+	incarnation uint64
+}
+
+type ownerWindow struct {
+	owner  owner
+	window wideWindow
+	used   time.Duration
+}
+
+// originTable remembers which offers of each owner were received.
+type originTable struct {
+	// windows is in order of first use; there are a few per peer.
+	windows []*ownerWindow
+}
+
+func (t *originTable) window(now time.Duration, o owner) *wideWindow {
+	for _, w := range t.windows {
+		if w.owner == o {
+			w.used = now
+			return &w.window
+		}
+	}
+	t.expire(now)
+	w := &ownerWindow{
+		owner: o,
+		used:  now,
+	}
+	t.windows = append(t.windows, w)
+
+	return &w.window
+}
+
+// expire forgets silent owners, and the oldest one if there are too many.
+func (t *originTable) expire(now time.Duration) {
+	n := 0
+	for _, w := range t.windows {
+		if now-w.used < originTime {
+			t.windows[n] = w
+			n++
+		}
+	}
+	clear(t.windows[n:])
+	t.windows = t.windows[:n]
+	if n >= originsMax {
+		t.windows = append(t.windows[:0], t.windows[1:]...)
+	}
+}
+
+// takeOffer accepts or refuses a request that a peer offers. Copies of an offer
+// are recognised before anything else, because only a first copy may be refused
+// as not run.
+func (c *Core) takeOffer(h *packet.Tunnel, p *packet.Packet) {
+	o, ok := c.verifyOffer(h, p)
+	if !ok || c.repeatOffered(o, p) {
+		return
+	}
+
+	c.noteRunning(p)
+	c.originWindow(o).mark(o.key.number)
+	r := c.newOffered(o, h, p)
+	if !c.acceptsWork() || h.Service != c.view.Service || c.progress.len > inProgressMax {
+		c.finish(r, c.refusal(packet.StatusNotRun, retryAfterOut))
+		return
+	}
+	c.Counters.OffersTaken++
+	c.place(r)
+}
+
+// verifyOffer checks that an offer is meant for this start of the agent. One
+// for an earlier start may have run there.
+func (c *Core) verifyOffer(h *packet.Tunnel, p *packet.Packet) (*origin, bool) {
+	if !p.Token.Verify(c.options.Keys, p.Flow) || p.Token.Service != h.Service || p.Boot == 0 {
+		c.Counters.DroppedToken++
+		return nil, false
+	}
+	o := originOf(p)
+	if !c.meant(h) || h.Incarnation == 0 {
+		c.Counters.DroppedFence++
+		c.answerOffer(o, p.Flow, p.Request, answer{
+			kind:   packet.Reset,
+			status: packet.StatusOutcomeUnknown,
+		})
+		return nil, false
+	}
+
+	return o, true
+}
+
+func (c *Core) originWindow(o *origin) *wideWindow {
+	return c.origins.window(c.now, owner{
+		target:      o.key.target,
+		incarnation: o.key.incarnation,
+	})
+}
+
+// repeatOffered answers a copy of an offer and reports whether it was one.
+func (c *Core) repeatOffered(o *origin, p *packet.Packet) bool {
+	if c.originWindow(o).check(o.key.number) == unseen {
+		return false
+	}
+
+	c.Counters.Duplicates++
+	if c.offered[o.key] != nil {
+		c.answerOffer(o, p.Flow, p.Request, answer{
+			kind: packet.KeepAlive,
+		})
+		return true
+	}
+	a, ok := c.answers.get(o.key.answerKey())
+	if !ok {
+		a = c.refusal(packet.StatusOutcomeUnknown, 0)
+	}
+	c.answerOffer(o, p.Flow, p.Request, a)
+
+	return true
+}
+
+func (c *Core) newOffered(o *origin, h *packet.Tunnel, p *packet.Packet) *request {
+	r := c.copyRequest(p)
+	r.key = flowKey{
+		service: h.Service,
+		flow:    p.Flow,
+	}
+	r.origin = o
+	r.hops = h.Hops
+	c.offered[o.key] = r
+	c.progress.append(r)
+
+	return r
+}
+
+// noteRunning takes over the load that a peer reports with an offer.
+func (c *Core) noteRunning(p *packet.Packet) {
+	q := c.peerOf(p.Token.Target)
+	if q == nil || q.incarnation != p.Token.Incarnation {
+		return
+	}
+	q.heard = c.now
+	q.load.Running = int(p.Running)
+}
+
+// answerOffer sends all parts of an answer to the agent that offered the request.
+func (c *Core) answerOffer(o *origin, flow, number uint64, a answer) {
+	if c.view != nil && c.view.zoneOut(o.zone) {
+		return
+	}
+	for i := range max(1, len(a.parts)) {
+		p := a.packet(number, i)
+		p.Flow = flow
+		p.Boot = o.key.number
+		p.Running = uint32(c.running())
+		c.send(SendTunnel{
+			To: o.agent,
+			Header: packet.Tunnel{
+				Kind:        packet.OfferAnswer,
+				Service:     o.service,
+				Target:      o.key.target,
+				Incarnation: o.key.incarnation,
+			},
+			Packet: p,
+		})
+	}
+}
+
+// offerCancelled withdraws an offered request. A cancellation that overtakes
+// its offer keeps it from being run.
+func (c *Core) offerCancelled(h *packet.Tunnel, p *packet.Packet) {
+	o, ok := c.verifyOffer(h, p)
+	if !ok {
+		return
+	}
+	if r := c.offered[o.key]; r != nil {
+		c.cancelRequest(r)
+		return
+	}
+	if c.repeatOffered(o, p) {
+		return
+	}
+	c.originWindow(o).mark(o.key.number)
+	c.finish(c.newOffered(o, h, p), c.refusal(packet.StatusCancelled, 0))
+}
--- /dev/null
+++ b/core/agent/open.go
@@ -0,0 +1,125 @@
+package agent
+
+import (
+	"time"
+
+	"ibisfold.example/core/packet"
+)
+
+// maxHops bounds how often a new flow or an offered request is passed on.
+const maxHops = 2
+
+// open answers a caller that asks for a flow. It runs nothing.
+func (c *Core) open(h *packet.Tunnel, p *packet.Packet) {
+	k := flowKey{
+		service: h.Service,
+		flow:    p.Flow,
+	}
+	if f := c.flows.get(k); f != nil {
+		c.opened(f, h, p)
+		return
+	}
+	if w, ok := c.forwards.get(k); ok {
+		c.forward(w, h, p)
+		return
+	}
+	if _, ok := c.closed.get(k); ok {
+		c.reset(h, p)
+		return
+	}
+	if q := c.openPeer(h, k); q != nil {
+		c.passOpen(q, h, p, k)
+		return
+	}
+	if !c.admitsFlow(h) {
+		c.refuseOpen(h, p, retryAfterOut)
+		return
+	}
+	c.admitFlow(h, p, k)
+}
+
+func (c *Core) admitsFlow(h *packet.Tunnel) bool {
+	return c.acceptsWork() && h.Service == c.view.Service && c.flows.len() < c.view.Connections
+}
+
+func (c *Core) admitFlow(h *packet.Tunnel, p *packet.Packet, k flowKey) {
+	f := &flow{
+		key:     k,
+		entry:   h.Entry,
+		caller:  h.Caller,
+		address: p.Service,
+		used:    c.now,
+	}
+	c.flows.add(f)
+	c.Counters.FlowsOpened++
+	c.opened(f, h, p)
+}
+
+// opened answers Open of a flow that is here, repeated copies included. A flow
+// in use keeps its reply path, because the copy may be an old one.
+func (c *Core) opened(f *flow, h *packet.Tunnel, p *packet.Packet) {
+	if f.state == adopted || f.state == handingOver {
+		return
+	}
+	if f.state == halfOpen {
+		f.entry = h.Entry
+		f.caller = h.Caller
+	}
+	c.reply(f, packet.Packet{
+		Kind:    packet.Opened,
+		Attempt: p.Attempt,
+	})
+}
+
+// openPeer returns the peer that should own a new flow, or nil. Copies of the
+// same Open go to the same peer.
+func (c *Core) openPeer(h *packet.Tunnel, k flowKey) *peer {
+	g := c.groupOf(h.Service)
+	if g == nil || h.Hops >= maxHops {
+		return nil
+	}
+	if t, ok := c.passedOn.get(k); ok {
+		if q := g.peer(t); q != nil && q.usable() {
+			return q
+		}
+	}
+
+	own := c.Load()
+	own.Draining = !c.admitsFlow(h)
+	loads := c.picks.collect(g, func(q *peer) bool {
+		return q.usable() && q.Agent != h.Sender
+	})
+	i := c.balance.PickFlow(own, loads, c.rand)
+	if i < 0 {
+		return nil
+	}
+
+	return c.picks.peers[i]
+}
+
+func (c *Core) passOpen(q *peer, h *packet.Tunnel, p *packet.Packet, k flowKey) {
+	c.Counters.FlowsPassed++
+	c.passedOn.put(c.now, k, q.Target, 1)
+	q.load.Flows++
+	o := *h
+	o.Hops++
+	o.Target = q.Target
+	o.Incarnation = q.incarnation
+	c.send(SendTunnel{
+		To:     q.Agent,
+		Header: o,
+		Packet: *p,
+	})
+}
+
+func (c *Core) refuseOpen(h *packet.Tunnel, p *packet.Packet, after time.Duration) {
+	c.Counters.FlowsRefused++
+	c.replyTo(h, packet.Packet{
+		Kind:       packet.Refused,
+		Service:    p.Service,
+		Flow:       p.Flow,
+		Attempt:    p.Attempt,
+		Status:     packet.StatusNotRun,
+		RetryAfter: c.retryAfter(after),
+	})
+}
--- a/core/agent/options.go
+++ b/core/agent/options.go
@@ -26,7 +26,43 @@
 	Seed uint64
 	// StopTimeout bounds a graceful shutdown; zero means DefaultStopTimeout.
 	StopTimeout time.Duration
+	// IdleTimeout ends flows without a packet; zero means DefaultIdleTimeout.
+	IdleTimeout time.Duration
+	// QueueMax bounds the waiting requests of a tenant; zero means
+	// admission.DefaultQueueMax.
+	QueueMax int
+	// CacheTime and CacheBytes bound the cache of answers; zero means
+	// DefaultCacheTime and DefaultCacheBytes.
+	CacheTime  time.Duration
+	CacheBytes int
 }
 
-// DefaultStopTimeout is how long a graceful shutdown may take.
-const DefaultStopTimeout = 30 * time.Second
+// Defaults of Options.
+const (
+	// DefaultStopTimeout is how long a graceful shutdown may take.
+	DefaultStopTimeout = 30 * time.Second
+	// DefaultIdleTimeout is how long a flow lives without a packet.
+	DefaultIdleTimeout = 10 * time.Minute
+	// DefaultCacheTime is how long a lost answer can be repeated.
+	DefaultCacheTime = 30 * time.Second
+	// DefaultCacheBytes is the size of the cache of answers, in bytes. It is an
+	// eighth of the 32 MB that a node may use for control work.
+	DefaultCacheBytes = 4 << 20
+)
+
+func (o Options) withDefaults() Options {
+	if o.StopTimeout == 0 {
+		o.StopTimeout = DefaultStopTimeout
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = DefaultIdleTimeout
+	}
+	if o.CacheTime == 0 {
+		o.CacheTime = DefaultCacheTime
+	}
+	if o.CacheBytes == 0 {
+		o.CacheBytes = DefaultCacheBytes
+	}
+
+	return o
+}
--- /dev/null
+++ b/core/agent/reply.go
@@ -0,0 +1,80 @@
+package agent
+
+import (
+	"time"
+
+	"ibisfold.example/core/packet"
+)
+
+const (
+	// retryAfterOut is the advice of an agent that can't serve at all: by then a
+	// ticket has reached every entry.
+	retryAfterOut = time.Second
+	// retryAfterMin and retryAfterMax bound RetryAfter.
+	retryAfterMin = 50 * time.Millisecond
+	retryAfterMax = 10 * time.Second
+)
+
+// reply sends a packet to the flow's caller through the entry that delivered
+// the flow's last packet, with a new token.
+func (c *Core) reply(f *flow, p packet.Packet) {
+	p.Flow = f.key.flow
+	p.Service = f.address
+	if p.Kind != packet.Reset && p.Kind != packet.Closed {
+		p.Token = c.token(f.key.service, f.key.flow)
+	}
+	c.send(SendTunnel{
+		To: f.entry,
+		Header: packet.Tunnel{
+			Kind:    packet.ToEntry,
+			Service: f.key.service,
+			Entry:   f.entry,
+			Caller:  f.caller,
+		},
+		Packet: p,
+	})
+}
+
+// replyTo answers a packet whose flow is not here.
+func (c *Core) replyTo(h *packet.Tunnel, p packet.Packet) {
+	c.send(SendTunnel{
+		To: h.Entry,
+		Header: packet.Tunnel{
+			Kind:    packet.ToEntry,
+			Service: h.Service,
+			Entry:   h.Entry,
+			Caller:  h.Caller,
+		},
+		Packet: p,
+	})
+}
+
+// reset tells the caller that its flow is not here. A request may have been
+// run by another start of the agent.
+func (c *Core) reset(h *packet.Tunnel, p *packet.Packet) {
+	c.Counters.Resets++
+	s := packet.StatusNotRun
+	if p.Kind == packet.Request {
+		s = packet.StatusOutcomeUnknown
+	}
+	c.replyTo(h, packet.Packet{
+		Kind:       packet.Reset,
+		Service:    p.Service,
+		Flow:       p.Flow,
+		Request:    p.Request,
+		Status:     s,
+		RetryAfter: retryAfterMin,
+	})
+}
+
+// retryAfter bounds an estimate and adds up to a quarter at random, so that
+// callers refused together don't come back together.
+func (c *Core) retryAfter(d time.Duration) time.Duration {
+	d = max(retryAfterMin, min(retryAfterMax, d))
+
+	return c.jitter(d)
+}
+
+func (c *Core) jitter(d time.Duration) time.Duration {
+	return d + time.Duration(c.rand.Int64N(int64(d)/4+1))
+}
--- /dev/null
+++ b/core/agent/request.go
@@ -0,0 +1,314 @@
+package agent
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"ibisfold.example/core/packet"
+)
+
+const (
+	// defaultDeadline is the time for a request whose caller gives none.
+	defaultDeadline = 30 * time.Second
+	// inProgressMax bounds the requests in progress, waiting ones included.
+	inProgressMax = 4096
+)
+
+type requestState uint8
+
+const (
+	// received requests wait in the queue.
+	received requestState = iota
+	// offeredToPeer requests may run at a peer.
+	offeredToPeer
+	// passed requests may run at the own target.
+	passed
+	// abandoned requests got their final answer, but the target has not ended them.
+	abandoned
+	// done requests got their final answer.
+	done
+)
+
+// request is the state of one request until its final answer.
+type request struct {
+	prev *request
+	next *request
+	// sibling is the next request in progress of the same flow.
+	sibling *request
+	// flow is nil if a peer owns the flow; origin then names the offer.
+	flow       *flow
+	origin     *origin
+	key        flowKey
+	number     uint64
+	address    netip.AddrPort
+	tenant     string
+	payload    []byte
+	idempotent bool
+	state      requestState
+	// hops counts the agents that moved the request.
+	hops     uint8
+	received time.Duration
+	deadline time.Duration
+
+	// pass, boot and passedAt describe the last pass to the own target.
+	pass     uint32
+	boot     uint64
+	passedAt time.Duration
+	shed     bool
+	parts    parts
+
+	offer offer
+	// refusedBy lists the peers that refused the request.
+	refusedBy []uint64
+}
+
+// answer is a final answer. It is never changed, so commands may alias it.
+type answer struct {
+	kind       packet.Kind
+	status     packet.Status
+	retryAfter time.Duration
+	parts      [][]byte
+}
+
+// bytes is the size of a cached answer with its table entry.
+func (a *answer) bytes() int {
+	n := 160
+	for _, b := range a.parts {
+		n += len(b) + 24
+	}
+
+	return n
+}
+
+// answerKey identifies a request of an own flow (the service and flow number),
+// or an offer of a peer (its target and incarnation and the number of the offer).
+type answerKey struct {
+	offered bool
+	scope   uint64
+	flow    uint64
+	number  uint64
+}
+
+func (r *request) answerKey() answerKey {
+	if r.origin != nil {
+		return r.origin.key.answerKey()
+	}
+
+	return answerKey{
+		scope:  r.key.service,
+		flow:   r.key.flow,
+		number: r.number,
+	}
+}
+
+// requestList is the requests in progress in order of their receipt.
+type requestList struct {
+	first *request
+	last  *request
+	len   int
+}
+
+func (l *requestList) append(r *request) {
+	r.prev = l.last
+	if l.last == nil {
+		l.first = r
+	} else {
+		l.last.next = r
+	}
+	l.last = r
+	l.len++
+}
+
+func (l *requestList) remove(r *request) {
+	if r.prev == nil {
+		l.first = r.next
+	} else {
+		r.prev.next = r.next
+	}
+	if r.next == nil {
+		l.last = r.prev
+	} else {
+		r.next.prev = r.prev
+	}
+	l.len--
+}
+
+// receive applies a caller's request to its flow.
+func (c *Core) receive(f *flow, p *packet.Packet) {
+	if p.Request == 0 {
+		c.Counters.DroppedNumber++
+		return
+	}
+
+	switch f.window.check(p.Request) {
+	case belowWindow:
+		c.Counters.Duplicates++
+		c.replyAnswer(f, p.Request, c.refusal(packet.StatusOutcomeUnknown, 0))
+		return
+	case seenBefore:
+		c.Counters.Duplicates++
+		c.repeatAnswer(f, p.Request)
+		return
+	}
+
+	f.window.mark(p.Request)
+	c.Counters.Requests++
+	r := c.newRequest(f, p)
+	c.retries.First(r.tenant)
+	if c.progress.len > inProgressMax {
+		c.finish(r, c.refusal(packet.StatusNotRun, retryAfterOut))
+		return
+	}
+	c.place(r)
+}
+
+// repeatAnswer answers a copy of a request. Beyond the cache nobody knows the
+// outcome any more, and the request is never run again.
+func (c *Core) repeatAnswer(f *flow, number uint64) {
+	if f.inProgress(number) != nil {
+		return
+	}
+	a, ok := c.answers.get(answerKey{
+		scope:  f.key.service,
+		flow:   f.key.flow,
+		number: number,
+	})
+	if !ok {
+		a = c.refusal(packet.StatusOutcomeUnknown, 0)
+	}
+	c.replyAnswer(f, number, a)
+}
+
+func (f *flow) inProgress(number uint64) *request {
+	for r := f.open; r != nil; r = r.sibling {
+		if r.number == number {
+			return r
+		}
+	}
+
+	return nil
+}
+
+// newRequest copies a caller's request and enters it as in progress.
+func (c *Core) newRequest(f *flow, p *packet.Packet) *request {
+	r := c.copyRequest(p)
+	r.key = f.key
+	r.flow = f
+	r.sibling = f.open
+	f.open = r
+	c.progress.append(r)
+
+	return r
+}
+
+func (c *Core) copyRequest(p *packet.Packet) *request {
+	wait := p.Deadline
+	if wait <= 0 {
+		wait = defaultDeadline
+	}
+
+	return &request{
+		number:     p.Request,
+		address:    p.Service,
+		tenant:     c.tenant(p.Tenant),
+		payload:    slices.Clone(p.Payload),
+		idempotent: p.Idempotent,
+		received:   c.now,
+		deadline:   c.now + wait,
+	}
+}
+
+// remaining is the time left until the deadline, in whole milliseconds of at
+// least one, because zero means no deadline.
+func (r *request) remaining(now time.Duration) time.Duration {
+	return max(time.Millisecond, (r.deadline - now).Truncate(time.Millisecond))
+}
+
+func (c *Core) refusal(s packet.Status, after time.Duration) answer {
+	return answer{
+		kind:       packet.Refused,
+		status:     s,
+		retryAfter: c.retryAfter(after),
+	}
+}
+
+// finish sends the final answer and keeps it for copies of the request.
+func (c *Core) finish(r *request, a answer) {
+	c.count(a)
+	c.observe(r, ObserveTotal, c.now-r.received, a.status)
+	c.answers.put(c.now, r.answerKey(), a, a.bytes())
+	c.end(r)
+	if r.origin != nil {
+		c.answerOffer(r.origin, r.key.flow, r.number, a)
+		return
+	}
+	c.replyAnswer(r.flow, r.number, a)
+}
+
+func (c *Core) count(a answer) {
+	switch {
+	case a.kind == packet.Answer:
+		c.Counters.Answered++
+	case a.status == packet.StatusNotRun:
+		c.Counters.NotRun++
+	case a.status == packet.StatusCancelled:
+		c.Counters.Cancelled++
+	default:
+		c.Counters.OutcomeUnknown++
+	}
+}
+
+// end removes a request from what is in progress. One that the target may
+// still run keeps its slot as abandoned.
+func (c *Core) end(r *request) {
+	if r.state == done || r.state == abandoned {
+		return
+	}
+	c.progress.remove(r)
+	c.endOffer(r)
+	if r.flow != nil {
+		r.flow.unlink(r)
+	}
+	if r.origin != nil {
+		delete(c.offered, r.origin.key)
+	}
+	if r.state == passed {
+		c.backend.abandon(r)
+		return
+	}
+	r.state = done
+}
+
+func (f *flow) unlink(r *request) {
+	for p := &f.open; *p != nil; p = &(*p).sibling {
+		if *p == r {
+			*p = r.sibling
+			return
+		}
+	}
+}
+
+// replyAnswer sends all parts of an answer to the caller.
+func (c *Core) replyAnswer(f *flow, number uint64, a answer) {
+	for i := range max(1, len(a.parts)) {
+		c.reply(f, a.packet(number, i))
+	}
+}
+
+// packet returns part i of an answer.
+func (a *answer) packet(number uint64, i int) packet.Packet {
+	p := packet.Packet{
+		Kind:       a.kind,
+		Request:    number,
+		Status:     a.status,
+		RetryAfter: a.retryAfter,
+	}
+	if len(a.parts) > 0 {
+		p.Part = uint32(i)
+		p.Parts = uint32(len(a.parts))
+		p.Payload = a.parts[i]
+	}
+
+	return p
+}
--- /dev/null
+++ b/core/agent/target.go
@@ -0,0 +1,396 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"ibisfold.example/core/packet"
+)
+
+const (
+	// helloInterval is the time between two Hello packets, helloRetry while the
+	// target does not answer.
+	helloInterval = time.Second
+	helloRetry    = 200 * time.Millisecond
+	// targetSilence is how long a target may be silent before it gets no more
+	// requests.
+	targetSilence = 3 * time.Second
+	// abandonedTime bounds how long a request without an answer keeps its slot,
+	// because a target's report of running requests may be wrong.
+	abandonedTime = time.Minute
+	// formerBoots is how many earlier boot identities are remembered, so that a
+	// late packet of an earlier start is not taken for another restart.
+	formerBoots = 8
+	// serviceTimeWeight is the weight of one answer in the mean service time.
+	serviceTimeWeight = 8
+)
+
+type passKey struct {
+	flow   uint64
+	number uint64
+}
+
+// backend is what the agent knows of the target beside it.
+type backend struct {
+	boot   uint64
+	former []uint64
+	// up is false until the target says Hello, and after its address refused a packet.
+	up    bool
+	heard time.Duration
+	// downAt is when a tick first found the target not ready; zero while it is.
+	downAt  time.Duration
+	helloAt time.Duration
+	asked   bool
+	// passes are the requests that the target may be running, abandoned ones included.
+	passes map[passKey]*request
+	// abandoned counts the requests in passes that got their final answer.
+	abandoned int
+	// inherited is the number of requests of an earlier agent that still run.
+	inherited      int
+	inheritedUntil time.Duration
+	// ended are passes that ended while inherited requests were counted.
+	ended  recent[passKey, struct{}]
+	counts bool
+	pass   uint32
+	// mean is the moving average of the service time.
+	mean time.Duration
+}
+
+func (b *backend) silent(now time.Duration) bool {
+	return now-b.heard > targetSilence
+}
+
+// ready reports whether the target takes requests.
+func (b *backend) ready(now time.Duration) bool {
+	return b.up && b.boot != 0 && !b.silent(now)
+}
+
+// note remembers since when the target has not been ready.
+func (b *backend) note(now time.Duration) {
+	switch {
+	case b.ready(now):
+		b.downAt = 0
+	case b.downAt == 0:
+		b.downAt = max(now, 1)
+	}
+}
+
+// gone reports whether waiting for the target is pointless.
+func (b *backend) gone(now time.Duration) bool {
+	return b.downAt != 0 && now-b.downAt > targetGrace && !b.ready(now)
+}
+
+func (b *backend) abandon(r *request) {
+	r.state = abandoned
+	r.passedAt = max(r.passedAt, r.deadline)
+	b.abandoned++
+}
+
+// release ends a pass.
+func (b *backend) release(now time.Duration, r *request) {
+	k := r.passKey()
+	delete(b.passes, k)
+	if r.state == abandoned {
+		b.abandoned--
+	}
+	if b.inherited > 0 {
+		b.ended.put(now, k, struct{}{}, 1)
+	}
+}
+
+func (r *request) passKey() passKey {
+	return passKey{
+		flow:   r.key.flow,
+		number: r.number,
+	}
+}
+
+// running is the number of the target's slots that are in use.
+func (c *Core) running() int {
+	return len(c.backend.passes) + c.backend.inherited
+}
+
+func (c *Core) noteBusy() {
+	c.busy.Set(c.now, c.running())
+}
+
+// pollTarget asks for the target's boot identity, at the start, regularly and
+// when the target is gone.
+func (c *Core) pollTarget() {
+	b := &c.backend
+	b.note(c.now)
+	if c.view != nil && c.view.Known && !c.view.ZoneInService {
+		return
+	}
+	interval := helloInterval
+	if !b.ready(c.now) {
+		interval = helloRetry
+	}
+	if b.asked && c.now-b.helloAt < interval {
+		return
+	}
+	b.asked = true
+	b.helloAt = c.now
+	c.emit(SendTarget{
+		Packet: packet.Packet{
+			Kind: packet.Hello,
+		},
+	})
+}
+
+func (c *Core) fromTarget(p *packet.Packet) {
+	if !c.seeBoot(p.Boot) {
+		c.Counters.LateAnswers++
+		return
+	}
+
+	c.backend.heard = c.now
+	switch p.Kind {
+	case packet.HelloAck:
+		c.helloAcked(p)
+	case packet.Answer:
+		c.targetAnswered(p)
+	case packet.Shed:
+		c.targetShed(p)
+	default:
+		c.Counters.DroppedKind++
+	}
+}
+
+// seeBoot notes the boot identity in a packet of the target. It returns false
+// for packets of an earlier start.
+func (c *Core) seeBoot(boot uint64) bool {
+	b := &c.backend
+	if boot == 0 || slices.Contains(b.former, boot) {
+		return false
+	}
+	if boot == b.boot {
+		return true
+	}
+
+	old := b.boot
+	b.boot = boot
+	c.limiter.SetBoot(boot)
+	if old == 0 {
+		return true
+	}
+	b.former = append(b.former, old)
+	if len(b.former) > formerBoots {
+		b.former = slices.Delete(b.former, 0, 1)
+	}
+	c.Counters.TargetRestarts++
+	c.loseTarget()
+
+	return true
+}
+
+// targetUnreachable notes that nothing listens at the target's address.
+func (c *Core) targetUnreachable() {
+	if !c.backend.up {
+		return
+	}
+	c.Counters.TargetRestarts++
+	c.backend.up = false
+	c.limiter.Failed(c.now)
+	c.loseTarget()
+}
+
+// loseTarget gives up what the target was running. Requests that it ran are
+// gone, but whether they took effect is not known.
+func (c *Core) loseTarget() {
+	b := &c.backend
+	b.inherited = 0
+	b.counts = false
+	b.abandoned = 0
+	clear(b.passes)
+	c.noteBusy()
+
+	for r := c.progress.first; r != nil; {
+		next := r.next
+		if r.state == passed {
+			r.state = received
+			c.rerun(r)
+		}
+		r = next
+	}
+}
+
+// rerun places a request again that may have run, if that is harmless.
+func (c *Core) rerun(r *request) {
+	r.parts = parts{}
+	if r.idempotent && c.now < r.deadline && c.retries.Allow(r.tenant) {
+		c.Counters.Retries++
+		c.place(r)
+		return
+	}
+	c.finish(r, c.refusal(packet.StatusOutcomeUnknown, c.waitEstimate(r.tenant)))
+}
+
+// helloAcked compares the target's running requests with the own ones. The
+// first report after a start shows those of an earlier agent; later reports can
+// only lower the count, since only passes raise it.
+func (c *Core) helloAcked(p *packet.Packet) {
+	b := &c.backend
+	b.up = true
+	running := int(min(p.Running, uint32(c.limiter.Slots)))
+	unknown := max(0, running-c.runningBefore(b.helloAt))
+	if !b.counts {
+		b.counts = true
+		b.inherited = unknown
+		b.inheritedUntil = c.now + abandonedTime
+		b.ended.limit(abandonedTime, inProgressMax)
+	}
+	if excess := b.inherited + b.abandoned - unknown; excess > 0 {
+		n := min(excess, b.inherited)
+		b.inherited -= n
+		c.endAbandoned(excess - n)
+	}
+	c.noteBusy()
+}
+
+// runningBefore counts the requests that were passed before a moment and have
+// no final answer.
+func (c *Core) runningBefore(at time.Duration) int {
+	n := 0
+	for r := c.progress.first; r != nil; r = r.next {
+		if r.state == passed && r.passedAt < at {
+			n++
+		}
+	}
+
+	return n
+}
+
+// endAbandoned frees the slots of n abandoned requests, in the order of their
+// passes so that the choice does not depend on the map.
+func (c *Core) endAbandoned(n int) {
+	if n <= 0 {
+		return
+	}
+	l := c.abandonedPasses()
+	for _, r := range l[:min(n, len(l))] {
+		c.backend.release(c.now, r)
+	}
+}
+
+func (c *Core) abandonedPasses() []*request {
+	l := []*request{}
+	for _, r := range c.backend.passes {
+		if r.state == abandoned {
+			l = append(l, r)
+		}
+	}
+	slices.SortFunc(l, func(a, b *request) int {
+		return int(a.pass) - int(b.pass)
+	})
+
+	return l
+}
+
+// expireSlots frees slots that nothing but an old report keeps busy.
+func (c *Core) expireSlots() {
+	b := &c.backend
+	if b.inherited > 0 && c.now >= b.inheritedUntil {
+		b.inherited = 0
+		c.noteBusy()
+	}
+	if b.abandoned == 0 {
+		return
+	}
+	for _, r := range c.abandonedPasses() {
+		if c.now-r.passedAt >= abandonedTime {
+			b.release(c.now, r)
+		}
+	}
+	c.noteBusy()
+}
+
+// match finds the pass that an answer belongs to: same flow, request, start of
+// the target and pass. Late and crossed answers match none.
+func (c *Core) match(p *packet.Packet) *request {
+	r := c.backend.passes[passKey{
+		flow:   p.Flow,
+		number: p.Request,
+	}]
+	if r == nil || r.boot != p.Boot || r.pass != p.Attempt {
+		return nil
+	}
+
+	return r
+}
+
+func (c *Core) targetAnswered(p *packet.Packet) {
+	r := c.match(p)
+	if r == nil {
+		c.answeredUnknown(p)
+		return
+	}
+	if !r.parts.add(p) {
+		return
+	}
+
+	took := c.now - r.passedAt
+	if r.state == abandoned {
+		c.backend.release(c.now, r)
+		c.noteBusy()
+		return
+	}
+	c.backend.release(c.now, r)
+	r.state = received
+	c.noteBusy()
+	c.limiter.Answered(c.now, took)
+	c.backend.mean += (took - c.backend.mean) / serviceTimeWeight
+	c.observe(r, ObserveService, took, packet.StatusOK)
+	c.finish(r, answer{
+		kind:   packet.Answer,
+		status: p.Status,
+		parts:  r.parts.data,
+	})
+}
+
+// answeredUnknown frees a slot when a request of an earlier agent ends.
+func (c *Core) answeredUnknown(p *packet.Packet) {
+	c.Counters.LateAnswers++
+	b := &c.backend
+	k := passKey{
+		flow:   p.Flow,
+		number: p.Request,
+	}
+	if b.inherited == 0 || p.Part+1 < p.Parts {
+		return
+	}
+	if _, ok := b.ended.get(k); ok {
+		return
+	}
+	b.ended.put(c.now, k, struct{}{}, 1)
+	b.inherited--
+	c.noteBusy()
+}
+
+// targetShed places a request again that the target refused to run. It is not
+// passed to the same start of the target a second time.
+func (c *Core) targetShed(p *packet.Packet) {
+	r := c.match(p)
+	if r == nil {
+		c.Counters.LateAnswers++
+		return
+	}
+
+	c.Counters.Shed++
+	c.limiter.Failed(c.now)
+	ended := r.state == abandoned
+	c.backend.release(c.now, r)
+	c.noteBusy()
+	if ended {
+		return
+	}
+	r.state = received
+	r.shed = true
+	r.parts = parts{}
+	if !c.retries.Allow(r.tenant) {
+		c.finish(r, c.refusal(packet.StatusNotRun, c.waitEstimate(r.tenant)))
+		return
+	}
+	c.Counters.Retries++
+	c.place(r)
+}
--- a/core/agent/view.go
+++ b/core/agent/view.go
@@ -30,6 +30,11 @@
 	Connections   int
 	// Peers are the other targets of the service in zones in service, by Target.
 	Peers []Peer
+	// Former are the groups of services that the own target served earlier and
+	// that BuildView was asked for.
+	Former []Group
+	// ZonesOut are the zones out of service, in ascending order.
+	ZonesOut []uint64
 	// ConfirmedUntil is the end of the lease on this view.
 	ConfirmedUntil time.Duration
 }
@@ -43,10 +48,27 @@
 	Draining bool
 }
 
-// BuildView derives the view of the target called name from the state.
-func BuildView(s *ticket.State, name string) *View {
+// Group is the targets of a service in zones in service.
+type Group struct {
+	Service uint64
+	// Peers are sorted by Target.
+	Peers []Peer
+}
+
+// zoneOut reports whether operators took a zone out of service.
+func (v *View) zoneOut(zone uint64) bool {
+	_, ok := slices.BinarySearch(v.ZonesOut, zone)
+
+	return ok
+}
+
+// BuildView derives the view of the target called name from the state. Former
+// lists the services whose groups the agent still needs; see WatchServices.
+func BuildView(s *ticket.State, name string, former ...uint64) *View {
 	v := &View{
-		Ticket: s.Highest(),
+		Ticket:   s.Highest(),
+		ZonesOut: zonesOut(s),
+		Former:   buildFormer(s, name, former),
 	}
 	own, ok := s.Targets[name]
 	if !ok || own.Removed {
@@ -71,16 +93,41 @@
 	v.Draining = own.Value.State == ticket.Draining
 	v.Slots = own.Value.Slots
 	v.Connections = own.Value.Connections
-	v.Peers = buildPeers(s, own.Value)
+	v.Peers = buildPeers(s, name, v.Service)
 
 	return v
 }
 
-func buildPeers(s *ticket.State, own ticket.Target) []Peer {
+func zonesOut(s *ticket.State) []uint64 {
+	out := []uint64{}
+	for n, z := range s.Zones {
+		if !z.Removed && !z.Value.InService {
+			out = append(out, ticket.ID(n))
+		}
+	}
+	slices.Sort(out)
+
+	return out
+}
+
+func buildFormer(s *ticket.State, name string, services []uint64) []Group {
+	groups := make([]Group, 0, len(services))
+	for _, v := range services {
+		groups = append(groups, Group{
+			Service: v,
+			Peers:   buildPeers(s, name, v),
+		})
+	}
+
+	return groups
+}
+
+// buildPeers lists the targets of a service but the own one.
+func buildPeers(s *ticket.State, own string, service uint64) []Peer {
 	peers := []Peer{}
 	for n, o := range s.Targets {
 		t := o.Value
-		if o.Removed || n == own.Name || t.Service != own.Service {
+		if o.Removed || n == own || ticket.ID(t.Service) != service {
 			continue
 		}
 		if z := s.Zones[t.Zone]; z.Removed || !z.Value.InService {
--- /dev/null
+++ b/core/agent/window.go
@@ -0,0 +1,94 @@
+package agent
+
+// windowBits is how far below the highest number requests may arrive late.
+const windowBits = 64
+
+// window remembers which request numbers of a flow were seen.
+type window struct {
+	highest uint64
+	// seen has bit i set if highest-i was seen.
+	seen uint64
+}
+
+type seenState uint8
+
+const (
+	unseen seenState = iota
+	seenBefore
+	// belowWindow means that the number is too old to tell.
+	belowWindow
+)
+
+func (w *window) check(n uint64) seenState {
+	if n > w.highest {
+		return unseen
+	}
+	d := w.highest - n
+	if d >= windowBits {
+		return belowWindow
+	}
+	if w.seen&(1<<d) != 0 {
+		return seenBefore
+	}
+
+	return unseen
+}
+
+// mark notes n, which is not below the window.
+func (w *window) mark(n uint64) {
+	if n <= w.highest {
+		w.seen |= 1 << (w.highest - n)
+		return
+	}
+
+	d := n - w.highest
+	if d >= windowBits {
+		w.seen = 0
+	} else {
+		w.seen <<= d
+	}
+	w.seen |= 1
+	w.highest = n
+}
+
+// wideBits is the width of wideWindow.
+const wideBits = 4096
+
+// wideWindow is window for offers: those of all flows of one owner share it.
+type wideWindow struct {
+	highest uint64
+	bits    [wideBits / 64]uint64
+}
+
+func (w *wideWindow) check(n uint64) seenState {
+	if n > w.highest {
+		return unseen
+	}
+	if w.highest-n >= wideBits {
+		return belowWindow
+	}
+	if w.bits[n/64%uint64(len(w.bits))]&(1<<(n%64)) != 0 {
+		return seenBefore
+	}
+
+	return unseen
+}
+
+// mark notes n, which is not below the window.
+func (w *wideWindow) mark(n uint64) {
+	if n > w.highest {
+		w.advance(n)
+	}
+	w.bits[n/64%uint64(len(w.bits))] |= 1 << (n % 64)
+}
+
+func (w *wideWindow) advance(n uint64) {
+	if n-w.highest >= wideBits {
+		clear(w.bits[:])
+	} else {
+		for i := w.highest + 1; i <= n; i++ {
+			w.bits[i/64%uint64(len(w.bits))] &^= 1 << (i % 64)
+		}
+	}
+	w.highest = n
+}
