Echo the pass of a request in a target's answers; add consul.NewSource

An agent takes an answer for late unless it carries the attempt of the pass that it belongs to. The zone-out time now counts Hello packets too, because agents send none while their zone is out.

--- a/core/consul/source.go
+++ b/core/consul/source.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"ibisfold.example/core/mesh"
+	"ibisfold.example/core/ticket"
 )
 
 // Service is the name under which the list of VMs holds the system's processes.
@@ -14,6 +15,22 @@
 	Watcher
 }
 
+// NewSource returns a source that reads from the service at a base URL.
+func NewSource(url string) *Source {
+	return &Source{
+		Watcher: Watcher{
+			Client: &Client{
+				URL: url,
+			},
+			Valid: func(text []byte) bool {
+				_, err := ticket.Parse(text)
+
+				return err == nil
+			},
+		},
+	}
+}
+
 // VMs returns the processes on the listed VMs. Rows of unknown roles are left out.
 func (s *Source) VMs(ctx context.Context) ([]mesh.Node, error) {
 	vms, err := s.Client.VMs(ctx, Service)
--- a/ibisfold-standin/demo/play.go
+++ b/ibisfold-standin/demo/play.go
@@ -159,7 +159,7 @@
 	last := time.Duration(0)
 	for _, v := range r.site.agents {
 		if v.process.Zone == zone {
-			last = max(last, r.targets[v.name].Counters().LastRequest)
+			last = max(last, r.targets[v.name].Counters().LastPacket)
 		}
 	}
 
--- a/ibisfold-standin/target/model.go
+++ b/ibisfold-standin/target/model.go
@@ -58,10 +58,8 @@
 	// WrongService counts requests of a service that the target does not serve.
 	WrongService int
 	Cancelled    int
-	// LastRequest is the time of the last packet other than Hello, LastHello
-	// that of the last Hello.
-	LastRequest time.Duration
-	LastHello   time.Duration
+	// LastPacket is the time of the last packet.
+	LastPacket time.Duration
 }
 
 // Reply is a packet for the agent.
@@ -175,15 +173,12 @@
 // Receive takes one packet of the agent. The packet is valid only during the call.
 func (m *Model) Receive(now time.Duration, from netip.AddrPort, p *packet.Packet) []Reply {
 	m.Counters.Packets++
-	if p.Kind == packet.Hello {
-		m.Counters.LastHello = now
+	m.Counters.LastPacket = now
+	switch p.Kind {
+	case packet.Hello:
 		m.tell(now)
 
 		return []Reply{m.reply(now, from, p, packet.HelloAck)}
-	}
-
-	m.Counters.LastRequest = now
-	switch p.Kind {
 	case packet.Request:
 		return m.request(now, from, p)
 	case packet.Cancel:
@@ -342,6 +337,7 @@
 			Service: p.Service,
 			Flow:    p.Flow,
 			Request: p.Request,
+			Attempt: p.Attempt,
 			Tenant:  p.Tenant,
 			Boot:    m.boot,
 			Running: m.Report.show(now, len(m.running)),
