Add the bare relay, the measurement of an entry against it, and tests

The relay and the entry run as processes and take turns in each round, so that other work on the machine hits both alike; the result is the ratio of medians. Not yet measured: the entry is not built yet.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SITE ?= eisweinruf
 COMMON := ibisfold.example
 
-.PHONY: all build test lint format tidy demo matrix fuzz bench experiment capacity
+.PHONY: all build test lint format tidy demo matrix fuzz bench bench-process experiment capacity
 
 all: lint test build
 
@@ -32,3 +32,7 @@
 # Runs a site on loopback with real processes.
 demo: build
 	bin/ibisfold-standin demo --site $(SITE) --seed $(SEED) --examples examples --bin bin
+
+# Measures packets a second through an entry against a bare relay.
+bench-process: build
+	bin/ibisfold-standin load --pps --bin bin
--- /dev/null
+++ b/ibisfold-standin/load/command.go
@@ -0,0 +1,245 @@
+package load
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/subcommands"
+	"github.com/juju/errors"
+
+	"ibisfold.example/ibisfold-standin/config"
+)
+
+// Sentinel errors of this package.
+const (
+	ErrNotReady = errors.ConstError("entry did not become ready")
+	ErrTooSlow  = errors.ConstError("entry passes too few packets")
+)
+
+const (
+	readyTime = 15 * time.Second
+	stopTime  = 3 * time.Second
+	// goal is the least share of the relay's throughput.
+	goal = 0.8
+)
+
+// Command measures the throughput of an entry.
+type Command struct {
+	pps    bool
+	bin    string
+	time   time.Duration
+	rounds int
+	flows  int
+	limit  int
+	seed   uint64
+}
+
+// Name returns the subcommand's name.
+func (*Command) Name() string { return "load" }
+
+// Synopsis describes the subcommand in one line.
+func (*Command) Synopsis() string { return "measure packets a second through an entry and a bare relay" }
+
+// Usage describes the subcommand.
+func (*Command) Usage() string {
+	return "load --pps --bin bin\n"
+}
+
+// SetFlags declares the flags.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.pps, "pps", true, "measure packets a second")
+	f.StringVar(&c.bin, "bin", "bin", "directory of the programs")
+	f.DurationVar(&c.time, "time", 2*time.Second, "length of one round")
+	f.IntVar(&c.rounds, "rounds", 5, "rounds through each of relay and entry")
+	f.IntVar(&c.flows, "flows", 64, "number of flows")
+	f.IntVar(&c.limit, "limit", 5_000_000, "packets of one sender in one round")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the flows")
+}
+
+// Execute measures and prints the ratio; it fails below the goal.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !c.pps || c.rounds < 1 {
+		return subcommands.ExitUsageError
+	}
+	if err := c.run(ctx); err != nil {
+		log.Error("load failed", "err", err)
+		return subcommands.ExitFailure
+	}
+
+	return subcommands.ExitSuccess
+}
+
+func (c *Command) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := newSink(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		return err
+	}
+	defer s.conn.Close()
+	a, err := freeAddrs()
+	if err != nil {
+		return err
+	}
+	a.agent = s.addr()
+	if err := serveTicket(ctx, a); err != nil {
+		return err
+	}
+	relayAddr, err := freeUDP()
+	if err != nil {
+		return err
+	}
+
+	dir, err := os.MkdirTemp("", "ibisfold-load-")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer os.RemoveAll(dir)
+	path, err := a.writeSettings(dir)
+	if err != nil {
+		return err
+	}
+	entry, err := startProgram(filepath.Join(c.bin, "ibisfold-entry"), "--settings", path)
+	if err != nil {
+		return err
+	}
+	defer end(entry)
+	relay, err := startProgram(filepath.Join(c.bin, "ibisfold-standin"),
+		"relay", "--listen", relayAddr.String(), "--to", a.agent.String())
+	if err != nil {
+		return err
+	}
+	defer end(relay)
+	if err := waitReady(ctx, a.http); err != nil {
+		return err
+	}
+
+	return c.measure(ctx, s, a, relayAddr)
+}
+
+// measure alternates between relay and entry, so that other work on the
+// machine hits both alike, and compares the medians.
+func (c *Command) measure(ctx context.Context, s *sink, a *addrs, relayAddr netip.AddrPort) error {
+	packets, err := a.packets(c.flows, c.seed)
+	if err != nil {
+		return err
+	}
+	relay, entry := []float64{}, []float64{}
+	for i := range c.rounds {
+		x, err := blast(ctx, s, relayAddr, packets, c.time, c.limit)
+		if err != nil {
+			return err
+		}
+		y, err := blast(ctx, s, a.callers, packets, c.time, c.limit)
+		if err != nil {
+			return err
+		}
+		relay, entry = append(relay, x), append(entry, y)
+		fmt.Printf("round %d: relay %.0f/s, entry %.0f/s, ratio %.2f\n", i+1, x, y, y/x)
+	}
+
+	ratio := median(entry) / median(relay)
+	fmt.Printf("RelayPPS=%.0f EntryPPS=%.0f Ratio=%.2f Goal=%.2f\n", median(relay), median(entry), ratio, goal)
+	if ratio < goal {
+		return ErrTooSlow
+	}
+
+	return nil
+}
+
+func median(x []float64) float64 {
+	x = slices.Sorted(slices.Values(x))
+
+	return x[len(x)/2]
+}
+
+func startProgram(name string, args ...string) (*exec.Cmd, error) {
+	p := exec.Command(name, args...)
+	p.Stderr = os.Stderr
+
+	return p, errors.Annotate(p.Start(), name)
+}
+
+// end stops a program by its id, at last with SIGKILL.
+func end(p *exec.Cmd) {
+	_ = p.Process.Signal(syscall.SIGTERM)
+	t := time.AfterFunc(stopTime, func() {
+		_ = p.Process.Kill()
+	})
+	defer t.Stop()
+	_ = p.Wait()
+}
+
+func serveTicket(ctx context.Context, a *addrs) error {
+	s := &config.Server{
+		Store: &config.Store{},
+		VMs:   &config.VMs{},
+	}
+	if err := s.Store.Publish(config.Prefix+"0001", []byte(a.ticket())); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", a.consul.String())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	go func() {
+		_ = s.Serve(ctx, l)
+	}()
+
+	return nil
+}
+
+func waitReady(ctx context.Context, a netip.AddrPort) error {
+	const interval = 100 * time.Millisecond
+
+	client := &http.Client{
+		Timeout: time.Second,
+	}
+	for end := time.Now().Add(readyTime); time.Now().Before(end) && ctx.Err() == nil; {
+		r, err := client.Get("http://" + a.String() + "/healthz")
+		if err == nil {
+			_ = r.Body.Close()
+			if r.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(interval)
+	}
+
+	return ErrNotReady
+}
+
+// freeAddrs returns free addresses on loopback.
+func freeAddrs() (*addrs, error) {
+	a := &addrs{}
+	for _, p := range []*netip.AddrPort{&a.listen, &a.http, &a.consul, &a.callers} {
+		f, err := freeUDP()
+		if err != nil {
+			return nil, err
+		}
+		*p = f
+	}
+
+	return a, nil
+}
+
+func freeUDP() (netip.AddrPort, error) {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		return netip.AddrPort{}, errors.Trace(err)
+	}
+	defer c.Close()
+
+	return c.LocalAddr().(*net.UDPAddr).AddrPort(), nil
+}
--- a/ibisfold-standin/main.go
+++ b/ibisfold-standin/main.go
@@ -15,6 +15,8 @@
 	"ibisfold.example/ibisfold-standin/config"
 	"ibisfold.example/ibisfold-standin/demo"
 	"ibisfold.example/ibisfold-standin/fabric"
+	"ibisfold.example/ibisfold-standin/load"
+	"ibisfold.example/ibisfold-standin/relay"
 	"ibisfold.example/ibisfold-standin/target"
 )
 
@@ -23,6 +25,8 @@
 	&config.Command{},
 	&demo.Command{},
 	&fabric.Command{},
+	&load.Command{},
+	&relay.Command{},
 	&target.Command{},
 }
 
--- /dev/null
+++ b/ibisfold-standin/target/model_test.go
@@ -0,0 +1,162 @@
+package target
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/packet"
+	"ibisfold.example/core/ticket"
+	"ibisfold.example/ibisfold-standin/echo"
+)
+
+var (
+	agentAddr   = netip.MustParseAddrPort("127.1.1.11:7100")
+	serviceAddr = netip.MustParseAddrPort("127.3.0.1:80")
+)
+
+func newModel() *Model {
+	m := NewModel(Options{
+		Name:   "rufdienst-1",
+		Slots:  2,
+		Work:   50 * time.Millisecond,
+		WarmUp: time.Second,
+		Seed:   1,
+	})
+	m.Serve(0, 0, "rufdienst", []netip.AddrPort{serviceAddr})
+
+	return m
+}
+
+func request(n uint64) *packet.Packet {
+	a := echo.Ask{
+		Service: ticket.ID("rufdienst"),
+		Parts:   2,
+		Bytes:   10,
+	}
+
+	return &packet.Packet{
+		Kind:    packet.Request,
+		Service: serviceAddr,
+		Flow:    9,
+		Request: n,
+		Attempt: 4,
+		Payload: a.Append(nil),
+	}
+}
+
+// TestAnswersWhole guards against answers that callers or agents can't match
+// with their request.
+func TestAnswersWhole(t *testing.T) {
+	is := is.New(t)
+	m := newModel()
+	is.Equal(len(m.Receive(0, agentAddr, request(1))), 0)
+	end, ok := m.Next()
+	is.True(ok)
+	replies := m.Due(end)
+	is.Equal(len(replies), 2)
+	for i, r := range replies {
+		w := echo.Answer{
+			Service: ticket.ID("rufdienst"),
+			Flow:    9,
+			Request: 1,
+			Part:    uint8(i),
+			Parts:   2,
+		}
+		is.NoErr(w.Check(r.Packet.Payload))
+		is.Equal(r.To, agentAddr)
+		is.Equal(r.Packet.Attempt, uint32(4))
+		is.True(r.Packet.Boot != 0)
+	}
+	is.Equal(m.Ledger.Total(), 1)
+}
+
+// TestWarmTargetSheds guards against a target that runs more than its slots.
+func TestWarmTargetSheds(t *testing.T) {
+	is := is.New(t)
+	m := newModel()
+	for n := range uint64(2) {
+		is.Equal(len(m.Receive(0, agentAddr, request(n+1))), 0)
+	}
+	r := m.Receive(0, agentAddr, request(3))
+	is.Equal(len(r), 1)
+	is.Equal(r[0].Packet.Kind, packet.Shed)
+	is.Equal(m.Ledger.Runs(Run{Flow: 9, Request: 3}), 0)
+}
+
+// TestColdTarget guards against a cold target that takes the load of a warm
+// one, and against counting load that the agent could not know about.
+func TestColdTarget(t *testing.T) {
+	is := is.New(t)
+	m := newModel()
+	boot := m.boot
+	m.Restart(0, false)
+	is.Equal(m.boot, boot)
+	is.Equal(m.Bears(0), 1)
+	is.Equal(m.Bears(time.Second), 2)
+
+	m.Receive(0, agentAddr, request(1))
+	r := m.Receive(time.Millisecond, agentAddr, request(2))
+	is.Equal(r[0].Packet.Kind, packet.Shed)
+	is.Equal(m.Counters.Surprised, 1)
+	is.Equal(m.Counters.OverBound, 0)
+
+	m.Receive(30*time.Millisecond, agentAddr, request(3))
+	is.Equal(m.Counters.OverBound, 1)
+	is.Equal(m.Counters.Falls, 1)
+	is.True(m.boot != boot)
+	is.Equal(m.Running(), 0)
+}
+
+// TestDoubleRunsAndWrongService guards against faults of the system that the
+// target does not count.
+func TestDoubleRunsAndWrongService(t *testing.T) {
+	is := is.New(t)
+	m := newModel()
+	m.Receive(0, agentAddr, request(1))
+	m.Due(time.Second)
+	m.Receive(time.Second, agentAddr, request(1))
+	m.Due(2 * time.Second)
+	is.Equal(m.Ledger.Doubles(), []Run{{Flow: 9, Request: 1}})
+
+	idempotent := request(2)
+	idempotent.Idempotent = true
+	m.Receive(3*time.Second, agentAddr, idempotent)
+	m.Receive(3*time.Second, agentAddr, idempotent)
+	is.Equal(len(m.Ledger.Doubles()), 1)
+
+	m.Serve(4*time.Second, time.Second, "kartendienst", []netip.AddrPort{netip.MustParseAddrPort("127.3.0.2:80")})
+	m.Receive(5*time.Second, agentAddr, request(3))
+	is.Equal(m.Counters.WrongService, 0)
+	m.Receive(6*time.Second, agentAddr, request(4))
+	is.Equal(m.Counters.WrongService, 1)
+}
+
+// TestReports guards against lying targets that report the truth.
+func TestReports(t *testing.T) {
+	is := is.New(t)
+	r := &Report{Factor: 10}
+	is.Equal(r.show(0, 2), uint32(20))
+	r = &Report{Lag: 10 * time.Second}
+	is.Equal(r.show(0, 2), uint32(0))
+	is.Equal(r.show(10*time.Second, 1), uint32(2))
+	r.Frozen = true
+	is.Equal(r.show(time.Minute, 7), uint32(2))
+}
+
+// TestImbalance guards against windows in which a target was out of service
+// that pass for imbalance.
+func TestImbalance(t *testing.T) {
+	is := is.New(t)
+	a, b := Usage{}, Usage{}
+	a.setInService(0, 0, true)
+	b.setInService(0, 0, true)
+	a.advance(Window, 2)
+	b.advance(Window, 1)
+	b.setInService(Window, 0, false)
+	a.advance(2*Window, 2)
+	b.advance(2*Window, 0)
+	is.Equal(Imbalance([]Usage{a, b}), []float64{2 / 1.5, 1})
+}
