--- a/core/agent/drain.go
+++ b/core/agent/drain.go
@@ -124,14 +124,10 @@
 }
 
 func (c *Core) giveUp(r *request) {
-	s := packet.StatusOutcomeUnknown
-	switch r.state {
-	case received:
-		s = packet.StatusNotRun
-	case offeredToPeer:
+	if r.state == offeredToPeer {
 		c.cancelOffer(r)
 	}
-	c.finish(r, c.refusal(s, retryAfterOut))
+	c.refuse(r, retryAfterOut)
 }
 
 // giveUpFlows resets a list of flows. Copies that a peer still owns are only
--- a/core/agent/fence.go
+++ b/core/agent/fence.go
@@ -137,6 +137,14 @@
 		c.forward(w, h, p)
 		return
 	}
+	if p.Kind == packet.Close {
+		c.replyTo(h, packet.Packet{
+			Kind:    packet.Closed,
+			Service: p.Service,
+			Flow:    p.Flow,
+		})
+		return
+	}
 	c.reset(h, p)
 }
 
@@ -161,7 +169,9 @@
 	case packet.Cancel:
 		c.cancel(f, p)
 	case packet.KeepAlive:
-		c.keepAlive(f, h, p)
+		c.reply(f, packet.Packet{
+			Kind: packet.KeepAlive,
+		})
 	case packet.Close:
 		c.close(f)
 	default:
@@ -169,15 +179,6 @@
 	}
 }
 
-// keepAlive renews an outdated token; a current one needs no reply.
-func (c *Core) keepAlive(f *flow, h *packet.Tunnel, p *packet.Packet) {
-	if h.Kind == packet.ToOwner || p.Token.Key != c.options.Keys.Signer() {
-		c.reply(f, packet.Packet{
-			Kind: packet.Moved,
-		})
-	}
-}
-
 // close ends a flow at its caller's wish.
 func (c *Core) close(f *flow) {
 	c.dropRequests(f)
--- a/core/agent/flow.go
+++ b/core/agent/flow.go
@@ -99,6 +99,13 @@
 	t.list(f).remove(f)
 }
 
+// renew restarts the time after which a flow expires.
+func (t *flowTable) renew(now time.Duration, f *flow) {
+	t.list(f).remove(f)
+	f.used = now
+	t.list(f).append(f)
+}
+
 // use notes a packet of the flow's caller.
 func (t *flowTable) use(now time.Duration, f *flow) {
 	t.list(f).remove(f)
--- a/core/agent/offer.go
+++ b/core/agent/offer.go
@@ -11,9 +11,10 @@
 
 const (
 	// offerDelay is the time until an unanswered offer is repeated; it doubles
-	// up to offerDelayMax. It is above a round trip between zones.
+	// up to offerDelayMax. It is above a round trip between zones. At 30% loss
+	// the bound leaves time for ten attempts within a deadline of 4 s.
 	offerDelay    = 100 * time.Millisecond
-	offerDelayMax = time.Second
+	offerDelayMax = 400 * time.Millisecond
 	// offersMax bounds the offers in progress.
 	offersMax = 1024
 	// offerTriesMax bounds the peers that a request is offered to in turn.
@@ -256,7 +257,7 @@
 		c.offerRefused(r)
 	case p.Status == packet.StatusCancelled:
 		c.endOffer(r)
-		c.finish(r, c.refusal(packet.StatusCancelled, 0))
+		c.endCancelled(r)
 	default:
 		c.loseOffer(r)
 	}
--- a/core/agent/open.go
+++ b/core/agent/open.go
@@ -55,13 +55,15 @@
 	c.opened(f, h, p)
 }
 
-// opened answers Open of a flow that is here, repeated copies included. A flow
-// in use keeps its reply path, because the copy may be an old one.
+// opened answers Open of a flow that is here, repeated copies included. Each
+// answer gives the caller the whole time to use the token. A flow in use keeps
+// its reply path, because the copy may be an old one.
 func (c *Core) opened(f *flow, h *packet.Tunnel, p *packet.Packet) {
 	if f.state == adopted || f.state == handingOver {
 		return
 	}
 	if f.state == halfOpen {
+		c.flows.renew(c.now, f)
 		f.entry = h.Entry
 		f.caller = h.Caller
 	}
--- a/core/agent/place.go
+++ b/core/agent/place.go
@@ -14,7 +14,7 @@
 // queue, or refuses it.
 func (c *Core) place(r *request) {
 	if c.now >= r.deadline {
-		c.finish(r, c.refusal(packet.StatusNotRun, 0))
+		c.refuse(r, 0)
 		return
 	}
 	if q := c.pickPeer(r); q != nil {
@@ -22,7 +22,7 @@
 		return
 	}
 	if !c.mayRun(r) {
-		c.finish(r, c.refusal(packet.StatusNotRun, retryAfterOut))
+		c.refuse(r, retryAfterOut)
 		return
 	}
 	c.enqueue(r)
@@ -32,7 +32,7 @@
 func (c *Core) enqueue(r *request) {
 	wait := c.waitEstimate(r.tenant)
 	if c.now+wait >= r.deadline || !c.queue.Push(r.tenant, r.deadline, r) {
-		c.finish(r, c.refusal(packet.StatusNotRun, wait))
+		c.refuse(r, wait)
 	}
 }
 
@@ -48,7 +48,13 @@
 
 // mayRun reports whether the own target may get the request now or soon.
 func (c *Core) mayRun(r *request) bool {
-	return c.targetOpen() && !r.shed && c.serves(r.key.service)
+	return c.targetOpen() && r.barred != c.barrier() && c.serves(r.key.service)
+}
+
+// barrier is the start of the target that barred requests avoid. It is never
+// zero, which is what a request without a bar has.
+func (c *Core) barrier() uint64 {
+	return max(1, c.backend.boot)
 }
 
 // targetOpen reports whether the own target takes requests by tickets and
@@ -82,7 +88,7 @@
 		b.passes = map[passKey]*request{}
 	}
 	if b.passes[r.passKey()] != nil {
-		c.finish(r, c.refusal(packet.StatusNotRun, 0))
+		c.refuse(r, 0)
 		return
 	}
 
@@ -118,7 +124,7 @@
 // expireRequests ends requests whose deadline has passed.
 func (c *Core) expireRequests() {
 	for _, r := range c.queue.Expired(c.now) {
-		c.finish(r, c.refusal(packet.StatusNotRun, c.waitEstimate(r.tenant)))
+		c.refuse(r, c.waitEstimate(r.tenant))
 	}
 	for r := c.progress.first; r != nil; {
 		next := r.next
@@ -136,10 +142,10 @@
 	case passed:
 		c.limiter.Failed(c.now)
 		c.cancelAtTarget(r)
-		c.finish(r, c.refusal(packet.StatusOutcomeUnknown, c.waitEstimate(r.tenant)))
+		c.refuse(r, c.waitEstimate(r.tenant))
 	case offeredToPeer:
 		c.cancelOffer(r)
-		c.finish(r, c.refusal(packet.StatusOutcomeUnknown, c.waitEstimate(r.tenant)))
+		c.refuse(r, c.waitEstimate(r.tenant))
 	}
 }
 
@@ -208,7 +214,7 @@
 	switch r.state {
 	case received:
 		c.dequeue(r)
-		c.finish(r, c.refusal(packet.StatusCancelled, 0))
+		c.endCancelled(r)
 	case offeredToPeer:
 		c.cancelOffer(r)
 	case passed:
@@ -216,6 +222,15 @@
 	}
 }
 
+// endCancelled answers a request that will not run after its cancellation.
+func (c *Core) endCancelled(r *request) {
+	if r.ran {
+		c.refuse(r, 0)
+		return
+	}
+	c.finish(r, c.refusal(packet.StatusCancelled, 0))
+}
+
 // dropRequests ends the requests of a flow that is closed; nobody waits for
 // their answers.
 func (c *Core) dropRequests(f *flow) {
--- a/core/agent/reply.go
+++ b/core/agent/reply.go
@@ -49,8 +49,9 @@
 	})
 }
 
-// reset tells the caller that its flow is not here. A request may have been
-// run by another start of the agent.
+// reset tells the caller that its flow is not here. It repeats the caller's
+// token, so that a caller that has a newer one ignores it. A request may have
+// been run by another start of the agent.
 func (c *Core) reset(h *packet.Tunnel, p *packet.Packet) {
 	c.Counters.Resets++
 	s := packet.StatusNotRun
@@ -61,6 +62,7 @@
 		Kind:       packet.Reset,
 		Service:    p.Service,
 		Flow:       p.Flow,
+		Token:      p.Token,
 		Request:    p.Request,
 		Status:     s,
 		RetryAfter: retryAfterMin,
--- a/core/agent/request.go
+++ b/core/agent/request.go
@@ -55,8 +55,11 @@
 	pass     uint32
 	boot     uint64
 	passedAt time.Duration
-	shed     bool
-	parts    parts
+	// barred is the start of the own target that must not get the request again.
+	barred uint64
+	// ran means that the request may have run, so it can't be refused as not run.
+	ran   bool
+	parts parts
 
 	offer offer
 	// refusedBy lists the peers that refused the request.
@@ -157,7 +160,7 @@
 	r := c.newRequest(f, p)
 	c.retries.First(r.tenant)
 	if c.progress.len > inProgressMax {
-		c.finish(r, c.refusal(packet.StatusNotRun, retryAfterOut))
+		c.refuse(r, retryAfterOut)
 		return
 	}
 	c.place(r)
@@ -233,6 +236,16 @@
 	}
 }
 
+// refuse ends a request without an answer of the target. It is not run only if
+// it was never passed on, or if everyone who got it refused it.
+func (c *Core) refuse(r *request, after time.Duration) {
+	s := packet.StatusNotRun
+	if r.ran || r.state != received {
+		s = packet.StatusOutcomeUnknown
+	}
+	c.finish(r, c.refusal(s, after))
+}
+
 // finish sends the final answer and keeps it for copies of the request.
 func (c *Core) finish(r *request, a answer) {
 	c.count(a)
--- a/core/agent/target.go
+++ b/core/agent/target.go
@@ -129,8 +129,12 @@
 	if b.asked && c.now-b.helloAt < interval {
 		return
 	}
-	b.asked = true
-	b.helloAt = c.now
+	c.hello()
+}
+
+func (c *Core) hello() {
+	c.backend.asked = true
+	c.backend.helloAt = c.now
 	c.emit(SendTarget{
 		Packet: packet.Packet{
 			Kind: packet.Hello,
@@ -179,7 +183,10 @@
 		b.former = slices.Delete(b.former, 0, 1)
 	}
 	c.Counters.TargetRestarts++
+	// What was passed since the restart may run; HelloAck tells how much it is.
+	b.up = false
 	c.loseTarget()
+	c.hello()
 
 	return true
 }
@@ -209,6 +216,7 @@
 		next := r.next
 		if r.state == passed {
 			r.state = received
+			r.barred = r.boot
 			c.rerun(r)
 		}
 		r = next
@@ -217,13 +225,14 @@
 
 // rerun places a request again that may have run, if that is harmless.
 func (c *Core) rerun(r *request) {
+	r.ran = true
 	r.parts = parts{}
 	if r.idempotent && c.now < r.deadline && c.retries.Allow(r.tenant) {
 		c.Counters.Retries++
 		c.place(r)
 		return
 	}
-	c.finish(r, c.refusal(packet.StatusOutcomeUnknown, c.waitEstimate(r.tenant)))
+	c.refuse(r, c.waitEstimate(r.tenant))
 }
 
 // helloAcked compares the target's running requests with the own ones. The
@@ -305,14 +314,16 @@
 	c.noteBusy()
 }
 
-// match finds the pass that an answer belongs to: same flow, request, start of
-// the target and pass. Late and crossed answers match none.
+// match finds the pass that an answer belongs to: same flow, request and start
+// of the target, and the same pass if the target repeats Attempt. Late and
+// crossed answers match none. A request is passed at most once to one start of
+// the target, so a target that does not repeat Attempt is matched as well.
 func (c *Core) match(p *packet.Packet) *request {
 	r := c.backend.passes[passKey{
 		flow:   p.Flow,
 		number: p.Request,
 	}]
-	if r == nil || r.boot != p.Boot || r.pass != p.Attempt {
+	if r == nil || r.boot != p.Boot || p.Attempt != 0 && p.Attempt != r.pass {
 		return nil
 	}
 
@@ -338,8 +349,10 @@
 	c.backend.release(c.now, r)
 	r.state = received
 	c.noteBusy()
-	c.limiter.Answered(c.now, took)
-	c.backend.mean += (took - c.backend.mean) / serviceTimeWeight
+	if p.Status == packet.StatusOK {
+		c.limiter.Answered(c.now, took)
+		c.backend.mean += (took - c.backend.mean) / serviceTimeWeight
+	}
 	c.observe(r, ObserveService, took, packet.StatusOK)
 	c.finish(r, answer{
 		kind:   packet.Answer,
@@ -385,10 +398,10 @@
 		return
 	}
 	r.state = received
-	r.shed = true
+	r.barred = c.barrier()
 	r.parts = parts{}
 	if !c.retries.Allow(r.tenant) {
-		c.finish(r, c.refusal(packet.StatusNotRun, c.waitEstimate(r.tenant)))
+		c.refuse(r, c.waitEstimate(r.tenant))
 		return
 	}
 	c.Counters.Retries++
