--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -57,6 +57,8 @@
 		"deep block":        {strings.Repeat("- ", 20) + "a", 1, "", document.CodeTooDeep},
 		"too long":          {strings.Repeat("#", document.MaxBytes+1), 1, "", document.CodeTooLong},
 		"many tokens":       {"List:\n" + strings.Repeat("- a\n", document.MaxTokens), 60001, "", document.CodeTooManyTokens},
+		"many flow keys":    {"Inner: {" + strings.Repeat("a,", 2000) + "}", 1, "", document.CodeTooManyTokens},
+		"many empty values": {"List:\n" + strings.Repeat("-\n", 2000), 1002, "", document.CodeTooManyTokens},
 		"many keys":         {strings.Repeat("Name: a\n", 1000), 257, "", document.CodeTooManyTokens},
 	}
 	for name, c := range cases {
--- a/core/document/screen.go
+++ b/core/document/screen.go
@@ -127,9 +127,9 @@
 	line int
 	// blocks are the open block collections, the innermost last.
 	blocks []block
-	// flow is the number of open brackets.
-	flow int
-	// colons counts the mapping values of the current line or flow entry.
+	// flows are the open brackets, the innermost last.
+	flows []flow
+	// colons counts the mapping values of the current line outside brackets.
 	colons int
 	// open is true while a line has held only sequence entries.
 	open  bool
@@ -143,6 +143,13 @@
 	keys int
 }
 
+// flow is an open bracket.
+type flow struct {
+	mapping bool
+	// colons counts the mapping values of the current entry.
+	colons int
+}
+
 func screenTokens(tokens token.Tokens) *Problem {
 	s := &screen{}
 	for _, t := range tokens {
@@ -171,26 +178,22 @@
 	case token.InvalidType:
 		return "not YAML: " + t.Error, CodeNotYAML
 	case token.SequenceStartType, token.MappingStartType:
-		s.flow++
-		s.colons = 0
+		s.flows = append(s.flows, flow{
+			mapping: t.Type == token.MappingStartType,
+		})
 	case token.SequenceEndType, token.MappingEndType:
-		s.flow = max(s.flow-1, 0)
-		s.colons = 0
-	case token.CollectEntryType:
-		s.colons = 0
-	case token.MappingValueType:
-		s.colons++
-		s.countKey()
+		s.flows = s.flows[:max(len(s.flows)-1, 0)]
 	}
 	s.indent(t)
 	s.countEmpty(t)
+	s.countKey(t)
 
 	switch {
-	case s.colons > 1:
+	case s.entryColons() > 1:
 		return "not YAML: two mapping values in one place", CodeNotYAML
 	case s.keys() > MaxKeys:
 		return fmt.Sprintf("more than %d keys in a mapping", MaxKeys), CodeTooManyTokens
-	case len(s.blocks)+s.flow > MaxDepth:
+	case len(s.blocks)+len(s.flows) > MaxDepth:
 		return fmt.Sprintf("nested deeper than %d levels", MaxDepth), CodeTooDeep
 	case s.empty > MaxEmptyValues:
 		return fmt.Sprintf("more than %d empty values", MaxEmptyValues), CodeTooManyTokens
@@ -206,15 +209,13 @@
 
 	s.line = t.Position.Line
 	s.open = true
-	if s.flow == 0 {
-		s.colons = 0
-	}
+	s.colons = 0
 }
 
 // indent tracks the columns at which block collections start: the sequence
 // entries of a line and the first other token after them.
 func (s *screen) indent(t *token.Token) {
-	if s.flow > 0 || !s.open || t.Type == token.CommentType {
+	if len(s.flows) > 0 || !s.open || t.Type == token.CommentType {
 		return
 	}
 
@@ -231,13 +232,33 @@
 	}
 }
 
-// countKey counts a key of the innermost block mapping.
-func (s *screen) countKey() {
-	if n := len(s.blocks); n > 0 && s.flow == 0 {
-		s.blocks[n-1].keys++
+// countKey counts a mapping value of the innermost bracket, or of the
+// innermost block mapping and the current line.
+func (s *screen) countKey(t *token.Token) {
+	n := len(s.flows)
+	switch {
+	case t.Type == token.CollectEntryType && n > 0:
+		s.flows[n-1].colons = 0
+	case t.Type != token.MappingValueType:
+	case n > 0:
+		s.flows[n-1].colons++
+	default:
+		s.colons++
+		if k := len(s.blocks); k > 0 {
+			s.blocks[k-1].keys++
+		}
 	}
 }
 
+// entryColons returns the number of mapping values of the current entry.
+func (s *screen) entryColons() int {
+	if n := len(s.flows); n > 0 {
+		return s.flows[n-1].colons
+	}
+
+	return s.colons
+}
+
 // keys returns the number of keys of the innermost block mapping.
 func (s *screen) keys() int {
 	if n := len(s.blocks); n > 0 {
@@ -247,22 +268,32 @@
 	return 0
 }
 
-// countEmpty counts indicators that are followed by no value.
+// countEmpty counts indicators without a value and keys of a flow mapping
+// without a colon. It runs before countKey.
 func (s *screen) countEmpty(t *token.Token) {
+	n := t.Next
+	f := len(s.flows)
 	switch t.Type {
-	case token.SequenceEntryType, token.MappingValueType, token.CollectEntryType:
-	default:
-		return
+	case token.CollectEntryType:
+		if n == nil || n.Type == t.Type || f > 0 && s.flows[f-1].mapping && s.flows[f-1].colons == 0 {
+			s.empty++
+		}
+	case token.SequenceEntryType:
+		if n == nil || n.Type == t.Type {
+			s.empty++
+		}
+	case token.MappingValueType:
+		if n == nil || n.Type == t.Type || f == 0 && s.startsSibling(t, n) {
+			s.empty++
+		}
 	}
+}
 
-	n := t.Next
-	if n == nil || n.Type == t.Type {
-		s.empty++
+// startsSibling reports whether n, the token after the colon t, is the next
+// key of a block mapping rather than the value.
+func (s *screen) startsSibling(t, n *token.Token) bool {
+	k := len(s.blocks)
 
-		return
-	}
-	if t.Type == token.MappingValueType && s.flow == 0 && n.Position.Line > t.Position.Line &&
-		n.Type != token.SequenceEntryType && len(s.blocks) > 0 && n.Position.Column <= s.blocks[len(s.blocks)-1].column {
-		s.empty++
-	}
+	return k > 0 && n.Position.Line > t.Position.Line && n.Type != token.SequenceEntryType &&
+		n.Position.Column <= s.blocks[k-1].column
 }
