--- a/core/ticket/size.go
+++ b/core/ticket/size.go
@@ -1,9 +1,9 @@
 package ticket
 
 import (
-	"sync"
+	"bytes"
 
-	"github.com/klauspost/compress/zstd"
+	"github.com/klauspost/compress/flate"
 )
 
 // MaxFastBytes is the largest compressed ticket that is in force everywhere
@@ -11,16 +11,17 @@
 // 13 s, and each node both receives and forwards the ticket.
 const MaxFastBytes = 13_000
 
-var encoder = sync.OnceValues(func() (*zstd.Encoder, error) {
-	return zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
-})
-
-// CompressedBytes returns the length of text compressed with zstd.
+// CompressedBytes returns the length of text as processes send it to each
+// other: DEFLATE at its highest level.
 func CompressedBytes(text []byte) int {
-	e, err := encoder()
+	b := &bytes.Buffer{}
+	w, err := flate.NewWriter(b, flate.BestCompression)
 	if err != nil {
 		return len(text)
 	}
+	// Writes to a buffer do not fail.
+	_, _ = w.Write(text)
+	_ = w.Close()
 
-	return len(e.EncodeAll(text, nil))
+	return b.Len()
 }
