--- a/core/mesh/core.go
+++ b/core/mesh/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -180,7 +179,3 @@
 func (c *Core) jitter(d time.Duration) time.Duration {
 	return d + time.Duration((c.random.Float64()-0.5)*0.2*float64(d))
 }
-
-func contains(s []netip.AddrPort, a netip.AddrPort) bool {
-	return slices.Contains(s, a)
-}
--- a/core/mesh/readers.go
+++ b/core/mesh/readers.go
@@ -27,10 +27,10 @@
 	// readGap bounds the rate of a reader's reads.
 	readGap = 500 * time.Millisecond
 	// readTimeout is when a read without an answer is given up.
-	readTimeout = ConfigWait + 15*time.Second
-	minBackoff  = time.Second
-	maxBackoff  = 30 * time.Second
-	listVMs     = 30 * time.Second
+	readTimeout  = ConfigWait + 15*time.Second
+	minBackoff   = time.Second
+	maxBackoff   = 30 * time.Second
+	listInterval = 30 * time.Second
 )
 
 type beatEntry struct {
@@ -137,7 +137,7 @@
 	})
 	c.elect()
 	if c.now >= r.nextList {
-		r.nextList = c.now + c.jitter(listVMs)
+		r.nextList = c.now + c.jitter(listInterval)
 		c.out = append(c.out, ListVMs{})
 	}
 	if r.reading && c.now-r.asked > readTimeout {
--- a/ibisfold-agent/process.go
+++ b/ibisfold-agent/process.go
@@ -17,6 +17,7 @@
 	"ibisfold.example/core/keyring"
 	"ibisfold.example/core/mesh"
 	"ibisfold.example/core/settings"
+	"ibisfold.example/core/ticket"
 	"ibisfold.example/core/udp"
 	"ibisfold.example/core/web"
 )
@@ -35,8 +36,12 @@
 	processes *udp.Socket
 	target    *udp.Socket
 	// view is replaced by the control goroutine and read by the traffic goroutine.
-	view     atomic.Pointer[agent.View]
-	digest   atomic.Uint64
+	view atomic.Pointer[agent.View]
+	// digest and built describe the last view; the control goroutine owns them.
+	digest ticket.Digest
+	built  *[]uint64
+	// former lists the services whose groups the core still needs.
+	former   atomic.Pointer[[]uint64]
 	stopping atomic.Bool
 }
 
@@ -65,6 +70,7 @@
 		target:    target,
 	}
 	p.view.Store(&agent.View{})
+	p.former.Store(&[]uint64{})
 
 	return p, p.register()
 }
@@ -91,7 +97,16 @@
 		Publish:  p.publish,
 		Metrics:  p.metrics,
 		Log:      p.log,
-		Source:   consul.NewSource(p.settings.Consul),
+		Source: &consul.Source{
+			Watcher: consul.Watcher{
+				Client: &consul.Client{
+					URL: p.settings.Consul,
+				},
+			},
+		},
+	}
+	if err := plane.Open(); err != nil {
+		return err
 	}
 	core := agent.New(agent.Options{
 		Self:        p.self,
@@ -129,17 +144,22 @@
 	return !p.stopping.Load() && v.Known && p.clock() < v.ConfirmedUntil
 }
 
-// publish runs in the control goroutine.
+// publish runs in the control goroutine. It builds a view only if the state or
+// the services of interest changed; otherwise only the lease is new.
 func (p *process) publish(c *mesh.Core) {
 	old := p.view.Load()
+	former := p.former.Load()
 	v := *old
-	if d := c.State().Digest(); d.Hash != p.digest.Load() || d.Highest != old.Ticket {
-		p.digest.Store(d.Hash)
-		v = *agent.BuildView(c.State(), p.settings.Name)
-		p.log.Info("ticket in force", "ticket", v.Ticket)
+	if d := c.State().Digest(); d != p.digest || former != p.built {
+		p.digest = d
+		p.built = former
+		v = *agent.BuildView(c.State(), p.settings.Name, *former...)
 	}
 	v.ConfirmedUntil = c.ConfirmedUntil()
 	p.view.Store(&v)
+	if v.Ticket != old.Ticket {
+		p.log.Info("ticket in force", "ticket", v.Ticket)
+	}
 }
 
 // run serves until SIGTERM and the end of the graceful shutdown.
--- /dev/null
+++ b/ibisfold-entry/downstream.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"ibisfold.example/core/control"
+	"ibisfold.example/core/packet"
+)
+
+// downstream takes what other processes send: packets for callers, which it
+// passes on, and datagrams of the mesh.
+type downstream struct {
+	process *process
+	plane   *control.Plane
+}
+
+// Run serves until the socket is closed.
+func (d *downstream) Run(ctx context.Context) error {
+	r := d.process.processes.NewReader()
+	w := d.process.callers.NewWriter()
+	returned := d.process.metrics.NewCounter("ibisfold_packets_returned_total")
+	invalid := d.process.metrics.NewCounter(`ibisfold_tunnel_dropped_total{reason="invalid"}`)
+	for ctx.Err() == nil {
+		n, err := r.Read(time.Time{})
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+
+			return errors.Annotate(err, "read processes")
+		}
+		for i := range n {
+			data, _ := r.Packet(i)
+			if !packet.IsTunnel(data) {
+				d.plane.Datagram(data)
+
+				continue
+			}
+			h := packet.Tunnel{}
+			body, err := h.Decode(data, d.process.keys)
+			if err != nil || h.Kind != packet.ToEntry {
+				invalid.Inc()
+
+				continue
+			}
+			returned.Inc()
+			w.Add(append(w.Next(), body...), h.Caller)
+		}
+		w.Flush()
+	}
+
+	return nil
+}
