Add the operator's command: check, explain, status, complete, version

check reports every problem as file:line: field: reason, also between tickets; explain says what a ticket changes and that only zones taken out give up flows; complete prints the complete ticket of a state and decodes it again before it prints; status asks processes through core/peer and waits until all have the ticket and equal digests, because a process with a higher number may still miss a lower ticket. Tests check all examples and that agents fit the tickets.

--- a/ibisfold/main.go
+++ b/ibisfold/main.go
@@ -1,5 +1,76 @@
-// Command ibisfold is not built yet.
+// Command ibisfold checks, explains and completes tickets and settings, and
+// shows which ticket is in force at running processes.
 package main
 
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
 func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// output is where a command writes: results to out, progress and errors to err.
+type output struct {
+	out io.Writer
+	err io.Writer
+}
+
+// usageError prints why the arguments are wrong.
+func (o output) usageError(format string, args ...any) subcommands.ExitStatus {
+	fmt.Fprintf(o.err, "ibisfold: "+format+"\n", args...)
+
+	return subcommands.ExitUsageError
+}
+
+// failure prints why a command failed.
+func (o output) failure(err error) subcommands.ExitStatus {
+	fmt.Fprintf(o.err, "ibisfold: %v\n", err)
+
+	return subcommands.ExitFailure
+}
+
+// run executes the command that args name and returns the exit status.
+func run(ctx context.Context, args []string, out, errs io.Writer) int {
+	return runCommand(ctx, newStatusCommand(output{
+		out: out,
+		err: errs,
+	}), args)
+}
+
+// runCommand is run with a given status command, whose outputs all commands use.
+func runCommand(ctx context.Context, status *statusCommand, args []string) int {
+	o := status.output
+	f := flag.NewFlagSet("ibisfold", flag.ContinueOnError)
+	f.SetOutput(o.err)
+	c := subcommands.NewCommander(f, "ibisfold")
+	c.Output = o.out
+	c.Error = o.err
+	f.Usage = func() {
+		c.Explain(o.err)
+	}
+
+	c.Register(c.HelpCommand(), "")
+	c.Register(c.FlagsCommand(), "")
+	c.Register(&checkCommand{output: o}, "tickets and settings")
+	c.Register(&explainCommand{output: o}, "tickets and settings")
+	c.Register(&completeCommand{output: o}, "tickets and settings")
+	c.Register(status, "running processes")
+	c.Register(&versionCommand{output: o}, "")
+	if err := f.Parse(args); err != nil {
+		return int(subcommands.ExitUsageError)
+	}
+
+	return int(c.Execute(ctx))
 }
