Read addresses in nested flow lists, and refuse tickets without objects

A ticket without objects was only a warning. No node holds such a ticket, so nodes that have seen it and nodes that have not keep different highest numbers and their digests never agree; it is refused now, from its text alone.

--- a/core/document/decode.go
+++ b/core/document/decode.go
@@ -144,7 +144,7 @@
 	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode, *ast.InfinityNode, *ast.NanNode:
 		return n.GetToken().Value, true
 	default:
-		return "", false
+		return joinedText(n)
 	}
 }
 
--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -92,6 +92,38 @@
 	is.Equal(d.Line("List[9]"), 7)
 }
 
+// Guards against addresses that are taken apart at their colon, and against
+// mappings that are taken for text.
+func TestDecodeFlowColon(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		want string
+		code document.Code
+	}{
+		"in a mapping":        {"{List: [127.0.0.1:80], Name: 127.0.0.1:80}\n", "127.0.0.1:80", ""},
+		"two colons":          {"{List: [a:b:1]}\n", "a:b:1", ""},
+		"outside":             {"List: [127.0.0.1:80]\n", "127.0.0.1:80", ""},
+		"with a space":        {"{List: [a: 80]}\n", "", document.CodeWrongType},
+		"quoted":              {"{List: ['a':80]}\n", "", document.CodeWrongType},
+		"mapping in brackets": {"{List: [{a: 80}]}\n", "", document.CodeWrongType},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := sample{}
+			_, problems := document.Decode([]byte(c.text), &v)
+			if c.code != "" {
+				is.Equal(len(problems), 1)
+				is.Equal(problems[0].Code, c.code)
+
+				return
+			}
+			is.Equal(len(problems), 0)
+			is.Equal(v.List, []string{c.want})
+		})
+	}
+}
+
 // Guards against a list of problems that grows with a hostile document.
 func TestProblemsAreBounded(t *testing.T) {
 	is := is.New(t)
--- a/core/ticket/check.go
+++ b/core/ticket/check.go
@@ -24,10 +24,20 @@
 	checkRemoved(c, t)
 	checkUnique(c, t)
 	if c.Decoded() {
+		checkEffect(c, t)
 		checkComplete(c, t)
 	}
 }
 
+// checkEffect refuses a ticket without objects. No node would hold it, so the
+// nodes that have seen it and those that have not could never agree on the
+// highest ticket number.
+func checkEffect(c *document.Checker, t *Ticket) {
+	if !t.Complete && len(t.Zones)+len(t.Services)+len(t.Targets)+len(t.Removed) == 0 {
+		c.Add("Ticket", document.CodeNoEffect, "ticket changes no object")
+	}
+}
+
 func checkNumber(c *document.Checker, t *Ticket) {
 	switch {
 	case t.Number == 0:
--- a/core/ticket/check_test.go
+++ b/core/ticket/check_test.go
@@ -80,6 +80,8 @@
 		"zone not listed":        {"Zone: a\n    Agent: 127.2.1.12", "Zone: c\n    Agent: 127.2.1.12", 24, "Targets[1].Zone", document.CodeUnknownObject},
 		"no target in service":   {"State: InService", "State: Draining", 12, "Services[1].Name", document.CodeNoTarget},
 		"target in a zone out":   {"Zone: a\n    Agent: 127.2.1.12", "Zone: b\n    Agent: 127.2.1.12", 12, "Services[1].Name", document.CodeNoTarget},
+		"no object":              {base, "Ticket: 2\n", 1, "Ticket", document.CodeNoEffect},
+		"no object of all":       {base, "Ticket: 2\nComplete: true\n", 2, "Complete", document.CodeMissing},
 		"unknown field of zone":  {"Name: b\n", "Name: b\n    Colour: c\n", 7, "Zones[1].Colour", document.CodeUnknownField},
 		"wrong type of a number": {"Ticket: 1", "Ticket: one", 1, "Ticket", document.CodeWrongType},
 	}
@@ -129,7 +131,6 @@
 		"address owned":    {"Ticket: 2\nServices: [{Name: u, Tenant: t, Addresses: ['127.3.0.9:80', '127.3.0.2:80']}]\n", "Services[0].Addresses[1]", document.CodeAddressTaken, false},
 		"agent in use":     {"Ticket: 2\nTargets: [" + target("x", "s", "a", 12) + "]\n", "Targets[0].Agent", document.CodeAddressTaken, false},
 		"removes unknown":  {"Ticket: 2\nRemoved: [{Target: x}]\n", "Removed[0].Target", document.CodeUnknownObject, true},
-		"changes nothing":  {"Ticket: 2\n", "Ticket", document.CodeNoEffect, true},
 		"too large in 13s": {"Ticket: 2\nReason: \"" + noise(60_000) + "\"\nZones: [{Name: c}]\n", "", document.CodeSlowTicket, true},
 	}
 	for name, c := range cases {
--- a/core/ticket/history.go
+++ b/core/ticket/history.go
@@ -81,9 +81,6 @@
 		h.add("", document.CodeSlowTicket, true,
 			"ticket has %d bytes compressed; above %d it will not be in force everywhere within 13 s", n, MaxFastBytes)
 	}
-	if !t.Complete && len(t.Zones)+len(t.Services)+len(t.Targets)+len(t.Removed) == 0 {
-		h.add("Ticket", document.CodeNoEffect, true, "ticket changes no object")
-	}
 }
 
 // merge adds the ticket to the state and reports the issues that it causes.
--- a/ibisfold/check_test.go
+++ b/ibisfold/check_test.go
@@ -27,7 +27,7 @@
 		"entry":        {"Callers: 127.1.1.1:x\n", "f.yaml:1: Callers: \"127.1.1.1:x\" is not an address such as 127.0.0.1:80\n", 1},
 		"agent":        {"Name: a\nTarget: []\n", "f.yaml:2: Target: expected an address, found a list\n", 1},
 		"other":        {"Colour: red\n", "f.yaml:1: document: neither a ticket", 1},
-		"warning only": {"Ticket: 2\n", "f.yaml:1: Ticket: warning: ticket changes no object\n", 0},
+		"warning only": {"Ticket: 1\nZones: [{Name: a}]\nRemoved: [{Zone: b}]\n", "f.yaml:3: Removed[0].Zone: warning: no earlier ticket declares Zone \"b\"\n", 0},
 		"not YAML":     {"Ticket: [\n", "f.yaml:1: document: not YAML: ", 1},
 	}
 	for name, c := range cases {
