--- a/core/agent/adopt.go
+++ b/core/agent/adopt.go
@@ -101,26 +101,32 @@
 }
 
 // activate notes that the previous owner has committed a handover: it passed a
-// packet on, or the caller uses the new token. The latter lets it forget the flow.
+// packet on, or the caller uses the new token.
 func (c *Core) activate(f *flow, h *packet.Tunnel) {
 	if f.state == adopted {
 		f.state = active
 	}
-	if f.epoch == 0 {
-		return
+	if f.epoch > 0 {
+		c.tellPrevious(f.key, h)
 	}
-	a, ok := c.adoptions.get(f.key)
+}
+
+// tellPrevious lets the previous owner forget a flow once the caller uses the
+// token of this agent. It is due even after the flow has moved on, because the
+// previous owner repeats the token until it is told.
+func (c *Core) tellPrevious(k flowKey, h *packet.Tunnel) {
+	a, ok := c.adoptions.get(k)
 	if !ok || h.Kind == packet.ToOwner && a.doneAt == 0 || a.doneAt != 0 && c.now-a.doneAt < doneInterval {
 		return
 	}
 
 	a.doneAt = c.now
-	c.adoptions.replace(f.key, a)
+	c.adoptions.replace(k, a)
 	if c.view.zoneOut(a.from.zone) {
 		return
 	}
-	c.sendFlow(a.from, packet.HandoverDone, f.key.service, appendAck(nil, ack{
-		flow:     f.key.flow,
+	c.sendFlow(a.from, packet.HandoverDone, k.service, appendAck(nil, ack{
+		flow:     k.flow,
 		epoch:    a.epoch,
 		accepted: true,
 	}))
--- a/core/agent/drain.go
+++ b/core/agent/drain.go
@@ -10,6 +10,10 @@
 // takes. It is below the 3 s after which a leaving target gets no new work.
 const drainGrace = 2 * time.Second
 
+// offersQuiet is how long no offer must have arrived before a shutdown ends. It
+// is three times the longest time after which an offer is repeated.
+const offersQuiet = 3 * (offerDelayMax + offerDelayMax/4)
+
 // drainState is the progress of a drain or a graceful shutdown.
 type drainState struct {
 	// since is when the target began to leave.
@@ -20,6 +24,8 @@
 	stopping  bool
 	stopUntil time.Duration
 	formerAt  time.Duration
+	// offeredAt is when the last offer of a peer arrived, copies included.
+	offeredAt time.Duration
 }
 
 // changeDrain notes the begin and the end of a drain.
@@ -101,7 +107,7 @@
 	if !d.stopping || d.stopped {
 		return
 	}
-	if c.now < d.stopUntil && (c.flows.len() > 0 || c.progress.len > 0 || c.forwards.open > 0) {
+	if c.now < d.stopUntil && !c.finished() {
 		return
 	}
 
@@ -110,6 +116,13 @@
 	c.emit(Stopped{})
 }
 
+// finished reports whether nobody needs this agent any more. Answers to offers
+// have no acknowledgement, so their owners get time to ask again.
+func (c *Core) finished() bool {
+	return c.flows.len() == 0 && c.progress.len == 0 && c.forwards.open == 0 &&
+		c.now-c.drain.offeredAt >= offersQuiet
+}
+
 // giveUpAll ends everything. Requests that were not passed on did not run; the
 // others may have.
 func (c *Core) giveUpAll(flows *uint64) {
--- a/core/agent/forward.go
+++ b/core/agent/forward.go
@@ -93,6 +93,10 @@
 		return
 	}
 
+	c.tellPrevious(w.key, h)
+	if w.done {
+		w.until = c.now + doneTime
+	}
 	w.entry = h.Entry
 	w.caller = h.Caller
 	o := *h
--- a/core/agent/offered.go
+++ b/core/agent/offered.go
@@ -107,6 +107,7 @@
 // as not run.
 func (c *Core) takeOffer(h *packet.Tunnel, p *packet.Packet) {
 	o, ok := c.verifyOffer(h, p)
+	c.drain.offeredAt = c.now
 	if !ok || c.repeatOffered(o, p) {
 		return
 	}
