Decode tickets piece by piece

Cause: parsing a complete ticket of the design size (3,700 targets, 960 addresses, 584 KB) at once held 31.6 MB of live memory at its peak, the whole budget of a node (32 MB). Change: core/document cuts a text at the fields of the root mapping and at the items of their lists, and parses 8 KB at a time.

One part may have at most 16,000 tokens, which also bounds the live memory of hostile texts. Syntax errors of several parts are all reported now.

--- a/core/document/checker.go
+++ b/core/document/checker.go
@@ -13,7 +13,8 @@
 const MaxNameBytes = 64
 
 // Checker adds the problems of a decoded document's values to those of its
-// form. It reports nothing about a field that could not be decoded.
+// form. It reports nothing about a field that could not be decoded, and nothing
+// at all if a part of the text is not YAML.
 type Checker struct {
 	document *Document
 	list     list
@@ -54,7 +55,7 @@
 
 // Add reports a problem of the field at path.
 func (c *Checker) Add(path string, code Code, format string, args ...any) {
-	if c.undecoded(path) {
+	if c.undecoded(path) || c.list.full() {
 		return
 	}
 
@@ -68,6 +69,9 @@
 
 // undecoded reports whether the field at path or one around it failed.
 func (c *Checker) undecoded(path string) bool {
+	if c.failed[""] {
+		return true
+	}
 	for p := path; p != "" && len(c.failed) > 0; {
 		if c.failed[p] {
 			return true
--- a/core/document/decode.go
+++ b/core/document/decode.go
@@ -31,41 +31,160 @@
 // Decode decodes the document into the struct that v points to. Keys are the
 // names of fields or of their yaml tags, with exact case.
 func (d *Document) Decode(v any) []Problem {
-	l := &list{}
-	decodeValue(l, d.root, reflect.ValueOf(v).Elem(), nil)
+	root := reflect.ValueOf(v).Elem()
+	if f, ok := v.(Defaulter); ok {
+		f.SetDefaults()
+	}
+	c := &decoder{}
+	fields := newFields(root, nil)
+	for i := range d.sections {
+		n := &d.sections[i]
+		e, p := d.entries(n)
+		if p != nil {
+			c.add(*p)
+
+			continue
+		}
+		c.base = n.head.base
+		for _, m := range e {
+			c.decodeEntry(m, fields, n.items)
+		}
+	}
+
+	return c.problems
+}
+
+// decoder decodes parts of a text and collects the problems.
+type decoder struct {
+	list
+	// base is the number of lines before the current part.
+	base int
+}
+
+// fields are the fields of one mapping.
+type fields struct {
+	value reflect.Value
+	path  *path
+	// known holds the index of each field by its key.
+	known map[string][]int
+	// seen holds the line of each key that was decoded.
+	seen map[string]int
+}
+
+func newFields(v reflect.Value, p *path) *fields {
+	return &fields{
+		value: v,
+		path:  p,
+		known: fieldsOf(v.Type()),
+		seen:  map[string]int{},
+	}
+}
+
+// decodeEntry decodes one field. The items replace its value if there are any.
+func (c *decoder) decodeEntry(e *ast.MappingValueNode, f *fields, items []part) {
+	key := keyText(e)
+	p := &path{
+		parent: f.path,
+		key:    key,
+		line:   c.base + tokenLine(e.Key.GetToken()),
+	}
+	first, repeated := f.seen[key]
+	index, ok := f.known[key]
+	switch {
+	case repeated:
+		c.add(p.problem(fmt.Sprintf("duplicate key, already given in line %d", first), CodeDuplicateKey))
+	case !ok:
+		c.add(p.problem("unknown field", CodeUnknownField))
+	case len(items) > 0:
+		c.decodeItems(items, f.value.FieldByIndex(index), p)
+	default:
+		c.decodeValue(e.Value, f.value.FieldByIndex(index), p)
+	}
+	if !repeated {
+		f.seen[key] = p.line
+	}
+}
+
+// decodeItems decodes the items of a block sequence, several at a time.
+func (c *decoder) decodeItems(items []part, v reflect.Value, p *path) {
+	if v.Kind() != reflect.Slice {
+		c.add(p.problem("expected a single value, found a list", CodeWrongType))
+
+		return
+	}
+
+	v.Set(reflect.MakeSlice(v.Type(), len(items), len(items)))
+	for i := 0; i < len(items); {
+		k := i + 1
+		for k < len(items) && len(joined(items[i], items[k-1]).text) < batchBytes {
+			k++
+		}
+		c.decodeBatch(joined(items[i], items[k-1]), v.Slice(i, k), i, p)
+		i = k
+	}
+}
+
+// decodeBatch decodes a part into v, whose first element has index first.
+func (c *decoder) decodeBatch(b part, v reflect.Value, first int, p *path) {
+	root, problem := parse(b)
+	if problem != nil {
+		c.add(*problem)
+
+		return
+	}
+	s, ok := root.(*ast.SequenceNode)
+	if !ok || len(s.Values) != v.Len() {
+		c.add(Problem{
+			Line:   b.base + 1,
+			Reason: "not YAML: entries of the list are not aligned",
+			Code:   CodeNotYAML,
+		})
 
-	return l.problems
+		return
+	}
+	c.base = b.base
+	c.decodeElements(s, v, first, p)
+}
+
+func (c *decoder) decodeElements(s *ast.SequenceNode, v reflect.Value, first int, p *path) {
+	for i, e := range s.Values {
+		c.decodeValue(e, v.Index(i), &path{
+			parent: p,
+			index:  first + i,
+			line:   c.base + line(e),
+		})
+	}
 }
 
 var durationType = reflect.TypeFor[time.Duration]()
 
-func decodeValue(l *list, n ast.Node, v reflect.Value, p *path) {
-	if n == nil || n.Type() == ast.NullType {
-		l.add(p.problem(n, "value is missing", CodeMissing))
+func (c *decoder) decodeValue(n ast.Node, v reflect.Value, p *path) {
+	if isNull(n) {
+		c.add(p.problem("value is missing", CodeMissing))
 
 		return
 	}
 	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
-		decodeText(l, n, u, p)
+		c.decodeText(n, u, p)
 
 		return
 	}
 
 	switch {
 	case v.Type() == durationType:
-		decodeDuration(l, n, v, p)
+		c.decodeDuration(n, v, p)
 	case v.Kind() == reflect.Struct:
-		decodeStruct(l, n, v, p)
+		c.decodeStruct(n, v, p)
 	case v.Kind() == reflect.Slice:
-		decodeSlice(l, n, v, p)
+		c.decodeSlice(n, v, p)
 	default:
-		decodeScalar(l, n, v, p)
+		c.decodeScalar(n, v, p)
 	}
 }
 
-func decodeStruct(l *list, n ast.Node, v reflect.Value, p *path) {
-	if _, ok := n.(ast.MapNode); !ok {
-		l.add(p.wrongType(n, "a mapping of fields"))
+func (c *decoder) decodeStruct(n ast.Node, v reflect.Value, p *path) {
+	if !isMapping(n) {
+		c.add(p.wrongType(n, "a mapping of fields"))
 
 		return
 	}
@@ -73,29 +192,9 @@
 		d.SetDefaults()
 	}
 
-	known := fieldsOf(v.Type())
-	seen := map[string]int{}
+	f := newFields(v, p)
 	for _, e := range entries(n) {
-		key := keyText(e)
-		at := tokenLine(e.Key.GetToken())
-		child := &path{
-			parent: p,
-			key:    key,
-			line:   at,
-		}
-		if first, ok := seen[key]; ok {
-			l.add(child.problem(nil, fmt.Sprintf("duplicate key, already given in line %d", first), CodeDuplicateKey))
-
-			continue
-		}
-		seen[key] = at
-		index, ok := known[key]
-		if !ok {
-			l.add(child.problem(nil, "unknown field", CodeUnknownField))
-
-			continue
-		}
-		decodeValue(l, e.Value, v.FieldByIndex(index), child)
+		c.decodeEntry(e, f, nil)
 	}
 }
 
@@ -116,22 +215,16 @@
 	return m
 }
 
-func decodeSlice(l *list, n ast.Node, v reflect.Value, p *path) {
+func (c *decoder) decodeSlice(n ast.Node, v reflect.Value, p *path) {
 	s, ok := n.(*ast.SequenceNode)
 	if !ok {
-		l.add(p.wrongType(n, "a list"))
+		c.add(p.wrongType(n, "a list"))
 
 		return
 	}
 
 	v.Set(reflect.MakeSlice(v.Type(), len(s.Values), len(s.Values)))
-	for i, e := range s.Values {
-		decodeValue(l, e, v.Index(i), &path{
-			parent: p,
-			index:  i,
-			line:   line(e),
-		})
-	}
+	c.decodeElements(s, v, 0, p)
 }
 
 // scalarText returns the text of a plain or quoted scalar.
@@ -148,36 +241,36 @@
 	}
 }
 
-func decodeText(l *list, n ast.Node, u encoding.TextUnmarshaler, p *path) {
+func (c *decoder) decodeText(n ast.Node, u encoding.TextUnmarshaler, p *path) {
 	s, ok := scalarText(n)
 	if !ok {
-		l.add(p.wrongType(n, "an address"))
+		c.add(p.wrongType(n, "an address"))
 
 		return
 	}
 	if err := u.UnmarshalText([]byte(s)); err != nil || s == "" {
-		l.add(p.problem(n, fmt.Sprintf("%s is not an address such as 127.0.0.1:80", quote(s)), CodeWrongType))
+		c.add(p.problem(fmt.Sprintf("%s is not an address such as 127.0.0.1:80", quote(s)), CodeWrongType))
 	}
 }
 
-func decodeDuration(l *list, n ast.Node, v reflect.Value, p *path) {
+func (c *decoder) decodeDuration(n ast.Node, v reflect.Value, p *path) {
 	s, _ := scalarText(n)
 	d, err := time.ParseDuration(s)
 	if err != nil {
-		l.add(p.wrongType(n, "a duration such as 10s"))
+		c.add(p.wrongType(n, "a duration such as 10s"))
 
 		return
 	}
 	v.SetInt(int64(d))
 }
 
-func decodeScalar(l *list, n ast.Node, v reflect.Value, p *path) {
+func (c *decoder) decodeScalar(n ast.Node, v reflect.Value, p *path) {
 	switch v.Kind() {
 	case reflect.String:
 		// A plain scalar such as 007 or 1e3 keeps its text in a text field.
 		s, ok := scalarText(n)
 		if !ok {
-			l.add(p.wrongType(n, "text"))
+			c.add(p.wrongType(n, "text"))
 
 			return
 		}
@@ -185,22 +278,22 @@
 	case reflect.Bool:
 		b, ok := n.(*ast.BoolNode)
 		if !ok {
-			l.add(p.wrongType(n, "true or false"))
+			c.add(p.wrongType(n, "true or false"))
 
 			return
 		}
 		v.SetBool(b.Value)
 	case reflect.Int, reflect.Int64, reflect.Uint64:
-		decodeInteger(l, n, v, p)
+		c.decodeInteger(n, v, p)
 	default:
-		l.add(p.problem(n, "field has a type that documents can't hold", CodeWrongType))
+		c.add(p.problem("field has a type that documents can't hold", CodeWrongType))
 	}
 }
 
-func decodeInteger(l *list, n ast.Node, v reflect.Value, p *path) {
+func (c *decoder) decodeInteger(n ast.Node, v reflect.Value, p *path) {
 	i, ok := n.(*ast.IntegerNode)
 	if !ok {
-		l.add(p.wrongType(n, "a whole number"))
+		c.add(p.wrongType(n, "a whole number"))
 
 		return
 	}
@@ -216,6 +309,6 @@
 		v.SetInt(s)
 	}
 	if err != nil {
-		l.add(p.problem(n, fmt.Sprintf("%s is not a decimal whole number in range", quote(i.Token.Value)), CodeWrongType))
+		c.add(p.problem(fmt.Sprintf("%s is not a decimal whole number in range", quote(i.Token.Value)), CodeWrongType))
 	}
 }
--- a/core/document/document.go
+++ b/core/document/document.go
@@ -3,6 +3,9 @@
 package document
 
 import (
+	"fmt"
+	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -13,35 +16,137 @@
 	"github.com/juju/errors"
 )
 
-// Document is a parsed document whose fields can be located. The zero value
-// has no fields.
+// batchBytes is the length from which items are not parsed together any more.
+const batchBytes = 8 << 10
+
+// Document is a text that was cut into its fields. It parses them one after
+// the other, and again to locate a field.
 type Document struct {
-	root ast.Node
+	sections []section
+	// block is true if the root is a block mapping at the left margin.
+	block bool
+	// located is the part that was parsed last to locate a field.
+	located part
+	root    ast.Node
 }
 
-// Parse parses text. The problems are not empty if the text is not one YAML
-// mapping within the bounds of this package; the document is then nil.
+// Parse finds the fields of a text. The problems are not empty if the text is
+// not one YAML mapping within the bounds of this package, as far as this shows
+// without its items; the document is then nil.
 func Parse(text []byte) (*Document, []Problem) {
 	if p := screenText(text); p != nil {
 		return nil, []Problem{*p}
 	}
-	tokens := lexer.Tokenize(string(text))
-	if p := screenTokens(tokens); p != nil {
+	sections, block, p := split(text)
+	if p != nil {
 		return nil, []Problem{*p}
 	}
 
-	f, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
-	if err != nil {
-		return nil, []Problem{syntaxProblem(err)}
+	d := &Document{
+		sections: sections,
+		block:    block,
+	}
+	if problems := d.readKeys(); len(problems) > 0 {
+		return nil, problems
 	}
-	root, p := onlyBody(f)
+
+	return d, nil
+}
+
+// readKeys sets the keys of all sections.
+func (d *Document) readKeys() []Problem {
+	l := &list{}
+	for i := range d.sections {
+		n := &d.sections[i]
+		e, p := d.entries(n)
+		if p != nil {
+			l.add(*p)
+
+			continue
+		}
+		if d.block {
+			n.key = keyText(e[0])
+		}
+	}
+
+	return l.problems
+}
+
+// entries parses a section without its items and returns its fields. In a
+// block mapping it is one field, which has no value if the section has items.
+func (d *Document) entries(n *section) ([]*ast.MappingValueNode, *Problem) {
+	root, p := parse(n.head)
 	if p != nil {
-		return nil, []Problem{*p}
+		return nil, p
 	}
+	e := entries(root)
+	switch {
+	case !d.block && isMapping(root):
+		return e, nil
+	case !d.block:
+		return nil, &Problem{
+			Line:   1,
+			Reason: "expected a mapping of fields",
+			Code:   CodeWrongType,
+		}
+	case len(e) != 1 || isFlow(root) || len(n.items) > 0 && !isNull(e[0].Value):
+		return nil, &Problem{
+			Line:   n.head.base + 1,
+			Reason: "not YAML: expected a field such as Key: value",
+			Code:   CodeNotYAML,
+		}
+	default:
+		return e, nil
+	}
+}
+
+func isNull(n ast.Node) bool {
+	return n == nil || n.Type() == ast.NullType
+}
 
-	return &Document{
-		root: root,
-	}, nil
+func isMapping(n ast.Node) bool {
+	_, ok := n.(ast.MapNode)
+
+	return ok
+}
+
+func isFlow(n ast.Node) bool {
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		return m.IsFlowStyle
+	case *ast.MappingValueNode:
+		return m.IsFlowStyle
+	default:
+		return false
+	}
+}
+
+// parse parses a part of a document.
+func parse(p part) (ast.Node, *Problem) {
+	if i := excessToken(p.text, MaxPartTokens); i >= 0 {
+		return nil, &Problem{
+			Line:   p.base + lineAt(p.text, i),
+			Reason: fmt.Sprintf("more than %d tokens in one part; write long lists in block style, one item a line", MaxPartTokens),
+			Code:   CodeTooManyTokens,
+		}
+	}
+
+	tokens := lexer.Tokenize(string(p.text))
+	problem := screenTokens(tokens)
+	if problem != nil {
+		problem.Line += p.base
+
+		return nil, problem
+	}
+	f, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		n := syntaxProblem(err)
+		n.Line += p.base
+
+		return nil, &n
+	}
+
+	return onlyBody(f, p.base)
 }
 
 func syntaxProblem(err error) Problem {
@@ -62,25 +167,15 @@
 	return p
 }
 
-func onlyBody(f *ast.File) (ast.Node, *Problem) {
+// onlyBody returns the body of the only document of a file.
+func onlyBody(f *ast.File, base int) (ast.Node, *Problem) {
 	var root ast.Node
 	for i, d := range f.Docs {
 		if i > 0 && (d.Body != nil || d.Start != nil) {
-			return nil, &Problem{
-				Line:   documentLine(d),
-				Reason: "more than one document",
-				Code:   CodeManyDocuments,
-			}
+			return nil, manyDocuments(base + documentLine(d))
 		}
 		root = d.Body
 	}
-	if _, ok := root.(ast.MapNode); !ok {
-		return nil, &Problem{
-			Line:   1,
-			Reason: "expected a mapping of fields",
-			Code:   CodeWrongType,
-		}
-	}
 
 	return root, nil
 }
@@ -96,8 +191,17 @@
 // Keys returns the keys of the document's fields in their order.
 func (d *Document) Keys() []string {
 	keys := []string{}
-	for _, v := range entries(d.root) {
-		keys = append(keys, keyText(v))
+	for i := range d.sections {
+		n := &d.sections[i]
+		if d.block {
+			keys = append(keys, n.key)
+
+			continue
+		}
+		e, _ := d.entries(n)
+		for _, v := range e {
+			keys = append(keys, keyText(v))
+		}
 	}
 
 	return keys
@@ -106,8 +210,47 @@
 // Line returns the line of the field at path, such as Targets[2].Agent, or of
 // the innermost field of the path that exists.
 func (d *Document) Line(path string) int {
+	n := d.sections[0]
+	if d.block {
+		key, rest := cutStep(path)
+		i := slices.IndexFunc(d.sections, func(s section) bool {
+			return s.key == key
+		})
+		if i < 0 {
+			return 1
+		}
+		n = d.sections[i]
+		if len(n.items) > 0 {
+			return d.itemLine(n, rest)
+		}
+	}
+
+	return d.find(n.head, path, 1)
+}
+
+// itemLine returns the line of a path that starts with an index into n.items.
+func (d *Document) itemLine(n section, path string) int {
+	step, rest := cutStep(path)
+	i, err := strconv.Atoi(step)
+	if err != nil || i < 0 || i >= len(n.items) {
+		return n.head.base + 1
+	}
+
+	return d.find(n.items[i], "[0]."+rest, n.items[i].base+1)
+}
+
+// find returns the line of path in a part, or at if the path does not exist.
+func (d *Document) find(p part, path string, at int) int {
+	if d.root == nil || len(p.text) != len(d.located.text) || p.start != d.located.start {
+		root, problem := parse(p)
+		if problem != nil {
+			return at
+		}
+		d.located = p
+		d.root = root
+	}
+
 	n := d.root
-	at := 1
 	for path != "" {
 		step, rest := cutStep(path)
 		next, l := child(n, step)
@@ -115,7 +258,7 @@
 			return at
 		}
 		n = next
-		at = l
+		at = p.base + l
 		path = rest
 	}
 
@@ -124,6 +267,9 @@
 
 // cutStep splits the first key or index off a path.
 func cutStep(path string) (step, rest string) {
+	if path == "" {
+		return "", ""
+	}
 	if path[0] == '[' {
 		step, rest, _ = strings.Cut(path[1:], "]")
 
--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -30,36 +30,48 @@
 		field string
 		code  document.Code
 	}{
-		"unknown field":     {"Name: a\nInner:\n  Colour: b\n", 3, "Inner.Colour", document.CodeUnknownField},
-		"wrong case":        {"name: a\n", 1, "name", document.CodeUnknownField},
-		"duplicate key":     {"Name: a\nName: b\n", 2, "Name", document.CodeDuplicateKey},
-		"text for number":   {"Name: a\nCount: b\n", 2, "Count", document.CodeWrongType},
-		"fraction":          {"Count: 1.5\n", 1, "Count", document.CodeWrongType},
-		"hexadecimal":       {"Count: 0x10\n", 1, "Count", document.CodeWrongType},
-		"negative":          {"Number: -1\n", 1, "Number", document.CodeWrongType},
-		"too large":         {"Number: 99999999999999999999\n", 1, "Number", document.CodeWrongType},
-		"text for bool":     {"On: yes\n", 1, "On", document.CodeWrongType},
-		"scalar for list":   {"List: a\n", 1, "List", document.CodeWrongType},
-		"list in list":      {"List:\n  - a\n  - [b]\n", 3, "List[1]", document.CodeWrongType},
-		"list for struct":   {"Inner: [a]\n", 1, "Inner", document.CodeWrongType},
-		"missing value":     {"Name: a\nCount:\n", 2, "Count", document.CodeMissing},
-		"empty":             {"", 1, "", document.CodeWrongType},
-		"list at root":      {"- a\n", 1, "", document.CodeWrongType},
-		"not UTF-8":         {"Name: a\nCount: \xff\n", 2, "", document.CodeNotUTF8},
-		"control character": {"Name: a\nCount: \x00\n", 2, "", document.CodeNotYAML},
-		"not YAML":          {"Name: a\nList: [a\n", 2, "", document.CodeNotYAML},
-		"two documents":     {"Name: a\n---\nName: b\n", 2, "", document.CodeManyDocuments},
-		"anchor":            {"Name: &a b\n", 1, "", document.CodeAlias},
-		"alias":             {"Name: a\nList: *b\n", 2, "", document.CodeAlias},
-		"merge key":         {"Inner:\n  <<: {Slots: 1}\n", 2, "", document.CodeAlias},
-		"tag":               {"Name: !!str a\n", 1, "", document.CodeTag},
-		"deep flow":         {"List: " + strings.Repeat("[", 20), 1, "", document.CodeTooDeep},
-		"deep block":        {strings.Repeat("- ", 20) + "a", 1, "", document.CodeTooDeep},
-		"too long":          {strings.Repeat("#", document.MaxBytes+1), 1, "", document.CodeTooLong},
-		"many tokens":       {"List:\n" + strings.Repeat("- a\n", document.MaxTokens), 60001, "", document.CodeTooManyTokens},
-		"many flow keys":    {"Inner: {" + strings.Repeat("a,", 2000) + "}", 1, "", document.CodeTooManyTokens},
-		"many empty values": {"List:\n" + strings.Repeat("-\n", 2000), 1002, "", document.CodeTooManyTokens},
-		"many keys":         {strings.Repeat("Name: a\n", 1000), 257, "", document.CodeTooManyTokens},
+		"unknown field":      {"Name: a\nInner:\n  Colour: b\n", 3, "Inner.Colour", document.CodeUnknownField},
+		"wrong case":         {"name: a\n", 1, "name", document.CodeUnknownField},
+		"duplicate key":      {"Name: a\nName: b\n", 2, "Name", document.CodeDuplicateKey},
+		"text for number":    {"Name: a\nCount: b\n", 2, "Count", document.CodeWrongType},
+		"fraction":           {"Count: 1.5\n", 1, "Count", document.CodeWrongType},
+		"hexadecimal":        {"Count: 0x10\n", 1, "Count", document.CodeWrongType},
+		"negative":           {"Number: -1\n", 1, "Number", document.CodeWrongType},
+		"too large":          {"Number: 99999999999999999999\n", 1, "Number", document.CodeWrongType},
+		"text for bool":      {"On: yes\n", 1, "On", document.CodeWrongType},
+		"scalar for list":    {"List: a\n", 1, "List", document.CodeWrongType},
+		"list in list":       {"List:\n  - a\n  - [b]\n", 3, "List[1]", document.CodeWrongType},
+		"list for struct":    {"Inner: [a]\n", 1, "Inner", document.CodeWrongType},
+		"missing value":      {"Name: a\nCount:\n", 2, "Count", document.CodeMissing},
+		"empty":              {"", 1, "", document.CodeWrongType},
+		"list at root":       {"- a\n", 1, "", document.CodeWrongType},
+		"not UTF-8":          {"Name: a\nCount: \xff\n", 2, "", document.CodeNotUTF8},
+		"control character":  {"Name: a\nCount: \x00\n", 2, "", document.CodeNotYAML},
+		"not YAML":           {"Name: a\nList: [a\n", 2, "", document.CodeNotYAML},
+		"two documents":      {"Name: a\n---\nName: b\n", 2, "", document.CodeManyDocuments},
+		"anchor":             {"Name: &a b\n", 1, "", document.CodeAlias},
+		"alias":              {"Name: a\nList: *b\n", 2, "", document.CodeAlias},
+		"merge key":          {"Inner:\n  <<: {Slots: 1}\n", 2, "", document.CodeAlias},
+		"tag":                {"Name: !!str a\n", 1, "", document.CodeTag},
+		"deep flow":          {"List: " + strings.Repeat("[", 20), 1, "", document.CodeTooDeep},
+		"deep block":         {strings.Repeat("- ", 20) + "a", 1, "", document.CodeTooDeep},
+		"too long":           {strings.Repeat("#", document.MaxBytes+1), 1, "", document.CodeTooLong},
+		"many tokens":        {"List:\n" + strings.Repeat("- a\n", document.MaxTokens), 60001, "", document.CodeTooManyTokens},
+		"many flow keys":     {"Inner: {" + strings.Repeat("a,", 2000) + "}", 1, "", document.CodeTooManyTokens},
+		"many empty values":  {"List:\n" + strings.Repeat("-\n", 2000), 1002, "", document.CodeTooManyTokens},
+		"many inner keys":    {"Inner:\n" + strings.Repeat("  Slots: 1\n", 1000), 258, "", document.CodeTooManyTokens},
+		"large part":         {"List: [" + strings.Repeat("a,", document.MaxPartTokens) + "]", 1, "", document.CodeTooManyTokens},
+		"lone return":        {"Name: a\rCount: 1\n", 1, "", document.CodeNotYAML},
+		"flow after block":   {"Name: a\n{Count: 1}\n", 2, "", document.CodeNotYAML},
+		"scalar after block": {"Name: a\nb\n", 2, "", document.CodeNotYAML},
+		"list after field":   {"Name: a\n- b\n", 2, "", document.CodeNotYAML},
+		"less indentation":   {"List:\n    - a\n  - b\n", 3, "", document.CodeNotYAML},
+		"text in a list":     {"List:\n  - a\n  b: c\n", 3, "", document.CodeNotYAML},
+		"open quote":         {"List:\n  - \"a\n  - b\"\n", 2, "", document.CodeNotYAML},
+		"list for struct 2":  {"Inner:\n  - a\n", 1, "Inner", document.CodeWrongType},
+		"deep in an item":    {"List:\n  - a\n  -\n    Slots: b\n", 4, "List[1]", document.CodeWrongType},
+		"end and more":       {"Name: a\n...\nName: b\n", 3, "", document.CodeManyDocuments},
+		"many keys":          {strings.Repeat("Name: a\n", 1000), 257, "", document.CodeTooManyTokens},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -92,6 +104,38 @@
 	is.Equal(d.Line("List[9]"), 7)
 }
 
+// Guards against texts that are cut at a wrong place: the layout of a document
+// does not change its meaning, nor the lines of its problems.
+func TestDecodeLayouts(t *testing.T) {
+	layouts := []string{
+		"Name: n\nList:\n  - a\n  - b\nInner:\n  Slots: x\n",
+		"Name: n\nList:\n- a\n- b\nInner:\n  Slots: x\n",
+		"\n---\nName: |-\n  n\nList: # c\n\n  - a\n# c\n  - b\n    # c\nInner: {Slots: x}\n...\n# c\n",
+		"  Name: n\n  List:\n    - a\n    - b\n  Inner:\n    Slots: x\n",
+		"{Name: n, List: [a, b], Inner: {Slots: x}}\n",
+		"Name: n\r\nList:\r\n  - >-\r\n    a\r\n  - b\r\nInner:\r\n  Slots: x\r\n",
+		"Name: \"n\"\nList: [\n  a,\n  b\n]\nInner:\n\n  Slots: x",
+	}
+	for i, text := range layouts {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			is := is.New(t)
+			v := sample{}
+			d, problems := document.Decode([]byte(text), &v)
+			is.Equal(v.Name, "n")
+			is.Equal(v.List, []string{"a", "b"})
+			is.Equal(len(problems), 1)
+			at := strings.Count(text[:strings.Index(text, "Slots")], "\n") + 1
+			is.Equal(problems[0].Line, at)
+			is.Equal(problems[0].Field, "Inner.Slots")
+			is.Equal(d.Line("Inner.Slots"), at)
+			is.Equal(d.Keys(), []string{"Name", "List", "Inner"})
+			if strings.Contains(text, "- b") {
+				is.Equal(d.Line("List[1]"), strings.Count(text[:strings.Index(text, "- b")], "\n")+1)
+			}
+		})
+	}
+}
+
 // Guards against addresses that are taken apart at their colon, and against
 // mappings that are taken for text.
 func TestDecodeFlowColon(t *testing.T) {
--- a/core/document/path.go
+++ b/core/document/path.go
@@ -36,18 +36,9 @@
 	return prefix + shorten(p.key)
 }
 
-// problem reports at the field's line, or at n if the path has none.
-func (p *path) problem(n ast.Node, reason string, code Code) Problem {
-	at := 0
-	if p != nil {
-		at = p.line
-	}
-	if at == 0 {
-		at = line(n)
-	}
-
+func (p *path) problem(reason string, code Code) Problem {
 	return Problem{
-		Line:   at,
+		Line:   p.line,
 		Field:  p.String(),
 		Reason: reason,
 		Code:   code,
@@ -55,7 +46,7 @@
 }
 
 func (p *path) wrongType(n ast.Node, want string) Problem {
-	return p.problem(n, fmt.Sprintf("expected %s, found %s", want, describe(n)), CodeWrongType)
+	return p.problem(fmt.Sprintf("expected %s, found %s", want, describe(n)), CodeWrongType)
 }
 
 func describe(n ast.Node) string {
--- a/core/document/problem.go
+++ b/core/document/problem.go
@@ -122,6 +122,11 @@
 	problems []Problem
 }
 
+// full reports whether further problems are not listed.
+func (l *list) full() bool {
+	return len(l.problems) > MaxProblems
+}
+
 func (l *list) add(p Problem) {
 	switch n := len(l.problems); {
 	case n < MaxProblems:
--- a/core/document/screen.go
+++ b/core/document/screen.go
@@ -18,6 +18,10 @@
 	// MaxTokens is above the about 80,000 tokens of a ticket that lists 3,700
 	// targets and 960 addresses.
 	MaxTokens = 120_000
+	// MaxPartTokens is the largest number of tokens that are parsed at once:
+	// those of one item of a list in block style, or of a whole field in flow
+	// style. It keeps the live memory below 32 MB, the budget of a node.
+	MaxPartTokens = 16_000
 	// MaxDepth is the deepest nesting; tickets and settings need 4 levels.
 	MaxDepth = 16
 	// MaxEmptyValues bounds values that are left out, because the parser's time
@@ -27,8 +31,8 @@
 	// with their square. Settings have 11.
 	MaxKeys = 256
 	// MaxAllocation bounds the bytes that decoding any text allocates in total:
-	// about 1,100 per token and 60 per byte of text. A ticket with 3,700 targets
-	// stays under half of it.
+	// about 1,100 per token and 60 per byte of text, and part of it twice to
+	// locate problems.
 	MaxAllocation = 200_000_000
 )
 
@@ -49,14 +53,14 @@
 			Code:   CodeNotUTF8,
 		}
 	}
-	if i := bytes.IndexFunc(text, isControl); i >= 0 {
+	if i := controlByte(text); i >= 0 {
 		return &Problem{
 			Line:   lineAt(text, i),
 			Reason: "not YAML: control character",
 			Code:   CodeNotYAML,
 		}
 	}
-	if i := excessToken(text); i >= 0 {
+	if i := excessToken(text, MaxTokens); i >= 0 {
 		return &Problem{
 			Line:   lineAt(text, i),
 			Reason: fmt.Sprintf("more than %d tokens", MaxTokens),
@@ -88,21 +92,32 @@
 	return -1
 }
 
-func isControl(r rune) bool {
-	return r < ' ' && r != '\n' && r != '\r' && r != '\t' || r == 0x7f
+// controlByte returns the position of the first control character, or -1. A
+// carriage return is one unless it ends a line with a line feed.
+func controlByte(text []byte) int {
+	for i, b := range text {
+		switch {
+		case b == '\n' || b == '\t':
+		case b == '\r' && i+1 < len(text) && text[i+1] == '\n':
+		case b < ' ' || b == 0x7f:
+			return i
+		}
+	}
+
+	return -1
 }
 
 // excessToken returns the position at which an estimate of the number of
-// tokens passes MaxTokens, or -1. The estimate counts indicators and words; it
+// tokens passes a limit, or -1. The estimate counts indicators and words; it
 // may exceed the real number inside long texts.
-func excessToken(text []byte) int {
+func excessToken(text []byte, limit int) int {
 	count := 0
 	previous := byte('\n')
 	for i, c := range text {
 		if startsToken(previous, c) {
 			count++
 		}
-		if count > MaxTokens {
+		if count > limit {
 			return i
 		}
 		previous = c
--- a/core/settings/fuzz_test.go
+++ b/core/settings/fuzz_test.go
@@ -22,7 +22,7 @@
 		}
 		f.Add(b)
 	}
-	for _, s := range []string{"", "Zone:", "Keys: [{ID: 1}]", "Seeds: [[[[", "a: &b *b", "\xff", "Listen: {", "? a", "--- a\n--- b"} {
+	for _, s := range []string{"", "Zone:", "Keys: [{ID: 1}]", "Seeds: [[[[", "a: &b *b", "\xff", "Listen: {", "? a", "--- a\n--- b", "...", "---\n...\na: b"} {
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/core/ticket/fuzz_test.go
+++ b/core/ticket/fuzz_test.go
@@ -23,7 +23,7 @@
 		}
 		f.Add(b)
 	}
-	for _, s := range []string{base, "", "Ticket:", "Ticket: 1\nZones: [{}]", "Zones: [[[[", "a: &b *b", "\xff", "{", "? a", "--- a\n--- b"} {
+	for _, s := range []string{base, "", "Ticket:", "Ticket: 1\nZones: [{}]", "Zones: [[[[", "a: &b *b", "\xff", "{", "? a", "--- a\n--- b", "...", "---\n...\na: b"} {
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
