--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,6 @@
 # Measures packets a second through an entry against a bare relay.
 bench-process: build
 	bin/ibisfold-standin load --pps --bin bin
+# Compares the admission and balance decisions with other policies; writes docs/experiments.
+experiment:
+	go run ./ibisfold-standin/experiment/cmd --seed $(SEED) --out docs/experiments
