--- a/core/admission/flow.go
+++ b/core/admission/flow.go
@@ -6,14 +6,21 @@
 // the own target. Only the excess share of the flows is passed on, so that
 // agents with equally old reports do not all choose the same peer.
 func (b *Balance) PickFlow(own Load, peers []Load, r *rand.Rand) int {
-	flows := float64(own.Flows)
-	capacity := own.capacity()
+	flows := 0.0
+	capacity := 0.0
+	if !own.Draining {
+		flows = float64(own.Flows)
+		capacity = own.capacity()
+	}
 	for _, p := range peers {
 		if !p.Draining {
 			flows += float64(max(0, p.Flows))
 			capacity += p.capacity()
 		}
 	}
+	if capacity == 0 {
+		return -1
+	}
 	level := (flows + 1) / capacity
 
 	room := level*own.capacity() - float64(own.Flows)
