Keep opened flows until their idle time, also through a drain

Change: unused flows live for the idle time and are evicted only for room; a drain hands them over without telling callers a token, because another agent may own the copy that the caller uses. HandoverCommit makes an adopted flow the new owner's at once, so that idle flows survive a second drain. Late copies of Open are answered with the new owner's token. Moved goes through other entries when the last one may be gone. Ruled out: telling callers the token of an unused copy (ran requests twice).

--- a/core/agent/adopt.go
+++ b/core/agent/adopt.go
@@ -44,8 +44,8 @@
 		zone:        m.zone,
 		incarnation: h.SenderIncarnation,
 	}
-	accepted := c.adopts(k, m.epoch)
-	if accepted && c.flows.get(k) == nil {
+	accepted := m.unused && c.knows(k) || c.adopts(k, m)
+	if accepted && !c.knows(k) {
 		c.adopt(k, m, from)
 	}
 	c.sendFlow(from, packet.HandoverAck, k.service, appendAck(nil, ack{
@@ -55,24 +55,33 @@
 	}))
 }
 
+// knows reports whether this agent owns, owned or passed on a flow of this
+// number. A copy that no caller has used needs no state beside it.
+func (c *Core) knows(k flowKey) bool {
+	_, closed := c.closed.get(k)
+	_, forwarded := c.forwards.get(k)
+
+	return c.flows.get(k) != nil || closed || forwarded
+}
+
 // adopts reports whether a copy of a flow is or becomes the current one here.
-// An agent that gave the flow away does not take it back while old packets may
-// still arrive: their token would activate the copy too early.
-func (c *Core) adopts(k flowKey, epoch uint32) bool {
-	if f := c.flows.get(k); f != nil {
-		if f.state != adopted || epoch <= f.epoch {
-			return epoch == f.epoch && f.state != halfOpen
-		}
+// It replaces a copy that no caller has used. An agent that gave the flow away
+// does not take it back while old packets may still arrive: their token would
+// activate the copy too early.
+func (c *Core) adopts(k flowKey, m flowBody) bool {
+	f := c.flows.get(k)
+	switch {
+	case f == nil:
+	case f.state == halfOpen || f.unused:
+		c.abandon(f)
+		c.flows.remove(f)
+	case f.state != adopted || m.epoch <= f.epoch:
+		return m.epoch == f.epoch
+	default:
 		c.forget(f)
 	}
-	if _, ok := c.closed.get(k); ok {
-		return false
-	}
-	if _, ok := c.forwards.get(k); ok {
-		return false
-	}
 
-	return c.acceptsWork() && k.service == c.view.Service && c.flows.len() < c.view.Connections
+	return !c.knows(k) && c.acceptsWork() && k.service == c.view.Service && c.flows.len() < c.view.Connections
 }
 
 func (c *Core) adopt(k flowKey, m flowBody, from remote) {
@@ -85,6 +94,7 @@
 		window:  m.window,
 		used:    c.now,
 		epoch:   m.epoch,
+		unused:  m.unused,
 		state:   adopted,
 	})
 	for _, a := range m.answers {
@@ -131,3 +141,25 @@
 		accepted: true,
 	}))
 }
+
+// handoverCommitted makes an adopted flow this agent's own before its caller
+// sends a packet, so that the flow of an idle caller can be handed over again.
+func (c *Core) handoverCommitted(h *packet.Tunnel, body []byte) {
+	m, err := decodeAck(body)
+	if err != nil {
+		c.Counters.DroppedBody++
+		return
+	}
+	k := flowKey{
+		service: h.Service,
+		flow:    m.flow,
+	}
+	f := c.flows.get(k)
+	a, ok := c.adoptions.get(k)
+	if !c.meant(h) || f == nil || !ok || f.state != adopted || f.epoch != m.epoch {
+		return
+	}
+	if a.from.agent == h.Sender && a.from.incarnation == h.SenderIncarnation {
+		f.state = active
+	}
+}
--- a/core/agent/core.go
+++ b/core/agent/core.go
@@ -32,6 +32,7 @@
 	closed   recent[flowKey, struct{}]
 	passedOn recent[flowKey, uint64]
 	forwards forwardTable
+	entries  entryList
 	// handing and handovers hold the handovers in progress, by flow and in order.
 	handing   map[flowKey]*handover
 	handovers []*handover
--- a/core/agent/drain.go
+++ b/core/agent/drain.go
@@ -58,12 +58,13 @@
 
 // advanceDrain hands over flows that are to leave this agent.
 func (c *Core) advanceDrain() {
-	c.repeatMoved()
+	c.repeatAnnouncements()
 	c.dropFormer()
 	if c.inService() && !c.leaving() && len(c.former) == 0 {
 		return
 	}
 
+	c.promoteUnused()
 	started := 0
 	for f := c.flows.live.first; f != nil && started < handoversPerTick && len(c.handovers) < handoversMax; f = f.next {
 		if f.state != active || f.open != nil || !c.leaves(f) {
@@ -76,6 +77,23 @@
 	}
 }
 
+// promoteUnused makes flows that their callers have not used in time leave like
+// others: a caller may open a flow long before its first request. At a shutdown
+// without peers they end, because nobody is known to need them.
+func (c *Core) promoteUnused() {
+	for f := c.flows.half.first; f != nil && f.used+halfOpenTime <= c.now; {
+		next := f.next
+		switch {
+		case !c.leaves(f):
+		case c.flowPeer(f) != nil:
+			c.flows.promote(f)
+		case c.drain.stopping:
+			c.expire(f)
+		}
+		f = next
+	}
+}
+
 // leaves reports whether a flow is to be handed over.
 func (c *Core) leaves(f *flow) bool {
 	return c.leaving() || !c.view.Known || f.key.service != c.view.Service
--- a/core/agent/fence.go
+++ b/core/agent/fence.go
@@ -53,6 +53,7 @@
 	h := &m.Header
 	switch h.Kind {
 	case packet.ToAgent:
+		c.entries.note(h.Entry)
 		c.toAgent(h, &m.Packet)
 	case packet.ToOwner:
 		c.toOwner(h, &m.Packet)
@@ -66,6 +67,8 @@
 		c.takeHandover(h, m.Body)
 	case packet.HandoverAck:
 		c.handoverAcked(h, m.Body)
+	case packet.HandoverCommit:
+		c.handoverCommitted(h, m.Body)
 	case packet.HandoverDone:
 		c.handoverDone(h, m.Body)
 	case packet.Heartbeat:
--- a/core/agent/flow.go
+++ b/core/agent/flow.go
@@ -6,8 +6,10 @@
 )
 
 const (
-	// halfOpenTime is how long an opened flow waits for the caller's first use
-	// of the token.
+	// halfOpenTime is how long an opened flow is safe from eviction before the
+	// caller's first use of the token. Copies of an Open that reached several
+	// agents leave flows that no caller uses; they go when room is needed, and
+	// not by time, because a caller may open a flow long before its first request.
 	halfOpenTime = 5 * time.Second
 	// closedTime is how long an ended flow is remembered, so that late copies of
 	// its packets can't open it again and run a request twice.
@@ -56,7 +58,9 @@
 	// epoch counts the handovers tried in the flow's life. A copy of an older
 	// epoch never replaces a newer one.
 	epoch uint32
-	state flowState
+	// unused flows were never used by their caller before they were to leave.
+	unused bool
+	state  flowState
 }
 
 // flowTable holds flows by key and in order of last use.
@@ -113,6 +117,15 @@
 	if f.state == halfOpen {
 		f.state = active
 	}
+	f.unused = false
+	t.live.append(f)
+}
+
+// promote makes a half-open flow leave like one in use.
+func (t *flowTable) promote(f *flow) {
+	t.half.remove(f)
+	f.state = active
+	f.unused = true
 	t.live.append(f)
 }
 
@@ -147,23 +160,35 @@
 	f.next = nil
 }
 
-// expireFlows ends half-open and idle flows. A flow with a request in progress
-// is not idle.
+// expireFlows ends idle flows. A flow with a request in progress is not idle.
 func (c *Core) expireFlows() {
-	for f := c.flows.half.first; f != nil && f.used+halfOpenTime <= c.now; f = c.flows.half.first {
-		c.Counters.FlowsExpired++
-		c.forget(f)
+	for f := c.flows.half.first; f != nil && f.used+c.options.IdleTimeout <= c.now; f = c.flows.half.first {
+		c.expire(f)
 	}
 	for f := c.flows.live.first; f != nil && f.used+c.options.IdleTimeout <= c.now; f = c.flows.live.first {
 		if f.open != nil {
 			c.flows.use(c.now, f)
 			continue
 		}
-		c.Counters.FlowsExpired++
-		c.forget(f)
+		c.expire(f)
 	}
 }
 
+func (c *Core) expire(f *flow) {
+	c.Counters.FlowsExpired++
+	c.forget(f)
+}
+
+// evictable returns the oldest flow that its caller has not used in time, or nil.
+func (c *Core) evictable() *flow {
+	f := c.flows.half.first
+	if f == nil || f.used+halfOpenTime > c.now {
+		return nil
+	}
+
+	return f
+}
+
 // forget removes a flow. One that may have run requests is remembered as
 // closed; an adopted copy was never owned here and may be adopted again.
 func (c *Core) forget(f *flow) {
--- a/core/agent/flowbody.go
+++ b/core/agent/flowbody.go
@@ -29,6 +29,7 @@
 	flowHighest protowire.Number = 8
 	flowSeen    protowire.Number = 9
 	flowAnswer  protowire.Number = 10
+	flowUnused  protowire.Number = 11
 )
 
 // Field numbers of an encoded answer.
@@ -58,6 +59,8 @@
 	caller  netip.AddrPort
 	address netip.AddrPort
 	window  window
+	// unused means that the caller has not used the flow at the previous owner.
+	unused  bool
 	answers []numberedAnswer
 }
 
@@ -77,6 +80,7 @@
 	b = appendAddress(b, flowAddress, f.address)
 	b = appendVarint(b, flowHighest, f.window.highest)
 	b = appendFixed(b, flowSeen, f.window.seen)
+	b = appendVarint(b, flowUnused, protowire.EncodeBool(f.unused))
 	for i := range uint64(windowBits) {
 		if f.window.seen&(1<<i) == 0 {
 			continue
@@ -168,6 +172,8 @@
 		m.window.highest = f.value
 	case flowSeen:
 		m.window.seen = f.value
+	case flowUnused:
+		m.unused = f.value != 0
 	case flowAnswer:
 		err = m.addAnswer(f.bytes)
 	}
--- a/core/agent/forward.go
+++ b/core/agent/forward.go
@@ -28,7 +28,11 @@
 	address netip.AddrPort
 	epoch   uint32
 	// done means that the caller has used the new token.
-	done     bool
+	done bool
+	// unused means that the caller had not used the flow before. Another agent
+	// may own the flow that the caller uses, so the caller is not told a token
+	// and a shutdown does not wait.
+	unused   bool
 	until    time.Duration
 	repeatAt time.Duration
 	delay    time.Duration
@@ -38,7 +42,7 @@
 type forwardTable struct {
 	entries map[flowKey]*forward
 	order   []*forward
-	// open counts the entries that are not done.
+	// open counts the entries in use that are not done.
 	open int
 }
 
@@ -57,7 +61,9 @@
 func (t *forwardTable) add(w *forward) {
 	t.entries[w.key] = w
 	t.order = append(t.order, w)
-	t.open++
+	if !w.unused {
+		t.open++
+	}
 }
 
 func (t *forwardTable) finish(now time.Duration, w *forward) {
@@ -66,7 +72,9 @@
 	}
 	w.done = true
 	w.until = now + doneTime
-	t.open--
+	if !w.unused {
+		t.open--
+	}
 }
 
 func (t *forwardTable) expire(now time.Duration) {
@@ -77,7 +85,7 @@
 			n++
 			continue
 		}
-		if !w.done {
+		if !w.done && !w.unused {
 			t.open--
 		}
 		delete(t.entries, w.key)
@@ -111,40 +119,66 @@
 	})
 }
 
-// sendMoved tells the caller the token of the new owner.
-func (c *Core) sendMoved(w *forward) {
+// announce tells the new owner that the flow is its own, and the caller the
+// token of the new owner.
+func (c *Core) announce(w *forward) {
 	w.repeatAt = c.now + c.jitter(w.delay)
 	w.delay = min(movedDelayMax, 2*w.delay)
-	t := packet.Token{
-		Agent:       w.to.agent,
-		Service:     w.key.service,
-		Zone:        w.to.zone,
-		Target:      w.to.target,
-		Incarnation: w.to.incarnation,
+	c.sendFlow(w.to, packet.HandoverCommit, w.key.service, appendAck(nil, ack{
+		flow:     w.key.flow,
+		epoch:    w.epoch,
+		accepted: true,
+	}))
+	if !w.unused {
+		c.sendMoved(w)
+	}
+}
+
+func (c *Core) sendMoved(w *forward) {
+	entry := w.entry
+	if w.delay > 2*movedDelay {
+		// The entry of the flow's last packet may be gone, and an idle caller
+		// sends none that would name another.
+		entry = c.entries.pick(c.rand, w.entry)
 	}
-	t.Sign(c.options.Keys, w.key.flow)
 	c.send(SendTunnel{
-		To: w.entry,
+		To: entry,
 		Header: packet.Tunnel{
 			Kind:    packet.ToEntry,
 			Service: w.key.service,
-			Entry:   w.entry,
+			Entry:   entry,
 			Caller:  w.caller,
 		},
 		Packet: packet.Packet{
 			Kind:    packet.Moved,
 			Service: w.address,
 			Flow:    w.key.flow,
-			Token:   t,
+			Token:   c.tokenOf(w),
 		},
 	})
 }
 
-// repeatMoved tells callers their new token again until they use it.
-func (c *Core) repeatMoved() {
+// tokenOf returns the token of the flow's new owner.
+func (c *Core) tokenOf(w *forward) packet.Token {
+	t := packet.Token{
+		Agent:       w.to.agent,
+		Service:     w.key.service,
+		Zone:        w.to.zone,
+		Target:      w.to.target,
+		Incarnation: w.to.incarnation,
+	}
+	t.Sign(c.options.Keys, w.key.flow)
+
+	return t
+}
+
+// repeatAnnouncements announces handovers again until the caller uses the new
+// token. Nobody may ever use an unused flow, so its announcements end earlier.
+func (c *Core) repeatAnnouncements() {
 	for _, w := range c.forwards.order {
-		if !w.done && c.now >= w.repeatAt {
-			c.sendMoved(w)
+		over := w.done || w.unused && w.delay == movedDelayMax
+		if !over && c.now >= w.repeatAt {
+			c.announce(w)
 		}
 	}
 }
--- a/core/agent/handover.go
+++ b/core/agent/handover.go
@@ -195,6 +195,7 @@
 		caller:  f.caller,
 		address: f.address,
 		epoch:   f.epoch,
+		unused:  f.unused,
 		delay:   movedDelay,
 	}
 	w.until = c.now + c.options.IdleTimeout
@@ -203,5 +204,5 @@
 		m := &o.held[i]
 		c.forward(w, &m.Header, &m.Packet)
 	}
-	c.sendMoved(w)
+	c.announce(w)
 }
--- a/core/agent/open.go
+++ b/core/agent/open.go
@@ -20,7 +20,7 @@
 		return
 	}
 	if w, ok := c.forwards.get(k); ok {
-		c.forward(w, h, p)
+		c.openedAt(w, h, p)
 		return
 	}
 	if _, ok := c.closed.get(k); ok {
@@ -39,10 +39,17 @@
 }
 
 func (c *Core) admitsFlow(h *packet.Tunnel) bool {
-	return c.acceptsWork() && h.Service == c.view.Service && c.flows.len() < c.view.Connections
+	return c.acceptsWork() && h.Service == c.view.Service && c.hasRoom()
+}
+
+func (c *Core) hasRoom() bool {
+	return c.flows.len() < c.view.Connections || c.evictable() != nil
 }
 
 func (c *Core) admitFlow(h *packet.Tunnel, p *packet.Packet, k flowKey) {
+	if c.flows.len() >= c.view.Connections {
+		c.expire(c.evictable())
+	}
 	f := &flow{
 		key:     k,
 		entry:   h.Entry,
@@ -73,6 +80,17 @@
 	})
 }
 
+// openedAt answers a late copy of Open with the token of the flow's new owner.
+func (c *Core) openedAt(w *forward, h *packet.Tunnel, p *packet.Packet) {
+	c.replyTo(h, packet.Packet{
+		Kind:    packet.Opened,
+		Service: p.Service,
+		Flow:    p.Flow,
+		Attempt: p.Attempt,
+		Token:   c.tokenOf(w),
+	})
+}
+
 // openPeer returns the peer that should own a new flow, or nil. Copies of the
 // same Open go to the same peer.
 func (c *Core) openPeer(h *packet.Tunnel, k flowKey) *peer {
--- a/core/entry/route.go
+++ b/core/entry/route.go
@@ -198,9 +198,11 @@
 	}
 }
 
-// Answer returns the packet for the caller of p.
+// Answer returns the packet for the caller of p. It repeats the caller's token:
+// a caller with a newer one ignores the reset of an old copy.
 func (d Decision) Answer(p *packet.Packet) packet.Packet {
 	return packet.Packet{
+		Token:      p.Token,
 		Kind:       d.Kind,
 		Service:    p.Service,
 		Flow:       p.Flow,
--- a/core/packet/tunnel.go
+++ b/core/packet/tunnel.go
@@ -28,6 +28,8 @@
 	Handover
 	// HandoverAck accepts a flow.
 	HandoverAck
+	// HandoverCommit tells the new owner that the flow is its own from now on.
+	HandoverCommit
 	// HandoverDone tells the previous owner that the caller uses the new token.
 	HandoverDone
 	// Heartbeat carries an agent's Load to the other agents of its service.
@@ -36,16 +38,17 @@
 )
 
 var tunnelKindNames = [tunnelKinds]string{
-	ToAgent:      "to_agent",
-	ToEntry:      "to_entry",
-	ToOwner:      "to_owner",
-	Offer:        "offer",
-	OfferAnswer:  "offer_answer",
-	OfferCancel:  "offer_cancel",
-	Handover:     "handover",
-	HandoverAck:  "handover_ack",
-	HandoverDone: "handover_done",
-	Heartbeat:    "heartbeat",
+	ToAgent:        "to_agent",
+	ToEntry:        "to_entry",
+	ToOwner:        "to_owner",
+	Offer:          "offer",
+	OfferAnswer:    "offer_answer",
+	OfferCancel:    "offer_cancel",
+	Handover:       "handover",
+	HandoverAck:    "handover_ack",
+	HandoverCommit: "handover_commit",
+	HandoverDone:   "handover_done",
+	Heartbeat:      "heartbeat",
 }
 
 // String returns the kind's name as used in metrics.
@@ -144,7 +147,7 @@
 // body does.
 func (k TunnelKind) HasPacket() bool {
 	switch k {
-	case Handover, HandoverAck, HandoverDone, Heartbeat:
+	case Handover, HandoverAck, HandoverCommit, HandoverDone, Heartbeat:
 		return false
 	default:
 		return true
