--- a/ibisfold/status.go
+++ b/ibisfold/status.go
@@ -19,6 +19,8 @@
 	defaultTimeout = 13 * time.Second
 	// pollInterval is the time between two questions to a process that waits.
 	pollInterval = 500 * time.Millisecond
+	// answerTime is how long one question waits for all answers.
+	answerTime = 3 * time.Second
 )
 
 // statusCommand asks processes which ticket is in force.
--- a/ibisfold/waiter.go
+++ b/ibisfold/waiter.go
@@ -67,9 +67,6 @@
 
 func (w *waiter) run(ctx context.Context) subcommands.ExitStatus {
 	start := w.clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, w.timeout)
-	defer cancel()
-
 	answers := w.ask(ctx)
 	for w.wait > 0 && !w.inForce(answers) {
 		w.report(start, answers)
@@ -84,8 +81,12 @@
 	return w.result(start, answers)
 }
 
-// ask asks all processes at the same time.
+// ask asks all processes at the same time. The last question has its full time
+// too, so that a process that answers is not shown as silent.
 func (w *waiter) ask(ctx context.Context) []answer {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+
 	answers := make([]answer, len(w.addresses))
 	slots := make(chan struct{}, maxCalls)
 	g := sync.WaitGroup{}
@@ -173,12 +174,16 @@
 
 func (w *waiter) result(start time.Time, answers []answer) subcommands.ExitStatus {
 	if w.wait > 0 {
+		took := w.clock.Now().Sub(start)
 		if !w.inForce(answers) {
-			fmt.Fprintf(w.err, "ticket %d is not in force at all processes after %v\n", w.wait, w.timeout)
+			fmt.Fprintf(w.err, "ticket %d is not in force at all processes after %.1f s\n", w.wait, took.Seconds())
 
 			return subcommands.ExitFailure
 		}
-		fmt.Fprintf(w.err, "ticket %d is in force at all processes after %.1f s\n", w.wait, w.clock.Now().Sub(start).Seconds())
+		fmt.Fprintf(w.err, "ticket %d is in force at all processes after %.1f s\n", w.wait, took.Seconds())
+		if took > w.timeout {
+			return subcommands.ExitFailure
+		}
 
 		return subcommands.ExitSuccess
 	}
