Add the experiments: a seeded simulation of targets, agents and callers

Cause: the admission decisions need measurements before parameters are chosen. Change: module ibisfold-standin/experiment with seven experiments, CSV and plots, run by 'make experiment'.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,7 @@
 
 tidy:
 	@for m in $(MODULES) tools; do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
+
+# Compares the admission and balance decisions with other policies; writes docs/experiments.
+experiment:
+	go run ./ibisfold-standin/experiment/cmd --seed $(SEED) --out docs/experiments
--- /dev/null
+++ b/ibisfold-standin/experiment/agent.go
@@ -0,0 +1,319 @@
+package experiment
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"ibisfold.example/core/admission"
+)
+
+const (
+	heartbeat     = time.Second
+	helloInterval = 100 * time.Millisecond
+	tick          = 20 * time.Millisecond
+	// maxHops is how often a request may be moved.
+	maxHops = 2
+)
+
+// request is one attempt of a caller at one agent.
+type request struct {
+	arrival  *arrival
+	tenant   int
+	factor   float64
+	deadline time.Duration
+	attempt  int
+	hops     int
+	// delay is the extra way of the answer through the agents that moved it.
+	delay   time.Duration
+	started time.Duration
+	boot    uint64
+}
+
+// agent is the process beside a target, with the decisions of core/admission.
+type agent struct {
+	sim    *simulation
+	id     uint64
+	index  int
+	zone   int
+	target *target
+	out    bool
+
+	limiter admission.Limiter
+	queue   admission.Queue[*request]
+	balance admission.Balance
+	busy    admission.Average
+	// took is a moving average of service times, for estimates of waiting.
+	took    time.Duration
+	running []*request
+	flows   int
+	flowsIn meter
+	boot    uint64
+	down    bool
+
+	// peers holds the last load that each other agent reported.
+	peers []admission.Load
+	// reports are snapshots for the compared policies, oldest first.
+	reports []snapshot
+}
+
+func tenantName(n int) string {
+	return fmt.Sprintf("tenant-%d", n)
+}
+
+// load is what the agent reports of itself.
+func (a *agent) load() admission.Load {
+	now := a.sim.now
+
+	return admission.Load{
+		Target:      a.id,
+		Incarnation: 1,
+		Busy:        a.busy.Value(now),
+		Running:     len(a.running),
+		Waiting:     a.queue.Len(),
+		Slots:       a.sim.site.Slots,
+		Limit:       a.limiter.Allow(),
+		Flows:       a.flows,
+		Draining:    a.out,
+	}
+}
+
+// view returns the agents that may get work and their loads as reported.
+func (a *agent) view() ([]*agent, []admission.Load) {
+	agents := []*agent{}
+	loads := []admission.Load{}
+	for i, o := range a.sim.agents {
+		if o != a && !o.out {
+			agents = append(agents, o)
+			loads = append(loads, a.peers[i])
+		}
+	}
+
+	return agents, loads
+}
+
+// ownerOf passes a new flow on to the peer that should own it.
+func (a *agent) ownerOf(hops int) *agent {
+	if hops == 0 {
+		return a
+	}
+	agents, loads := a.view()
+	i := a.balance.PickFlow(a.load(), loads, a.sim.random)
+	if i < 0 {
+		return a
+	}
+
+	return agents[i].ownerOf(hops - 1)
+}
+
+// receive takes a request of a flow that this agent owns.
+func (a *agent) receive(q *request) {
+	if a.out {
+		a.sim.refuse(q, 0)
+		return
+	}
+	if _, ours := a.sim.policy.(Ours); ours && a.offer(q) {
+		return
+	}
+	a.admit(q)
+}
+
+// offer passes a request to a peer; it returns false if the own target is the best choice.
+func (a *agent) offer(q *request) bool {
+	if q.hops >= maxHops {
+		return false
+	}
+	agents, loads := a.view()
+	i := a.balance.PickRequest(a.sim.now, a.load(), loads, a.sim.random)
+	if i < 0 {
+		return false
+	}
+
+	o := agents[i]
+	d := a.sim.between(a, o)
+	q.hops++
+	a.sim.moves++
+	own := a.reported()
+	a.sim.after(d, func() {
+		if a.sim.fault == nil {
+			o.peers[a.index] = own
+		}
+		if o.accepts(q) {
+			q.delay += d
+			o.admit(q)
+			a.hear(o, d)
+			return
+		}
+		a.hear(o, d)
+		a.sim.after(d, func() {
+			a.balance.Refused(a.sim.now, o.id)
+			a.receive(q)
+		})
+	})
+
+	return true
+}
+
+// accepts reports whether an offered request can be run soon.
+func (a *agent) accepts(*request) bool {
+	return !a.out && len(a.running)+a.queue.Len() < a.limiter.Allow()+a.sim.options.offerQueue
+}
+
+// hear delivers the load that a peer's answer carries.
+func (a *agent) hear(o *agent, d time.Duration) {
+	if a.sim.fault != nil {
+		return
+	}
+	l := o.reported()
+	a.sim.after(d, func() {
+		a.peers[o.index] = l
+	})
+}
+
+// reported is the load as it leaves the agent, wrong if the experiment says so.
+func (a *agent) reported() admission.Load {
+	return lie(a.sim.fault, a.index, a.load())
+}
+
+// admit runs a request, queues it, or refuses it because it can't meet its deadline.
+func (a *agent) admit(q *request) {
+	if a.out {
+		a.sim.refuse(q, 0)
+		return
+	}
+	if len(a.running) < a.limiter.Allow() && a.queue.Len() == 0 {
+		a.run(q)
+		return
+	}
+
+	t := tenantName(q.tenant)
+	wait := a.queue.WaitOf(t, a.limiter.Allow(), a.took)
+	if a.sim.now+wait+a.took > q.deadline || wait > a.sim.options.maxWait || !a.queue.Push(t, q.deadline-a.took, q) {
+		a.sim.refuse(q, wait)
+	}
+	a.dispatch()
+}
+
+func (a *agent) dispatch() {
+	for len(a.running) < a.limiter.Allow() && !a.down && !a.out {
+		q, ok := a.queue.Pop(a.sim.now)
+		if !ok {
+			return
+		}
+		a.run(q)
+	}
+}
+
+func (a *agent) run(q *request) {
+	now := a.sim.now
+	q.started = now
+	q.boot = a.boot
+	a.running = append(a.running, q)
+	a.count()
+	a.limiter.Started(now)
+	a.target.start(q, func(r result, boot uint64) {
+		a.finish(q, r, boot)
+	})
+}
+
+// finish handles the target's reaction to a request.
+func (a *agent) finish(q *request, r result, boot uint64) {
+	now := a.sim.now
+	switch r {
+	case refused:
+		a.limiter.Failed(now)
+		a.lost(q)
+	case answered:
+		a.sawBoot(boot)
+		i := slices.Index(a.running, q)
+		if i < 0 {
+			return
+		}
+		a.running = slices.Delete(a.running, i, i+1)
+		a.count()
+		d := now - q.started
+		a.took += (d - a.took) / 16
+		if !a.sim.options.noLimit {
+			a.limiter.Answered(now, d)
+		}
+		a.sim.answer(q)
+	}
+	a.dispatch()
+}
+
+// lost handles a target that is down: the running requests have an unknown
+// outcome, and the one that was refused has not run.
+func (a *agent) lost(not *request) {
+	a.down = true
+	for _, q := range a.running {
+		if q == not {
+			a.sim.refuse(q, a.took)
+		} else {
+			a.sim.fail(q)
+		}
+	}
+	a.running = nil
+	a.count()
+}
+
+// sawBoot handles the boot identity in any packet of the target.
+func (a *agent) sawBoot(boot uint64) {
+	a.down = false
+	if boot == a.boot {
+		return
+	}
+	a.boot = boot
+	a.limiter.SetBoot(boot)
+	a.running = slices.DeleteFunc(a.running, func(q *request) bool {
+		if q.boot == boot {
+			return false
+		}
+		a.sim.fail(q)
+
+		return true
+	})
+	a.count()
+}
+
+// hello asks the target for its boot identity.
+func (a *agent) hello() {
+	b, ok := a.target.hello()
+	switch {
+	case ok:
+		a.sawBoot(b)
+	case !a.down:
+		a.limiter.Failed(a.sim.now)
+		a.lost(nil)
+	}
+	a.dispatch()
+}
+
+func (a *agent) expire() {
+	for _, q := range a.queue.Expired(a.sim.now) {
+		a.sim.refuse(q, a.took)
+	}
+}
+
+func (a *agent) count() {
+	a.busy.Set(a.sim.now, len(a.running))
+}
+
+func (a *agent) setFlows(d int) {
+	a.flows += d
+	a.flowsIn.set(a.sim.now, a.flows)
+}
+
+// late is the snapshot that is reportDelay old.
+func (a *agent) late() snapshot {
+	return a.reports[0]
+}
+
+func (a *agent) snapshot() {
+	a.reports = append(a.reports, snapshot{
+		flows:    a.flows,
+		requests: len(a.running) + a.queue.Len(),
+	})
+	if len(a.reports) > int(reportDelay/helloInterval)+1 {
+		a.reports = a.reports[1:]
+	}
+}
--- /dev/null
+++ b/ibisfold-standin/experiment/fault.go
@@ -0,0 +1,76 @@
+package experiment
+
+import (
+	"time"
+
+	"ibisfold.example/core/admission"
+)
+
+// Fault makes the load reports between agents wrong.
+type Fault interface {
+	// Name labels the fault in tables.
+	Name() string
+	isFault()
+}
+
+// Lag delays all load reports.
+type Lag struct{ Delay time.Duration }
+
+// Freeze stops new load reports of one target at a time.
+type Freeze struct {
+	Target int
+	From   time.Duration
+}
+
+// Lie multiplies what one target reports.
+type Lie struct {
+	Target int
+	Factor float64
+}
+
+// Name implements Fault.
+func (f Lag) Name() string { return "lag " + f.Delay.String() }
+
+// Name implements Fault.
+func (Freeze) Name() string { return "frozen" }
+
+// Name implements Fault.
+func (f Lie) Name() string {
+	if f.Factor < 1 {
+		return "a tenth"
+	}
+
+	return "tenfold"
+}
+
+func (Lag) isFault()    {}
+func (Freeze) isFault() {}
+func (Lie) isFault()    {}
+
+// lie returns what the target reports instead of l.
+func lie(f Fault, index int, l admission.Load) admission.Load {
+	switch f := f.(type) {
+	case Lie:
+		if f.Target == index {
+			l.Busy *= f.Factor
+			l.Running = int(float64(l.Running) * f.Factor)
+			l.Waiting = int(float64(l.Waiting) * f.Factor)
+			l.Flows = int(float64(l.Flows) * f.Factor)
+		}
+	case Lag, Freeze:
+	}
+
+	return l
+}
+
+// heartbeatDelay is the age of a heartbeat on arrival, or false if none is sent.
+func heartbeatDelay(f Fault, index int, now, way time.Duration) (time.Duration, bool) {
+	switch f := f.(type) {
+	case Lag:
+		return f.Delay, true
+	case Freeze:
+		return way, f.Target != index || now < f.From
+	default:
+		return way, true
+	}
+}
--- /dev/null
+++ b/ibisfold-standin/experiment/overload.go
@@ -0,0 +1,105 @@
+package experiment
+
+import "time"
+
+const (
+	overloadFrom = 30 * time.Second
+	overloadTo   = 70 * time.Second
+	overloadEnd  = 100 * time.Second
+	// afterLoad is the load before and after the overload.
+	afterLoad = 0.6
+)
+
+// overload raises the load for 40 s and measures waiting, goodput and recovery.
+func overload(seed uint64) *Result {
+	type job struct {
+		site   Site
+		load   float64
+		policy Policy
+	}
+	jobs := []job{}
+	for _, s := range Sites() {
+		for _, l := range []float64{0.7, 0.9, 1.1, 2} {
+			for _, p := range Policies()[:5] {
+				jobs = append(jobs, job{
+					site:   s,
+					load:   l,
+					policy: p,
+				})
+			}
+		}
+	}
+	r := &Result{
+		Name:   "overload",
+		Header: []string{"Site", "Load", "Policy", "WaitP99Ms", "LatencyP99Ms", "GoodputOfOffered", "GoodputOfCapacity", "RecoverySeconds"},
+		XLabel: "seconds (hire-desk, 200% load from 30 to 70 s)",
+		YLabel: "good answers per second over capacity",
+	}
+	rows := each(len(jobs), func(i int) func() {
+		j := jobs[i]
+		w := Workload{
+			Phases: []Phase{
+				{
+					Until: overloadFrom,
+					Load:  afterLoad,
+				},
+				{
+					Until: overloadTo,
+					Load:  j.load,
+				},
+				{
+					Until: overloadEnd,
+					Load:  afterLoad,
+				},
+			},
+			Tenants: 5,
+		}
+		s := run(j.site, j.policy, nil, normal(), w.generate(j.site, seed), overloadEnd, seed)
+		t := s.stats.total(overloadFrom, overloadTo)
+		finished := float64(t.finished) / (overloadTo - overloadFrom).Seconds() / j.site.capacity()
+
+		return func() {
+			r.add(j.site.Name, j.load, j.policy.Name(), milliseconds(t.waits, 99), milliseconds(t.latency, 99),
+				share(t.good, t.offered), finished, s.stats.recovery(overloadTo, overloadEnd-2*deadline))
+			if j.site.Name == "hire-desk" && j.load == 2 {
+				r.Lines = append(r.Lines, s.stats.line(j.policy.Name(), j.site.capacity(), overloadEnd))
+			}
+		}
+	})
+	for _, add := range rows {
+		add()
+	}
+
+	return r
+}
+
+// recovery returns the seconds after from until 99% of the requests of each
+// second are answered in time for 3 s in a row, or -1.
+func (s *stats) recovery(from, to time.Duration) int {
+	run := 0
+	for i := int(from / time.Second); i < int(to/time.Second); i++ {
+		if c := s.seconds[i]; float64(c.good) >= 0.99*float64(c.offered) {
+			run++
+		} else {
+			run = 0
+		}
+		if run == 3 {
+			return i - 2 - int(from/time.Second)
+		}
+	}
+
+	return -1
+}
+
+// line is the good answers per second over capacity.
+func (s *stats) line(name string, capacity float64, end time.Duration) Line {
+	l := Line{
+		Name: name,
+	}
+	for i := range min(len(s.seconds), int(end/time.Second)) {
+		l.X = append(l.X, float64(i))
+		l.Y = append(l.Y, float64(s.seconds[i].finished)/capacity)
+	}
+
+	return l
+}
--- /dev/null
+++ b/ibisfold-standin/experiment/retries.go
@@ -0,0 +1,70 @@
+package experiment
+
+import "time"
+
+// retries compares callers with the retry budget and without after a burst of
+// twice the capacity, with and without a target that restarts in the burst.
+func retries(seed uint64) *Result {
+	sites := Sites()
+	r := &Result{
+		Name:   "retries",
+		Header: []string{"Site", "Retries", "AttemptsPerRequest", "GoodputInBurst", "GoodputOfCapacity", "LatencyP99Ms", "RecoverySeconds"},
+		XLabel: "seconds (hire-desk, 200% load from 30 to 40 s)",
+		YLabel: "attempts per second over capacity",
+	}
+	rows := each(len(sites)*2, func(i int) func() {
+		site := sites[i/2]
+		o := normal()
+		o.noBudget = i%2 == 1
+		w := Workload{
+			Phases: []Phase{
+				{
+					Until: 30 * time.Second,
+					Load:  0.8,
+				},
+				{
+					Until: 40 * time.Second,
+					Load:  2,
+				},
+				{
+					Until: 70 * time.Second,
+					Load:  0.8,
+				},
+			},
+			Tenants: 5,
+		}
+		s := run(site, Ours{}, nil, o, w.generate(site, seed), w.end(), seed)
+		t := s.stats.total(30*time.Second, 40*time.Second)
+		name := "budget"
+		if o.noBudget {
+			name = "up to 5 attempts"
+		}
+
+		return func() {
+			r.add(site.Name, name, share(s.stats.attempts, len(s.trace.arrivals)), share(t.good, t.offered),
+				float64(t.finished)/10/site.capacity(), milliseconds(t.latency, 99),
+				s.stats.recovery(40*time.Second, w.end()-2*deadline))
+			if site.Name == "hire-desk" {
+				r.Lines = append(r.Lines, s.stats.attemptLine(name, site.capacity(), w.end()))
+			}
+		}
+	})
+	for _, add := range rows {
+		add()
+	}
+
+	return r
+}
+
+// attemptLine is the attempts per second over capacity.
+func (s *stats) attemptLine(name string, capacity float64, end time.Duration) Line {
+	l := Line{
+		Name: name,
+	}
+	for i := range min(len(s.seconds), int(end/time.Second)) {
+		l.X = append(l.X, float64(i))
+		l.Y = append(l.Y, float64(s.seconds[i].attempts)/capacity)
+	}
+
+	return l
+}
--- /dev/null
+++ b/ibisfold-standin/experiment/stats.go
@@ -0,0 +1,119 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// stats counts outcomes by the second of the intended arrival, so that a slow
+// system can't hide requests (no coordinated omission).
+type stats struct {
+	attempts int
+	seconds  []second
+	tenants  map[int]*tenantStats
+}
+
+// second counts the requests that callers meant to send in one second.
+type second struct {
+	attempts int
+	offered  int
+	good     int
+	refused  int
+	failed   int
+	finished int
+	waits    *hdrhistogram.Histogram
+	latency  *hdrhistogram.Histogram
+}
+
+type tenantStats struct {
+	offered int
+	good    int
+	latency *hdrhistogram.Histogram
+}
+
+func newStats() *stats {
+	return &stats{
+		tenants: map[int]*tenantStats{},
+	}
+}
+
+func (s *stats) second(at time.Duration) *second {
+	i := int(at / time.Second)
+	for len(s.seconds) <= i {
+		s.seconds = append(s.seconds, second{})
+	}
+
+	return &s.seconds[i]
+}
+
+func (s *stats) tenant(n int) *tenantStats {
+	t, ok := s.tenants[n]
+	if !ok {
+		t = &tenantStats{
+			latency: newHistogram(),
+		}
+		s.tenants[n] = t
+	}
+
+	return t
+}
+
+func (s *stats) offered(at time.Duration, tenant int) {
+	s.second(at).offered++
+	s.tenant(tenant).offered++
+}
+
+func (s *stats) sent(now time.Duration) {
+	s.attempts++
+	s.second(now).attempts++
+}
+
+func (s *stats) refused(at time.Duration) { s.second(at).refused++ }
+
+func (s *stats) failed(at time.Duration) { s.second(at).failed++ }
+
+// answered records an answer: latency and waiting count from the intended arrival.
+func (s *stats) answered(now time.Duration, q *request) {
+	latency := now - q.arrival.at
+	c := s.second(q.arrival.at)
+	if c.waits == nil {
+		c.waits = newHistogram()
+		c.latency = newHistogram()
+	}
+	_ = c.waits.RecordValue((q.started - q.arrival.at).Microseconds())
+	_ = c.latency.RecordValue(latency.Microseconds())
+	_ = s.tenant(q.tenant).latency.RecordValue(latency.Microseconds())
+	if latency <= deadline {
+		c.good++
+		s.tenant(q.tenant).good++
+		s.second(now).finished++
+	}
+}
+
+// total adds up the seconds in [from, to).
+func (s *stats) total(from, to time.Duration) second {
+	t := second{
+		waits:   newHistogram(),
+		latency: newHistogram(),
+	}
+	for i := int(from / time.Second); i < min(len(s.seconds), int(to/time.Second)); i++ {
+		c := s.seconds[i]
+		t.offered += c.offered
+		t.good += c.good
+		t.refused += c.refused
+		t.failed += c.failed
+		t.finished += c.finished
+		if c.waits != nil {
+			t.waits.Merge(c.waits)
+			t.latency.Merge(c.latency)
+		}
+	}
+
+	return t
+}
+
+// milliseconds returns the quantile of a histogram in milliseconds.
+func milliseconds(h *hdrhistogram.Histogram, p float64) float64 {
+	return float64(h.ValueAtQuantile(p)) / 1000
+}
--- /dev/null
+++ b/ibisfold-standin/experiment/zone.go
@@ -0,0 +1,133 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	zoneLoad = 0.6
+	zoneOut  = 40 * time.Second
+	zoneBack = 90 * time.Second
+	zoneEnd  = 180 * time.Second
+)
+
+// zone takes a zone out of service and returns it, with all its targets cold.
+func zone(seed uint64) *Result {
+	type job struct {
+		site   Site
+		zone   int
+		policy Policy
+	}
+	jobs := []job{}
+	for _, s := range Sites() {
+		for _, p := range Policies()[:5] {
+			jobs = append(jobs, job{
+				site:   s,
+				zone:   1,
+				policy: p,
+			})
+		}
+	}
+	r := &Result{
+		Name:   "zone",
+		Header: []string{"Site", "ZoneTargets", "Policy", "FlowsReset", "OutcomeUnknown", "NotRun", "Goodput", "SecondsAfterOut", "SecondsAfterBack", "FlowSecondsAfterBack", "Beyond"},
+		XLabel: "seconds (hire-desk, zone out at 40 s and back at 90 s)",
+		YLabel: "highest over mean of busy slots in 10 s",
+	}
+	rows := each(len(jobs), func(i int) func() {
+		j := jobs[i]
+		w := steady(zoneLoad, zoneEnd)
+		reset, size := 0, 0
+		out, back := -1.0, -1.0
+		flowsBack := -1.0
+		l := Line{
+			Name: j.policy.Name(),
+		}
+		s := run(j.site, j.policy, nil, normal(), w.generate(j.site, seed), zoneEnd, seed, func(s *simulation) {
+			s.at(zoneOut, func() {
+				reset, size = s.zoneOut(j.zone)
+			})
+			s.at(zoneBack, func() {
+				s.zoneBack(j.zone)
+			})
+			p := &sampler{}
+			s.every(time.Second, time.Second, func() {
+				v := p.sample(s)
+				l.X = append(l.X, s.now.Seconds())
+				l.Y = append(l.Y, v)
+				out = first(out, v, s.now, zoneOut, zoneBack)
+				back = first(back, v, s.now, zoneBack, zoneEnd)
+				flowsBack = first(flowsBack, spread(s.flowMeters()), s.now, zoneBack, zoneEnd)
+			})
+		})
+		t := s.stats.total(zoneOut, zoneEnd-deadline)
+		beyond, _, _ := s.falls()
+
+		return func() {
+			r.add(j.site.Name, fmt.Sprintf("%d of %d", size, len(j.site.Speeds)), j.policy.Name(), reset,
+				t.failed, t.refused, share(t.good, t.offered), out, back, flowsBack, beyond)
+			if j.site.Name == "hire-desk" {
+				r.Lines = append(r.Lines, l)
+			}
+		}
+	})
+	for _, add := range rows {
+		add()
+	}
+
+	return r
+}
+
+// first keeps the first time after from at which v is under 1.2; the window that
+// v describes must lie after from.
+func first(known, v float64, at, from, to time.Duration) float64 {
+	if known >= 0 || at < from+time.Second || at > to || v >= 1.2 {
+		return known
+	}
+
+	return (at - from).Seconds()
+}
+
+// zoneOut closes the flows of a zone with a reset; callers open them again.
+func (s *simulation) zoneOut(z int) (flows, targets int) {
+	for _, a := range s.agents {
+		if a.zone != z {
+			continue
+		}
+		targets++
+		a.out = true
+		for _, q := range a.running {
+			s.fail(q)
+		}
+		a.running = nil
+		a.count()
+		for {
+			q, ok := a.queue.Pop(s.now)
+			if !ok {
+				break
+			}
+			s.refuse(q, 0)
+		}
+		a.target.fall(restartTime)
+		a.target.falls--
+	}
+	for i := range s.trace.flows[:s.opened] {
+		f := &s.trace.flows[i]
+		if f.owner != nil && f.owner.out {
+			flows++
+			f.owner.setFlows(-1)
+			s.open(f)
+		}
+	}
+
+	return flows, targets
+}
+
+func (s *simulation) zoneBack(z int) {
+	for _, a := range s.agents {
+		if a.zone == z {
+			a.out = false
+		}
+	}
+}
