Experiments: count cold-start violations by what the agent could know

Cause: the run without a limiter still cut its limit, every answer counted as a sign of a cold start, and piggybacked loads ignored the report faults. Change: a run without a limiter always passes up to the slots; only an answer to a request started after the cold start, a refusal or a new boot identity is a sign; report faults hold for loads on moved requests; warm-up lengths of 30, 60 and 300 answers.

--- a/ibisfold-standin/experiment/agent.go
+++ b/ibisfold-standin/experiment/agent.go
@@ -61,6 +61,15 @@
 	return fmt.Sprintf("tenant-%d", n)
 }
 
+// allow is the number of requests that the target may have in progress.
+func (a *agent) allow() int {
+	if a.sim.options.noLimit {
+		return a.sim.site.Slots
+	}
+
+	return a.limiter.Allow()
+}
+
 // load is what the agent reports of itself.
 func (a *agent) load() admission.Load {
 	now := a.sim.now
@@ -72,7 +81,7 @@
 		Running:     len(a.running),
 		Waiting:     a.queue.Len(),
 		Slots:       a.sim.site.Slots,
-		Limit:       a.limiter.Allow(),
+		Limit:       a.allow(),
 		Flows:       a.flows,
 		Draining:    a.out,
 	}
@@ -135,7 +144,7 @@
 	a.sim.moves++
 	own := a.reported()
 	a.sim.after(d, func() {
-		if a.sim.fault == nil {
+		if carries(a.sim.fault, a.index) {
 			o.peers[a.index] = own
 		}
 		if o.accepts(q) {
@@ -156,12 +165,12 @@
 
 // accepts reports whether an offered request can be run soon.
 func (a *agent) accepts(*request) bool {
-	return !a.out && len(a.running)+a.queue.Len() < a.limiter.Allow()+a.sim.options.offerQueue
+	return !a.out && len(a.running)+a.queue.Len() < a.allow()+a.sim.options.offerQueue
 }
 
 // hear delivers the load that a peer's answer carries.
 func (a *agent) hear(o *agent, d time.Duration) {
-	if a.sim.fault != nil {
+	if !carries(a.sim.fault, o.index) {
 		return
 	}
 	l := o.reported()
@@ -181,13 +190,13 @@
 		a.sim.refuse(q, 0)
 		return
 	}
-	if len(a.running) < a.limiter.Allow() && a.queue.Len() == 0 {
+	if len(a.running) < a.allow() && a.queue.Len() == 0 {
 		a.run(q)
 		return
 	}
 
 	t := tenantName(q.tenant)
-	wait := a.queue.WaitOf(t, a.limiter.Allow(), a.took)
+	wait := a.queue.WaitOf(t, a.allow(), a.took)
 	if a.sim.now+wait+a.took > q.deadline || wait > a.sim.options.maxWait || !a.queue.Push(t, q.deadline-a.took, q) {
 		a.sim.refuse(q, wait)
 	}
@@ -195,7 +204,7 @@
 }
 
 func (a *agent) dispatch() {
-	for len(a.running) < a.limiter.Allow() && !a.down && !a.out {
+	for len(a.running) < a.allow() && !a.down && !a.out {
 		q, ok := a.queue.Pop(a.sim.now)
 		if !ok {
 			return
@@ -233,9 +242,7 @@
 		a.count()
 		d := now - q.started
 		a.took += (d - a.took) / 16
-		if !a.sim.options.noLimit {
-			a.limiter.Answered(now, d)
-		}
+		a.limiter.Answered(now, d)
 		a.sim.answer(q)
 	}
 	a.dispatch()
@@ -277,7 +284,7 @@
 
 // hello asks the target for its boot identity.
 func (a *agent) hello() {
-	b, ok := a.target.hello()
+	b, ok := a.target.hello(a.boot)
 	switch {
 	case ok:
 		a.sawBoot(b)
--- a/ibisfold-standin/experiment/cold.go
+++ b/ibisfold-standin/experiment/cold.go
@@ -15,10 +15,11 @@
 	}
 	jobs := []job{}
 	for _, s := range Sites() {
-		for _, limit := range []bool{true, false} {
-			for _, kind := range []string{"cold at start", "restart every 10 s", "unannounced every 10 s"} {
+		for _, kind := range []string{"cold at start", "restart every 10 s", "unannounced every 10 s"} {
+			for _, n := range []int{30, usualWarmAfter, 300, 0} {
 				o := normal()
-				o.noLimit = !limit
+				o.noLimit = n == 0
+				o.warmAfter = n
 				o.cold = kind == "cold at start"
 				jobs = append(jobs, job{
 					site:   s,
@@ -31,7 +32,7 @@
 	}
 	r := &Result{
 		Name:   "cold",
-		Header: []string{"Site", "Event", "Limiter", "Beyond", "BeyondBeforeAnySign", "Falls", "Goodput", "OutcomeUnknown"},
+		Header: []string{"Site", "Event", "WarmAfterAnswers", "Limiter", "Beyond", "BeyondBeforeAnySign", "Falls", "Goodput", "OutcomeUnknown"},
 	}
 	rows := each(len(jobs), func(i int) func() {
 		j := jobs[i]
@@ -45,7 +46,7 @@
 		beyond, unknowable, falls := s.falls()
 
 		return func() {
-			r.add(j.site.Name, j.name, !j.option.noLimit, beyond, unknowable, falls,
+			r.add(j.site.Name, j.name, warmAfterOf(j.option), !j.option.noLimit, beyond, unknowable, falls,
 				share(t.good, t.offered), share(t.failed, t.offered))
 		}
 	})
@@ -68,3 +69,11 @@
 		t.falls--
 	})
 }
+
+func warmAfterOf(o options) int {
+	if o.warmAfter == 0 {
+		return usualWarmAfter
+	}
+
+	return o.warmAfter
+}
--- a/ibisfold-standin/experiment/fault.go
+++ b/ibisfold-standin/experiment/fault.go
@@ -16,7 +16,8 @@
 // Lag delays all load reports.
 type Lag struct{ Delay time.Duration }
 
-// Freeze stops new load reports of one target at a time.
+// Freeze stops the load reports of one target at a time, or of all targets if
+// Target is negative.
 type Freeze struct {
 	Target int
 	From   time.Duration
@@ -32,15 +33,21 @@
 func (f Lag) Name() string { return "lag " + f.Delay.String() }
 
 // Name implements Fault.
-func (Freeze) Name() string { return "frozen" }
+func (f Freeze) Name() string {
+	if f.Target < 0 {
+		return "all frozen"
+	}
+
+	return "one frozen"
+}
 
 // Name implements Fault.
 func (f Lie) Name() string {
 	if f.Factor < 1 {
-		return "a tenth"
+		return "one at a tenth"
 	}
 
-	return "tenfold"
+	return "one tenfold"
 }
 
 func (Lag) isFault()    {}
@@ -69,8 +76,20 @@
 	case Lag:
 		return f.Delay, true
 	case Freeze:
-		return way, f.Target != index || now < f.From
+		return way, now < f.From || f.Target >= 0 && f.Target != index
 	default:
 		return way, true
 	}
 }
+
+// carries reports whether moved requests and their answers carry the load of a target.
+func carries(f Fault, index int) bool {
+	switch f := f.(type) {
+	case Lag:
+		return false
+	case Freeze:
+		return f.Target >= 0 && f.Target != index
+	default:
+		return true
+	}
+}
--- a/ibisfold-standin/experiment/simulation.go
+++ b/ibisfold-standin/experiment/simulation.go
@@ -23,6 +23,8 @@
 	noBudget bool
 	// cold starts with cold targets and limiters; otherwise both are warm.
 	cold bool
+	// warmAfter replaces usualWarmAfter unless it is zero.
+	warmAfter int
 	// offerQueue is how many moved requests may wait at an agent.
 	offerQueue int
 	// maxWait is the longest estimated wait at which a request is queued.
@@ -87,6 +89,11 @@
 		site:  s.site,
 		speed: speed,
 		boot:  1,
+
+		warmAfter: usualWarmAfter,
+	}
+	if s.options.warmAfter > 0 {
+		t.warmAfter = s.options.warmAfter
 	}
 	a := &agent{
 		sim:    s,
@@ -100,7 +107,8 @@
 	a.limiter.Slots = s.site.Slots
 	a.limiter.SetBoot(1)
 	if !s.options.cold {
-		t.served = warmAfter
+		t.served = t.warmAfter
+		t.told = true
 	}
 	if s.options.noLimit || !s.options.cold {
 		warm(&a.limiter, a.took, s.random)
--- a/ibisfold-standin/experiment/target.go
+++ b/ibisfold-standin/experiment/target.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// warmAfter is how many answers a target gives until it is warm.
-	warmAfter = 60
+	// usualWarmAfter is how many answers a target usually gives until it is warm.
+	usualWarmAfter = 60
 	// coldSlowdown is how much longer a service takes right after a cold start.
 	coldSlowdown = 4.0
 	// restartTime is how long a target is down after it was overrun.
@@ -18,16 +18,22 @@
 	site  Site
 	speed float64
 
+	// warmAfter is how many answers the target gives until it is warm.
+	warmAfter int
+
 	boot    uint64
 	down    bool
 	served  int
 	running int
-	// signs counts packets from the target since it last became cold.
-	signs int
-	busy  meter
-
-	// beyond and unknowable count requests above what the target bears, with and
-	// without a packet since the last cold start that could have told so.
+	// chilled is when the target last became cold; told is true since a packet
+	// that shows it: an answer to a request started later, a refusal or a new boot
+	// identity.
+	chilled time.Duration
+	told    bool
+	busy    meter
+
+	// beyond and unknowable count requests above what the target bears, after and
+	// before a packet told of its last cold start.
 	beyond     int
 	unknowable int
 	falls      int
@@ -47,13 +53,14 @@
 }
 
 func (t *target) warmth() float64 {
-	return min(1, float64(t.served)/warmAfter)
+	return min(1, float64(t.served)/float64(t.warmAfter))
 }
 
 // start runs a request and calls done with the boot identity in the answer. A
 // request that is lost with a restart gets no answer.
 func (t *target) start(q *request, done func(result, uint64)) {
 	if t.down {
+		t.told = true
 		t.clock.after(0, func() {
 			done(refused, 0)
 		})
@@ -63,7 +70,7 @@
 	t.running++
 	t.measure()
 	if t.running > t.bears() {
-		if t.signs > 0 {
+		if t.told {
 			t.beyond++
 		} else {
 			t.unknowable++
@@ -74,7 +81,7 @@
 
 	slow := coldSlowdown - (coldSlowdown-1)*t.warmth()
 	d := time.Duration(float64(t.site.Service) * q.factor * slow / t.speed)
-	boot := t.boot
+	boot, begin := t.boot, t.clock.now
 	t.clock.after(d, func() {
 		if t.boot != boot {
 			return
@@ -82,17 +89,19 @@
 		t.running--
 		t.measure()
 		t.served++
-		t.signs++
+		t.told = t.told || begin >= t.chilled
 		done(answered, boot)
 	})
 }
 
 // hello returns the boot identity, or false if the target is down.
-func (t *target) hello() (uint64, bool) {
+func (t *target) hello(known uint64) (uint64, bool) {
+	if t.boot != known {
+		t.told = true
+	}
 	if t.down {
 		return 0, false
 	}
-	t.signs++
 
 	return t.boot, true
 }
@@ -116,7 +125,8 @@
 // chill makes the target cold without a restart or an announcement.
 func (t *target) chill() {
 	t.served = 0
-	t.signs = 0
+	t.told = false
+	t.chilled = t.clock.now
 }
 
 func (t *target) measure() {
