Limiter: learn an unknown usual time from a plateau, and detect slow answers by a cumulative sum

Cause: an unknown usual time let the limit grow after 16 answers of any speed, a target of two slots was given its second slot before it was warm, and single slow answers cut the limit of warm targets about once a minute in a group of seven. Change: the first step needs two batches of 32 usual answers (mean at most 1.15 of usual), later steps one of 16; an unknown usual time is taken from 4 batches without faster service; the alarm is a cumulative sum of deviations of the logarithm.

--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -3,16 +3,25 @@
 // a request or owns a flow. It is pure: time and random numbers are arguments.
 package admission
 
-import (
-	"time"
-)
+import "time"
 
 const (
-	// goodAnswersPerStep is how many answers in a row must lie within the usual
-	// service time before the limit grows by one.
-	goodAnswersPerStep = 16
 	// coldLimit is the limit of a cold target; it bears "only a little".
 	coldLimit = 1
+	// firstBatch and firstBatches are the answers and batches in a row that must
+	// be usual before the limit leaves coldLimit. The first step is the risky one:
+	// see docs/decisions/0010-cold-start-growth.md.
+	firstBatch   = 32
+	firstBatches = 2
+	// nextBatch is the number of usual answers before each later step.
+	nextBatch = 16
+	// learnBatches is how many batches in a row must show no faster service before
+	// an unknown usual time is taken from them; relearnBatches is the same for a
+	// target whose known usual time no longer holds.
+	learnBatches   = 4
+	relearnBatches = 16
+	// improvement is the factor under which a batch counts as faster service.
+	improvement = 0.95
 )
 
 // Limiter holds the number of requests that a target may have in progress. It
@@ -23,13 +32,16 @@
 
 	// grown is the limit above coldLimit.
 	grown int
-	// good counts the answers since the limit last changed.
-	good int
-	// sum adds up the service times of those answers.
-	sum  time.Duration
-	boot uint64
+	// answers and sum describe the current batch, good the usual batches in a row.
+	answers int
+	sum     time.Duration
+	good    int
+	boot    uint64
 	// usual survives a cold start: it describes the warm target.
 	usual usualTime
+	alarm slowAlarm
+	// plateau learns the usual time of a cold target whose service gets no faster.
+	plateau plateau
 	// ignoreBefore excludes answers to requests that were started before the
 	// last cut: they tell nothing about the cold target.
 	ignoreBefore time.Duration
@@ -59,7 +71,7 @@
 	if now-took < l.ignoreBefore {
 		return
 	}
-	if l.usual.farAbove(took) {
+	if l.grown > 0 && l.alarm.raise(&l.usual, took) {
 		l.cut(now)
 		return
 	}
@@ -68,16 +80,13 @@
 		return
 	}
 
-	l.good++
+	l.answers++
 	l.sum += took
-	if l.good < goodAnswersPerStep {
-		return
+	if l.grown == 0 {
+		l.plateau.learn(took)
 	}
-	mean := l.sum / time.Duration(l.good)
-	l.good = 0
-	l.sum = 0
-	if l.usual.within(mean) {
-		l.grown++
+	if l.answers >= l.batch() {
+		l.endBatch()
 	}
 }
 
@@ -103,9 +112,57 @@
 	return true
 }
 
+func (l *Limiter) batch() int {
+	if l.grown == 0 {
+		return firstBatch
+	}
+
+	return nextBatch
+}
+
+// endBatch grows the limit by one if enough batches in a row were usual.
+func (l *Limiter) endBatch() {
+	mean := l.sum / time.Duration(l.answers)
+	l.answers = 0
+	l.sum = 0
+
+	if l.grown == 0 && l.plateau.reached(mean, l.patience()) {
+		l.usual = l.plateau.usual
+		l.grow()
+		return
+	}
+	if !l.usual.within(mean) {
+		l.good = 0
+		return
+	}
+	l.good++
+	if l.grown > 0 || l.good >= firstBatches {
+		l.grow()
+	}
+}
+
+// patience is how many batches without faster service make a new usual time.
+func (l *Limiter) patience() int {
+	if l.usual.known() {
+		return relearnBatches
+	}
+
+	return learnBatches
+}
+
+func (l *Limiter) grow() {
+	l.grown++
+	l.good = 0
+	l.plateau = plateau{}
+	l.alarm = slowAlarm{}
+}
+
 func (l *Limiter) cut(now time.Duration) {
 	l.grown = 0
-	l.good = 0
+	l.answers = 0
 	l.sum = 0
+	l.good = 0
+	l.plateau = plateau{}
+	l.alarm = slowAlarm{}
 	l.ignoreBefore = now
 }
--- a/core/admission/usual.go
+++ b/core/admission/usual.go
@@ -8,14 +8,16 @@
 const (
 	// usualWeight is the weight of one answer in the averages.
 	usualWeight = 1.0 / 64
-	// usualMinimum is how many answers of the warm target make the averages usable.
+	// usualMinimum is how many answers make the averages usable.
 	usualMinimum = 64
-	// farDeviations is how many mean deviations of the logarithm above its
-	// average a service time counts as far out of range. For log-normal times 5
-	// mean deviations are 4 standard deviations: 1 in 30,000 by chance.
-	farDeviations = 5
+	// minDeviation is the least deviation of the logarithm, for targets of nearly
+	// constant service time.
+	minDeviation = 0.1
+	// deviationRatio is the standard deviation over the mean absolute deviation of
+	// a normal distribution.
+	deviationRatio = 1.25
 	// withinFactor is how far above the usual mean a cold target's mean may lie.
-	withinFactor = 1.25
+	withinFactor = 1.15
 )
 
 // usualTime learns the service time of the warm target. The range is kept as a
@@ -44,26 +46,29 @@
 
 func (u *usualTime) learn(took time.Duration) {
 	u.count = min(u.count+1, usualMinimum)
-	s := max(took.Seconds(), 1e-6)
 	w := max(usualWeight, 1/float64(u.count))
-	x := math.Log(s)
-	u.average += w * (s - u.average)
+	x := logarithm(took)
+	u.average += w * (took.Seconds() - u.average)
 	u.logAverage += w * (x - u.logAverage)
 	u.logDeviation += w * (math.Abs(x-u.logAverage) - u.logDeviation)
 }
 
-// farAbove reports whether a service time is far above the usual range. Without
-// a usual range it is never so.
-func (u *usualTime) farAbove(took time.Duration) bool {
+// deviations is how many standard deviations a service time lies above the
+// usual range; zero if the range is unknown.
+func (u *usualTime) deviations(took time.Duration) float64 {
 	if !u.known() {
-		return false
+		return 0
 	}
-	x := math.Log(max(took.Seconds(), 1e-6))
 
-	return x > u.logAverage+farDeviations*max(u.logDeviation, 0.1)
+	return (logarithm(took) - u.logAverage) / (deviationRatio * max(minDeviation, u.logDeviation))
 }
 
-// within reports whether the mean of several service times is usual.
+// within reports whether the mean of several service times is usual. Nothing is
+// usual while the range is unknown.
 func (u *usualTime) within(mean time.Duration) bool {
-	return !u.known() || mean.Seconds() <= u.average*withinFactor
+	return u.known() && mean.Seconds() <= u.average*withinFactor
+}
+
+func logarithm(took time.Duration) float64 {
+	return math.Log(max(took, time.Microsecond).Seconds())
 }
