Experiments: an agent that knows its target is down waits for its new boot identity

Cause: a request passed between a restart and the next HelloAck was counted as lost with the old boot identity, so that the next one overran the target. Change: no request is passed while the target is known to be down.

--- a/ibisfold-standin/experiment/agent.go
+++ b/ibisfold-standin/experiment/agent.go
@@ -190,7 +190,7 @@
 		a.sim.refuse(q, 0)
 		return
 	}
-	if len(a.running) < a.allow() && a.queue.Len() == 0 {
+	if !a.down && len(a.running) < a.allow() && a.queue.Len() == 0 {
 		a.run(q)
 		return
 	}
