Queue: serve a tenant that had nothing waiting before the others; Limiter: ignore batches with slow answers

Cause: a tenant below its share waited a whole round of the others; an unannounced cold start within a good batch could still let the limit grow, slow answers raised the usual time, and 4 flat batches were too few for targets that warm over 300 answers. Change: first turn of a fresh tenant comes first (it can't be fresh twice in a round); a batch with an alarm is not usual; learned times are clipped; 6 flat batches.

--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -18,7 +18,7 @@
 	// learnBatches is how many batches in a row must show no faster service before
 	// an unknown usual time is taken from them; relearnBatches is the same for a
 	// target whose known usual time no longer holds.
-	learnBatches   = 4
+	learnBatches   = 6
 	relearnBatches = 16
 	// improvement is the factor under which a batch counts as faster service.
 	improvement = 0.95
@@ -36,7 +36,9 @@
 	answers int
 	sum     time.Duration
 	good    int
-	boot    uint64
+	// slow is true if the alarm was raised in the current batch.
+	slow bool
+	boot uint64
 	// usual survives a cold start: it describes the warm target.
 	usual usualTime
 	alarm slowAlarm
@@ -71,9 +73,13 @@
 	if now-took < l.ignoreBefore {
 		return
 	}
-	if l.grown > 0 && l.alarm.raise(&l.usual, took) {
-		l.cut(now)
-		return
+	if l.alarm.raise(&l.usual, took) {
+		if l.grown > 0 {
+			l.cut(now)
+			return
+		}
+		l.alarm = slowAlarm{}
+		l.slow = true
 	}
 	if !l.Cold() {
 		l.usual.learn(took)
@@ -123,15 +129,17 @@
 // endBatch grows the limit by one if enough batches in a row were usual.
 func (l *Limiter) endBatch() {
 	mean := l.sum / time.Duration(l.answers)
+	slow := l.slow
 	l.answers = 0
 	l.sum = 0
+	l.slow = false
 
 	if l.grown == 0 && l.plateau.reached(mean, l.patience()) {
 		l.usual = l.plateau.usual
 		l.grow()
 		return
 	}
-	if !l.usual.within(mean) {
+	if slow || !l.usual.within(mean) {
 		l.good = 0
 		return
 	}
@@ -161,6 +169,7 @@
 	l.grown = 0
 	l.answers = 0
 	l.sum = 0
+	l.slow = false
 	l.good = 0
 	l.plateau = plateau{}
 	l.alarm = slowAlarm{}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"iter"
 	"slices"
 	"time"
 )
@@ -9,7 +10,9 @@
 const DefaultQueueMax = 64
 
 // Queue holds waiting requests and serves them by deficit round robin over
-// tenants. It is bounded per tenant and by deadline. The zero value is empty.
+// tenants. A tenant that had nothing waiting is served once before the others,
+// so a tenant below its share waits for one free slot and not for a round. It is
+// bounded per tenant and by deadline. The zero value is empty.
 type Queue[T any] struct {
 	// Max is the number of requests that may wait per tenant; zero means
 	// DefaultQueueMax.
@@ -18,7 +21,11 @@
 	Cost func(v T) int
 
 	tenants map[string]*tenantQueue[T]
-	// round lists the tenants with waiting requests; the first one is served next.
+	// fresh lists the tenants in their first turn, which come first; round lists
+	// the others. The first tenant of a list is served next. A tenant whose queue
+	// became empty leaves at its next turn, so it can't be fresh more than once in
+	// a round.
+	fresh   []*tenantQueue[T]
 	round   []*tenantQueue[T]
 	expired []T
 	length  int
@@ -41,13 +48,14 @@
 	t, ok := q.tenants[tenant]
 	if !ok {
 		t = &tenantQueue[T]{
-			name: tenant,
+			name:    tenant,
+			deficit: 1,
 		}
 		if q.tenants == nil {
 			q.tenants = map[string]*tenantQueue[T]{}
 		}
 		q.tenants[tenant] = t
-		q.round = append(q.round, t)
+		q.fresh = append(q.fresh, t)
 	}
 	if len(t.waiting) >= q.max() {
 		return false
@@ -65,17 +73,18 @@
 // Pop removes the request that is served next. Requests whose deadline has
 // passed are skipped; Expired returns them.
 func (q *Queue[T]) Pop(now time.Duration) (T, bool) {
-	for len(q.round) > 0 {
-		t := q.round[0]
+	for len(q.tenants) > 0 {
+		list := q.list()
+		t := (*list)[0]
 		q.expireHead(t, now)
 		if len(t.waiting) == 0 {
-			q.drop(t)
+			q.leave(list)
 			continue
 		}
 		c := q.cost(t.waiting[0].value)
 		if t.deficit < c {
 			t.deficit++
-			q.round = append(q.round[1:], t)
+			q.turn(list)
 			continue
 		}
 
@@ -83,9 +92,6 @@
 		t.deficit -= c
 		t.waiting = slices.Delete(t.waiting, 0, 1)
 		q.length--
-		if len(t.waiting) == 0 {
-			q.drop(t)
-		}
 
 		return v, true
 	}
@@ -97,19 +103,14 @@
 
 // Expired removes and returns the requests whose deadline has passed.
 func (q *Queue[T]) Expired(now time.Duration) []T {
-	for _, t := range slices.Clone(q.round) {
-		t.waiting = slices.DeleteFunc(t.waiting, func(w waiting[T]) bool {
-			if !w.passed(now) {
-				return false
+	for t := range q.all() {
+		q.delete(t, func(w waiting[T]) bool {
+			if w.passed(now) {
+				q.expired = append(q.expired, w.value)
 			}
-			q.expired = append(q.expired, w.value)
-			q.length--
 
-			return true
+			return w.passed(now)
 		})
-		if len(t.waiting) == 0 {
-			q.drop(t)
-		}
 	}
 	e := q.expired
 	q.expired = nil
@@ -119,23 +120,14 @@
 
 // Remove removes all requests that match and returns how many there were.
 func (q *Queue[T]) Remove(match func(T) bool) int {
-	n := 0
-	for _, t := range slices.Clone(q.round) {
-		t.waiting = slices.DeleteFunc(t.waiting, func(w waiting[T]) bool {
-			if !match(w.value) {
-				return false
-			}
-			n++
-
-			return true
+	before := q.length
+	for t := range q.all() {
+		q.delete(t, func(w waiting[T]) bool {
+			return match(w.value)
 		})
-		if len(t.waiting) == 0 {
-			q.drop(t)
-		}
 	}
-	q.length -= n
 
-	return n
+	return before - q.length
 }
 
 // Len returns the number of waiting requests.
@@ -152,14 +144,13 @@
 // WaitOf is Wait for the next request of one tenant: round robin serves at most
 // as many requests of each other tenant before it as that tenant has waiting.
 func (q *Queue[T]) WaitOf(tenant string, slots int, mean time.Duration) time.Duration {
-	own := 1
-	if t, ok := q.tenants[tenant]; ok {
-		own += len(t.waiting)
-	}
-	n := own
-	for _, t := range q.round {
-		if t.name != tenant {
-			n += min(own, len(t.waiting))
+	n := 1
+	if t, ok := q.tenants[tenant]; ok && len(t.waiting) > 0 {
+		n += len(t.waiting)
+		for o := range q.all() {
+			if o != t {
+				n += min(len(t.waiting)+1, len(o.waiting))
+			}
 		}
 	}
 
@@ -192,12 +183,50 @@
 	q.length -= n
 }
 
-// drop forgets a tenant without waiting requests, and its deficit with it.
-func (q *Queue[T]) drop(t *tenantQueue[T]) {
-	delete(q.tenants, t.name)
-	q.round = slices.DeleteFunc(q.round, func(o *tenantQueue[T]) bool {
-		return o == t
-	})
+func (q *Queue[T]) delete(t *tenantQueue[T], match func(waiting[T]) bool) {
+	before := len(t.waiting)
+	t.waiting = slices.DeleteFunc(t.waiting, match)
+	q.length -= before - len(t.waiting)
+}
+
+// all yields the tenants in the order of their turns.
+func (q *Queue[T]) all() iter.Seq[*tenantQueue[T]] {
+	return func(yield func(*tenantQueue[T]) bool) {
+		for _, l := range [][]*tenantQueue[T]{q.fresh, q.round} {
+			for _, t := range l {
+				if !yield(t) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// list is the list whose first tenant is served next.
+func (q *Queue[T]) list() *[]*tenantQueue[T] {
+	if len(q.fresh) > 0 {
+		return &q.fresh
+	}
+
+	return &q.round
+}
+
+// turn ends the turn of the first tenant of a list.
+func (q *Queue[T]) turn(list *[]*tenantQueue[T]) {
+	t := (*list)[0]
+	*list = (*list)[1:]
+	q.round = append(q.round, t)
+}
+
+// leave forgets the first tenant of a list, which has nothing waiting. A fresh
+// tenant goes through a round first.
+func (q *Queue[T]) leave(list *[]*tenantQueue[T]) {
+	if list == &q.fresh {
+		q.turn(list)
+		return
+	}
+	delete(q.tenants, (*list)[0].name)
+	*list = (*list)[1:]
 }
 
 func (w waiting[T]) passed(now time.Duration) bool {
--- a/core/admission/usual.go
+++ b/core/admission/usual.go
@@ -16,6 +16,9 @@
 	// deviationRatio is the standard deviation over the mean absolute deviation of
 	// a normal distribution.
 	deviationRatio = 1.25
+	// clipDeviations is how many standard deviations above the average a service
+	// time is learned at most.
+	clipDeviations = 2.5
 	// withinFactor is how far above the usual mean a cold target's mean may lie.
 	withinFactor = 1.15
 )
@@ -44,7 +47,13 @@
 	return time.Duration(u.average * float64(time.Second))
 }
 
+// learn adds a service time. Times above the usual range are clipped, so that the
+// few answers before an unannounced cold start is noticed don't raise the average.
 func (u *usualTime) learn(took time.Duration) {
+	if d := u.deviations(took); d > clipDeviations {
+		x := u.logAverage + clipDeviations*deviationRatio*max(minDeviation, u.logDeviation)
+		took = time.Duration(math.Exp(x) * float64(time.Second))
+	}
 	u.count = min(u.count+1, usualMinimum)
 	w := max(usualWeight, 1/float64(u.count))
 	x := logarithm(took)
