--- a/ibisfold-standin/load/command.go
+++ b/ibisfold-standin/load/command.go
@@ -49,7 +49,9 @@
 func (*Command) Name() string { return "load" }
 
 // Synopsis describes the subcommand in one line.
-func (*Command) Synopsis() string { return "measure packets a second through an entry and a bare relay" }
+func (*Command) Synopsis() string {
+	return "measure packets a second through an entry and a bare relay"
+}
 
 // Usage describes the subcommand.
 func (*Command) Usage() string {
