--- a/ibisfold-standin/demo/play.go
+++ b/ibisfold-standin/demo/play.go
@@ -54,12 +54,14 @@
 	load, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	done := make(chan struct{})
+	r.result.loadFrom = time.Since(r.start)
 	go func() {
 		r.callers.Run(load)
 		close(done)
 	}()
 	r.steps(ctx)
 
+	r.result.loadTo = time.Since(r.start)
 	stopLoad()
 	<-done
 	stopOpen()
--- a/ibisfold-standin/demo/report.go
+++ b/ibisfold-standin/demo/report.go
@@ -24,8 +24,11 @@
 }
 
 type result struct {
-	ticket  time.Duration
-	zoneOut map[string]*outage
+	// loadFrom and loadTo are the bounds of the load.
+	loadFrom time.Duration
+	loadTo   time.Duration
+	ticket   time.Duration
+	zoneOut  map[string]*outage
 }
 
 // zoneOutTime is the longest time for which a zone that is out got packets.
@@ -116,7 +119,7 @@
 				usage = append(usage, t.Usage())
 			}
 		}
-		windows := target.Imbalance(usage)
+		windows := target.Imbalance(usage, r.result.loadFrom, r.result.loadTo)
 		fmt.Printf("Imbalance of %s by window of %v: %.2f\n", s.Name, target.Window, windows)
 		for _, x := range windows {
 			highest = max(highest, x)
