Make callers confirm an opened flow, and describe flows that broke

An agent forgets a flow whose token is not used within 5 s, because a repeated Open may have reached a second agent.

--- a/ibisfold-standin/callers/callers.go
+++ b/ibisfold-standin/callers/callers.go
@@ -130,7 +130,7 @@
 	for ctx.Err() == nil {
 		f := newFlow(g.newID(), g.load, o, g.stats, s)
 		if !f.connect(ctx) {
-			f.end(nil)
+			f.end(causeNone, 0)
 			continue
 		}
 		g.set(i, f)
--- a/ibisfold-standin/callers/callers_test.go
+++ b/ibisfold-standin/callers/callers_test.go
@@ -229,6 +229,8 @@
 					}
 
 					return []packet.Packet{opened()}
+				case packet.KeepAlive:
+					return []packet.Packet{{Kind: packet.KeepAlive}}
 				case packet.Request:
 					return c.request(p, n)
 				case packet.Close:
@@ -253,6 +255,8 @@
 		switch p.Kind {
 		case packet.Open:
 			return []packet.Packet{opened(), {Kind: packet.Opened, Token: second}}
+		case packet.KeepAlive:
+			return []packet.Packet{{Kind: packet.KeepAlive}}
 		case packet.Close:
 			mu.Lock()
 			defer mu.Unlock()
--- a/ibisfold-standin/callers/flow.go
+++ b/ibisfold-standin/callers/flow.go
@@ -36,13 +36,16 @@
 	token packet.Token
 	// adopted is the time at which token was adopted.
 	adopted time.Time
+	// began is the time at which the flow was opened.
+	began time.Time
+	// open is set when the owner has answered under the token.
 	open    bool
 	closing bool
 	next    uint64
 	silent  int
 	waiting map[uint64]chan packet.Packet
 
-	// answer receives Opened, Refused of Open, and Closed.
+	// answer receives Opened, Refused of Open, and the first KeepAlive.
 	answer chan packet.Packet
 	// ended is closed when the flow is over.
 	ended chan struct{}
@@ -85,11 +88,18 @@
 	}
 }
 
-// connect sends Open until the flow is open. It returns false when ctx is done
+// connect opens the flow. The owner forgets a flow whose token is never used,
+// because a repeated Open may have reached a second agent; so the caller sends
+// KeepAlive until the owner has answered one. It returns false when ctx is done
 // or when the flow was reset before it was open.
 func (f *flow) connect(ctx context.Context) bool {
+	return f.ask(ctx, packet.Open, packet.Opened) && f.ask(ctx, packet.KeepAlive, packet.KeepAlive)
+}
+
+// ask sends a packet until an answer of another kind arrives.
+func (f *flow) ask(ctx context.Context, kind, answer packet.Kind) bool {
 	for attempt := uint32(0); ; attempt++ {
-		p := f.packet(packet.Open)
+		p := f.packet(kind)
 		p.Attempt = attempt
 		f.socket.send(&p)
 
@@ -100,10 +110,10 @@
 		case <-f.ended:
 			return false
 		case a := <-f.answer:
-			if a.Kind == packet.Opened {
+			if a.Kind == answer {
 				return true
 			}
-			if !sleep(ctx, max(leastRetry, a.RetryAfter)) {
+			if a.Kind == packet.Refused && !sleep(ctx, max(leastRetry, a.RetryAfter)) {
 				return false
 			}
 		case <-wait.C:
@@ -149,7 +159,7 @@
 	f.closing = true
 	f.mu.Unlock()
 	if !open || !f.isOpen() {
-		f.end(nil)
+		f.end(causeNone, 0)
 		return
 	}
 
@@ -179,8 +189,11 @@
 		f.closed()
 	case packet.Reset:
 		f.reset(p)
-	case packet.Moved, packet.KeepAlive:
+	case packet.Moved:
 		f.adopt(p)
+	case packet.KeepAlive:
+		f.adopt(p)
+		f.established()
 	case packet.Answer, packet.Refused:
 		f.adopt(p)
 		f.deliver(p)
@@ -191,20 +204,36 @@
 // another agent, whose flow is left alone.
 func (f *flow) opened(p *packet.Packet) {
 	f.mu.Lock()
-	first := !f.open
+	first := f.token.IsZero()
 	if first {
-		f.open = true
 		f.token = p.Token
 		f.adopted = time.Now()
 	}
 	f.mu.Unlock()
 
 	if first {
-		f.stats.count(func(c *Counts) { c.Flows++ })
 		f.tell(p)
 	}
 }
 
+// established counts the flow when its owner has answered under its token.
+func (f *flow) established() {
+	f.mu.Lock()
+	first := !f.open && !f.token.IsZero()
+	if first {
+		f.open = true
+		f.began = time.Now()
+	}
+	f.mu.Unlock()
+
+	if first {
+		f.stats.count(func(c *Counts) { c.Flows++ })
+		f.tell(&packet.Packet{
+			Kind: packet.KeepAlive,
+		})
+	}
+}
+
 func (f *flow) tell(p *packet.Packet) {
 	select {
 	case f.answer <- *p:
@@ -218,7 +247,7 @@
 	f.mu.Unlock()
 
 	if closing {
-		f.end(nil)
+		f.end(causeNone, 0)
 	}
 }
 
@@ -227,7 +256,7 @@
 	defer f.mu.Unlock()
 
 	f.silent = 0
-	if p.Token.IsZero() || !f.open || p.Token == f.token {
+	if p.Token.IsZero() || f.token.IsZero() || p.Token == f.token {
 		return
 	}
 	if p.Token.Agent != f.token.Agent {
@@ -273,38 +302,55 @@
 		return
 	}
 	if !open {
-		f.end(nil)
+		f.end(causeNone, 0)
 		return
 	}
-	f.end(func(c *Counts) { c.Broken++ })
+	f.end(causeReset, p.Request)
 }
 
 func (f *flow) endSilent() {
-	f.end(func(c *Counts) {
-		c.Broken++
-		c.Silent++
-	})
+	f.end(causeSilent, 0)
 }
 
-// end ends the flow once. A flow whose zone was taken out is given up;
-// otherwise fault counts why it ended. A flow that was closed has no fault.
-func (f *flow) end(fault func(c *Counts)) {
-	f.once.Do(func() {
-		f.mu.Lock()
-		zone, adopted := f.token.Zone, f.adopted
-		f.mu.Unlock()
+// Causes of the end of a flow.
+const (
+	causeNone   = ""
+	causeReset  = "reset"
+	causeSilent = "silent"
+)
 
-		if fault != nil {
-			if f.zones.wasOut(zone, adopted) {
-				fault = func(c *Counts) { c.GivenUp++ }
-			}
-			f.stats.count(fault)
+// end ends the flow once. A flow that ends for a cause is given up if its zone
+// was taken out, and broken otherwise.
+func (f *flow) end(cause string, request uint64) {
+	f.once.Do(func() {
+		if cause != causeNone {
+			f.countEnd(cause, request)
 		}
 		close(f.ended)
 		f.socket.remove(f.id)
 	})
 }
 
+func (f *flow) countEnd(cause string, request uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.zones.wasOut(f.token.Zone, f.adopted) {
+		f.stats.count(func(c *Counts) { c.GivenUp++ })
+		return
+	}
+	f.stats.fault(Fault{
+		At:      time.Now(),
+		Flow:    f.id,
+		Cause:   cause,
+		Agent:   f.token.Agent,
+		Zone:    f.token.Zone,
+		Opened:  f.began,
+		Adopted: f.adopted,
+		Request: request,
+	})
+}
+
 // service is the identity that answers must carry.
 func (f *flow) service() uint64 {
 	return ticket.ID(f.load.Service)
--- a/ibisfold-standin/callers/request.go
+++ b/ibisfold-standin/callers/request.go
@@ -112,7 +112,7 @@
 	limit := time.NewTimer(time.Until(end))
 	defer limit.Stop()
 	for attempt := uint32(0); ; attempt++ {
-		f.ask(request, attempt, a, end)
+		f.sendRequest(request, attempt, a, end)
 		repeat := time.NewTimer(repeatAfter(attempt))
 		o, over := f.await(ctx, c, repeat.C, limit.C, parts)
 		repeat.Stop()
@@ -123,7 +123,7 @@
 	}
 }
 
-func (f *flow) ask(request uint64, attempt uint32, a Arrival, end time.Time) {
+func (f *flow) sendRequest(request uint64, attempt uint32, a Arrival, end time.Time) {
 	ask := echo.Ask{
 		Service: f.service(),
 		Parts:   a.Parts,
--- a/ibisfold-standin/callers/stats.go
+++ b/ibisfold-standin/callers/stats.go
@@ -1,6 +1,8 @@
 package callers
 
 import (
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +26,26 @@
 	// refused holds the requests that were refused as not run.
 	refused []target.Run
 	latency *hdrhistogram.Histogram
+	faults  []Fault
+}
+
+// maxFaults bounds the faults that are kept.
+const maxFaults = 2000
+
+// Fault describes a flow that broke.
+type Fault struct {
+	At   time.Time
+	Flow uint64
+	// Cause is "reset" or "silent".
+	Cause string
+	// Agent and Zone are those of the flow's token, Adopted the time of that token.
+	Agent   netip.AddrPort
+	Zone    uint64
+	Adopted time.Time
+	// Opened is the time at which the flow was opened.
+	Opened time.Time
+	// Request is the number in the packet that ended the flow, or zero.
+	Request uint64
 }
 
 // Counts are the outcomes of flows and requests.
@@ -100,6 +122,27 @@
 	return n
 }
 
+// Faults returns the first flows that broke.
+func (s *Stats) Faults() []Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.Clone(s.faults)
+}
+
+func (s *Stats) fault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.counts.Broken++
+	if f.Cause == causeSilent {
+		s.counts.Silent++
+	}
+	if len(s.faults) < maxFaults {
+		s.faults = append(s.faults, f)
+	}
+}
+
 func (s *Stats) count(f func(c *Counts)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/ibisfold-standin/demo/report.go
+++ b/ibisfold-standin/demo/report.go
@@ -6,6 +6,7 @@
 	"text/tabwriter"
 	"time"
 
+	"ibisfold.example/core/ticket"
 	"ibisfold.example/ibisfold-standin/target"
 )
 
@@ -49,6 +50,7 @@
 func (r *run) report() error {
 	r.printServices()
 	r.printTargets()
+	r.printFaults()
 	imbalance := r.printImbalance()
 
 	c := r.callers.Total()
@@ -73,6 +75,25 @@
 	return nil
 }
 
+// shownFaults is the number of broken flows of a service that are printed.
+const shownFaults = 8
+
+// printFaults prints the first broken flows of each service.
+func (r *run) printFaults() {
+	zones := map[uint64]string{}
+	for _, z := range r.site.start.Zones {
+		zones[ticket.ID(z.Name)] = z.Name
+	}
+	for i, s := range r.site.start.Services {
+		faults := r.callers.Stats(i).Faults()
+		for _, f := range faults[:min(len(faults), shownFaults)] {
+			fmt.Printf("%6.2fs  flow %016x of %s broke: %s for request %d, owner %v in %s, opened at %.2fs, token of %.2fs\n",
+				f.At.Sub(r.start).Seconds(), f.Flow, s.Name, f.Cause, f.Request, f.Agent, zones[f.Zone],
+				f.Opened.Sub(r.start).Seconds(), f.Adopted.Sub(r.start).Seconds())
+		}
+	}
+}
+
 func table() *tabwriter.Writer {
 	const gap = 2
 
