Count a flow as silent only after 15 s without any packet

Two requests that arrived together and missed their deadline of 5 s ended the flow, so that a process that paused for 6 s counted as broken flows although it answers afterwards (trial with SIGSTOP).

--- a/ibisfold-standin/callers/flow.go
+++ b/ibisfold-standin/callers/flow.go
@@ -19,9 +19,10 @@
 	keepAlive = 10 * time.Second
 	// closeTime is how long a flow asks for Closed before it counts as silent.
 	closeTime = 5 * time.Second
-	// silentAfter is the number of requests in a row without any answer after
-	// which a flow counts as silent.
-	silentAfter = 2
+	// silentTime is how long a flow may hear nothing while requests go without
+	// answer before it counts as silent. It is above the pauses of 10 s that a
+	// process may make.
+	silentTime = 15 * time.Second
 )
 
 // flow is one flow of a caller.
@@ -42,7 +43,8 @@
 	open    bool
 	closing bool
 	next    uint64
-	silent  int
+	// heard is the time of the last packet.
+	heard   time.Time
 	waiting map[uint64]chan packet.Packet
 
 	// answer receives Opened, Refused of Open, and the first KeepAlive.
@@ -255,7 +257,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	f.silent = 0
+	f.heard = time.Now()
 	if p.Token.IsZero() || f.token.IsZero() || p.Token == f.token {
 		return
 	}
