Keep reader election stable and tickets from being sent twice

Cause: beats of dead readers went round for ever, all nodes of a starting zone read at once, and tickets that were given by several peers at a time used up the byte budget of a node that was behind.

Change: a zone passes on six candidates, a reader waits until they are stable, and only the peer of an exchange that the node opened gives it tickets.

--- a/core/mesh/budget.go
+++ b/core/mesh/budget.go
@@ -15,8 +15,12 @@
 	// bulkReserve is left in the bucket by bulk transfers, in bytes, so that a
 	// zone-out ticket is never kept back: it costs three rounds of six pushes.
 	bulkReserve = 4096
+	// maxDebt is two seconds of BudgetRate, in bytes.
+	maxDebt = 2 * BudgetRate
 	// maxQueue bounds the messages that wait for the budget.
 	maxQueue = 128
+	// queueFor is when a queued message is dropped: exchanges repair it by then.
+	queueFor = 2 * time.Second
 )
 
 // class orders messages by urgency.
@@ -34,7 +38,17 @@
 type budget struct {
 	tokens float64
 	at     time.Duration
-	queue  []Send
+	queue  []queued
+}
+
+type queued struct {
+	send    Send
+	expires time.Duration
+}
+
+// room returns the number of bytes that bulk transfers may use now.
+func (b *budget) room() int {
+	return max(0, int(b.tokens)-bulkReserve)
 }
 
 func (b *budget) refill(now time.Duration) {
@@ -46,7 +60,7 @@
 // spend takes n bytes. Debt is bounded, so that a flood of received bytes
 // can't silence a node for long.
 func (b *budget) spend(n int) {
-	b.tokens = max(b.tokens-float64(n), -BudgetBurst)
+	b.tokens = max(b.tokens-float64(n), -maxDebt)
 }
 
 // allows reports whether n bytes of a class may be spent now.
@@ -85,7 +99,10 @@
 
 		return false
 	}
-	c.budget.queue = append(c.budget.queue, s)
+	c.budget.queue = append(c.budget.queue, queued{
+		send:    s,
+		expires: c.now + queueFor,
+	})
 
 	return true
 }
@@ -100,15 +117,17 @@
 
 // flush sends queued messages as far as the budget allows.
 func (c *Core) flush() {
-	i := 0
-	for ; i < len(c.budget.queue); i++ {
-		s := c.budget.queue[i]
-		if !c.budget.allows(classSmall, s.Body.Bytes()) {
-			break
+	rest := c.budget.queue[:0]
+	for _, q := range c.budget.queue {
+		switch {
+		case c.now >= q.expires:
+			c.counters.QueueDropped++
+		case len(rest) == 0 && c.budget.allows(classSmall, q.send.Body.Bytes()):
+			c.emit(q.send)
+		default:
+			rest = append(rest, q)
 		}
-		c.emit(s)
-	}
-	if i > 0 {
-		c.budget.queue = append([]Send(nil), c.budget.queue[i:]...)
 	}
+	clear(c.budget.queue[len(rest):])
+	c.budget.queue = rest
 }
--- a/core/mesh/core.go
+++ b/core/mesh/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -125,7 +124,7 @@
 	case DigestAck:
 		c.onDigestAck(m.From, b)
 	case Summary:
-		c.onParts(m.From, b.Parts)
+		c.onParts(m.From, b.Parts, int(b.Room))
 	case Fetch:
 		c.onFetch(m.From, b)
 	case Announce:
@@ -180,7 +179,3 @@
 func (c *Core) jitter(d time.Duration) time.Duration {
 	return d + time.Duration((c.random.Float64()-0.5)*0.2*float64(d))
 }
-
-func contains(s []netip.AddrPort, a netip.AddrPort) bool {
-	return slices.Contains(s, a)
-}
--- a/core/mesh/exchange.go
+++ b/core/mesh/exchange.go
@@ -13,6 +13,9 @@
 	exchangeEvery = 900 * time.Millisecond
 	// syncEvery is used while the own state differs from the last peer's.
 	syncEvery = 300 * time.Millisecond
+	// syncBytes is the room that both sides must have to look for differences,
+	// so that the search doesn't use up what the missing tickets need.
+	syncBytes = 2048
 	// retryAfter is when another peer is tried; an answer may still come.
 	retryAfter = 250 * time.Millisecond
 	// forgetAfter is when an exchange counts as unanswered.
@@ -23,6 +26,12 @@
 	maxSingle = 2
 	// maxRetries is the number of tries after which the pace is slow again.
 	maxRetries = 20
+	// sampleOneIn is the share of answers that pass on a peer.
+	sampleOneIn = 2
+	// sparsePeers is the size of the view below which a node asks for peers.
+	sparsePeers = MaxPeers / 2
+	// hurriedExchanges spread a series of tickets.
+	hurriedExchanges = 4
 	// unconfirmedEvery is used while neither side has a confirmed view.
 	unconfirmedEvery = 500 * time.Millisecond
 )
@@ -37,6 +46,14 @@
 	open    []openExchange
 	next    time.Duration
 	retries int
+	// hurried is the number of exchanges that are held at the pace of syncEvery.
+	hurried int
+}
+
+// hurry makes the next exchanges follow soon, because they have news to spread.
+func (c *Core) hurry() {
+	c.exchange.hurried = hurriedExchanges
+	c.exchange.next = min(c.exchange.next, c.now+c.jitter(syncEvery))
 }
 
 func (c *Core) exchangeTick() {
@@ -109,6 +126,8 @@
 	c.send(classControl, a, Digest{
 		Nonce:  o.nonce,
 		Status: c.status(a),
+		Room:   uint32(c.budget.room()),
+		Sparse: len(c.view.peers) < sparsePeers,
 	})
 }
 
@@ -118,11 +137,10 @@
 		Self:      c.options.Self,
 		State:     c.state.Digest(),
 		Confirmed: c.confirmed() && !c.confirm.cutOff,
-		Sample:    c.sample(1),
 		Rumours:   c.rumours.take(c),
 	}
 	if p := c.view.find(to); p == nil || c.own(p.node) {
-		s.Beats = c.beats()
+		s.Beats = c.someBeats(1)
 	}
 
 	return s
@@ -152,13 +170,31 @@
 		Nonce:  m.Nonce,
 		Status: c.status(from),
 	}
+	if len(ack.Status.Beats) > 0 {
+		ack.Status.Beats = c.someBeats(MaxBeats)
+	}
+	switch {
+	case m.Sparse:
+		ack.Status.Sample = c.sample(MaxSample)
+	case c.random.IntN(sampleOneIn) == 0:
+		ack.Status.Sample = c.sample(1)
+	}
 	differs := !sameState(m.Status.State, ack.Status.State)
-	if differs {
+	if differs && m.Room >= syncBytes && c.budget.room() >= syncBytes {
 		ack.Parts = c.summary()
 	}
 	c.send(classControl, from, ack)
 	if differs {
-		c.ahead(from, m.Status.State.Highest)
+		c.urge(from, m.Status.State.Highest)
+		c.turn(from, m.Status.State.Highest)
+	}
+}
+
+// turn opens an exchange with a node that has a newer ticket: tickets are only
+// given to the side that opened an exchange, so that a node gets each one once.
+func (c *Core) turn(from netip.AddrPort, highest uint64) {
+	if highest > c.state.Highest() && c.budget.room() >= syncBytes && !c.exchange.has(from) {
+		c.openWith(from)
 	}
 }
 
@@ -179,7 +215,7 @@
 	level := equal
 	if !equal {
 		c.counters.Differences++
-		level = c.onParts(from, m.Parts)
+		level = c.onParts(from, m.Parts, 0)
 	}
 	c.answer(o.started, m.Status.Confirmed, equal, level)
 	c.schedule(o.started, equal, m.Status)
@@ -192,7 +228,8 @@
 	behind := !equal && (c.empty() || s.State.Highest > c.state.Highest() || !c.confirm.synced)
 	e.retries = 0
 	switch {
-	case behind:
+	case (behind || e.hurried > 0) && c.budget.room() > syncBytes:
+		e.hurried = max(0, e.hurried-1)
 		e.next = c.now + c.jitter(syncEvery)
 	case !s.Confirmed && !c.confirmed():
 		e.next = c.now + c.jitter(unconfirmedEvery)
--- a/core/mesh/fetch.go
+++ b/core/mesh/fetch.go
@@ -23,6 +23,8 @@
 	// askedFor is how long a small ticket is not asked for again.
 	askedFor = 500 * time.Millisecond
 	maxAsked = 1024
+	// askedBytes is about the cost of a small ticket.
+	askedBytes = 256
 )
 
 type source struct {
@@ -73,7 +75,7 @@
 
 	ask := []ticket.Version{}
 	for _, v := range want {
-		if c.now < f.asked[v] || len(ask) >= MaxItems {
+		if c.now < f.asked[v] || len(ask) >= MaxItems || !c.budget.allows(classBulk, (len(ask)+1)*askedBytes) {
 			continue
 		}
 		f.asked[v] = c.now + askedFor
@@ -194,11 +196,10 @@
 
 // advanceTransfer asks for the next chunks as far as window and budget allow.
 func (c *Core) advanceTransfer(t *transfer) {
-	open := 0
-	for i := range t.chunks {
-		if t.chunks[i].data == nil && t.chunks[i].expires > 0 {
-			open++
-		}
+	open := t.open()
+	expected := 0
+	for _, o := range c.fetch.transfers {
+		expected += o.open()
 	}
 	// Chunks are asked for in random order, so that nodes that fetch the same
 	// ticket do not all depend on the same chunk of one source.
@@ -208,12 +209,13 @@
 			continue
 		}
 		a, ok := c.chooseSource(t)
-		if open >= window || !ok || !c.budget.allows(classBulk, (open+1)*(ChunkBytes+headerBytes)) {
+		if open >= window || !ok || !c.budget.allows(classBulk, (expected+1)*(ChunkBytes+headerBytes)) {
 			return
 		}
 		k.asked = a
 		k.expires = c.now + chunkTimeout
 		open++
+		expected++
 		c.send(classSmall, a, ChunkRequest{
 			Version: t.version,
 			Index:   uint32(i),
@@ -221,6 +223,18 @@
 	}
 }
 
+// open returns the number of chunks that were asked for and are to come.
+func (t *transfer) open() int {
+	n := 0
+	for i := range t.chunks {
+		if t.chunks[i].data == nil && t.chunks[i].expires > 0 {
+			n++
+		}
+	}
+
+	return n
+}
+
 // chooseSource returns a random source that isn't busy.
 func (c *Core) chooseSource(t *transfer) (netip.AddrPort, bool) {
 	ready := []netip.AddrPort{}
--- a/core/mesh/index.go
+++ b/core/mesh/index.go
@@ -110,12 +110,12 @@
 	}
 
 	top := hi - listItems
-	cut := x.versions[top]
+	cut := x.boundary(top)
 	parts = append(parts, x.list(top, hi, cut, to))
 	step := (top - lo + splits - 2) / (splits - 1)
 	for top > lo {
 		next := max(lo, top-step)
-		first := x.versions[next]
+		first := x.boundary(next)
 		if next == lo {
 			first = from
 		}
@@ -132,6 +132,17 @@
 	return parts
 }
 
+// boundary returns a version that separates position i from the one before,
+// without a hash if the numbers suffice, which is shorter on the wire.
+func (x *index) boundary(i int) ticket.Version {
+	v := x.versions[i]
+	if i == 0 || x.versions[i-1].Number < v.Number {
+		v.Hash = 0
+	}
+
+	return v
+}
+
 func (x *index) list(lo, hi int, from, to ticket.Version) Part {
 	return Part{
 		From:  from,
--- a/core/mesh/readers.go
+++ b/core/mesh/readers.go
@@ -14,12 +14,21 @@
 	readersPerZone = 3
 	// beatEvery is the time between two beats of a reader.
 	beatEvery = time.Second
-	// readerSilence is when a reader without a new beat counts as gone, and
-	// when a node that has heard of no reader may read on its own.
-	readerSilence = 10 * time.Second
-	// electAfter is how long a new node listens before it thinks itself a
-	// reader, so that a starting zone doesn't read all at once.
-	electAfter = 2 * time.Second
+	// candidatesPerZone is the number of nodes whose beats a zone passes on.
+	// The next ones are known when a reader dies, so that only one takes over.
+	candidatesPerZone = 6
+	// readerSilence is when a reader without a new beat counts as gone. Gossip
+	// takes about 20 s to pass a beat to all nodes of a zone of 500.
+	readerSilence = 45 * time.Second
+	// unheardFor is when a node that has heard of no reader may read on its own.
+	unheardFor = 10 * time.Second
+	// electAfter is how long the known candidates must stay the same before a
+	// node thinks itself a reader, so that a starting zone doesn't read all at once.
+	electAfter = 3 * time.Second
+	// settleAfter is when a reader is certain enough for long blocking queries,
+	// which can't be withdrawn; before that it uses short ones.
+	settleAfter = 15 * time.Second
+	shortWait   = 5 * time.Second
 	// ConfigWait is how long a reader's blocking query waits.
 	ConfigWait = 60 * time.Second
 	// fallbackEvery bounds the reads of a node that isn't a reader.
@@ -28,9 +37,11 @@
 	readGap = 500 * time.Millisecond
 	// readTimeout is when a read without an answer is given up.
 	readTimeout = ConfigWait + 15*time.Second
-	minBackoff  = time.Second
-	maxBackoff  = 30 * time.Second
-	listVMs     = 30 * time.Second
+	// maxGone bounds the remembered readers that fell silent.
+	maxGone    = 32
+	minBackoff = time.Second
+	maxBackoff = 30 * time.Second
+	listEvery  = 30 * time.Second
 )
 
 type beatEntry struct {
@@ -41,7 +52,11 @@
 
 type readers struct {
 	// known are the best readers of the own zone by rank, without this node.
-	known    []beatEntry
+	known []beatEntry
+	// gone are the last beats of readers that fell silent.
+	gone     []Beat
+	turn     int
+	before   [readersPerZone]netip.AddrPort
 	elected  time.Duration
 	lastSeen time.Duration
 	nextPoll time.Duration
@@ -53,17 +68,18 @@
 	waited   bool
 	failures int
 	nextList time.Duration
-	// candidate tells that this node is among the first of its zone, reader
-	// that it has been long enough to act on it.
+	// candidate tells that this node is among the first candidatesPerZone,
+	// reader that it is among the first readersPerZone.
 	candidate bool
 	reader    bool
+	since     time.Duration
 }
 
 func (r *readers) start(c *Core) {
-	r.elected = c.now + electAfter + time.Duration(c.random.Int64N(int64(time.Second)))
+	r.elected = c.now + electAfter
 	r.lastSeen = c.now
 	r.nextList = c.now
-	r.nextPoll = c.now + readerSilence + time.Duration(c.random.Int64N(int64(readerSilence)))
+	r.nextPoll = c.now + unheardFor + time.Duration(c.random.Int64N(int64(unheardFor)))
 }
 
 // rank is the node's rendezvous hash in its zone; the highest ones read.
@@ -88,7 +104,21 @@
 	slices.SortFunc(r.known, func(a, b beatEntry) int {
 		return cmp.Or(cmp.Compare(b.rank, a.rank), a.beat.Addr.Compare(b.beat.Addr))
 	})
-	r.known = r.known[:min(len(r.known), readersPerZone)]
+	r.known = r.known[:min(len(r.known), candidatesPerZone)]
+	if best := r.best(); best != r.before {
+		r.before = best
+		r.elected = max(r.elected, c.now+electAfter)
+	}
+}
+
+// best returns the addresses of the best known candidates.
+func (r *readers) best() [readersPerZone]netip.AddrPort {
+	var best [readersPerZone]netip.AddrPort
+	for i := range min(len(r.known), readersPerZone) {
+		best[i] = r.known[i].beat.Addr
+	}
+
+	return best
 }
 
 func (r *readers) hearOne(c *Core, b Beat) {
@@ -97,6 +127,10 @@
 		rank:  rank(c.options.Self.Zone, b.Addr),
 		fresh: c.now,
 	}
+	// Old beats of a reader that is gone still go round for a while.
+	if slices.ContainsFunc(r.gone, func(g Beat) bool { return g.Addr == b.Addr && !b.newer(g) }) {
+		return
+	}
 	i := slices.IndexFunc(r.known, func(k beatEntry) bool { return k.beat.Addr == b.Addr })
 	if i < 0 {
 		r.known = append(r.known, e)
@@ -104,14 +138,29 @@
 
 		return
 	}
-	old := r.known[i].beat
-	if cmp.Or(cmp.Compare(b.Incarnation, old.Incarnation), cmp.Compare(b.Count, old.Count)) > 0 {
+	if b.newer(r.known[i].beat) {
 		r.known[i] = e
 		r.lastSeen = c.now
 	}
 }
 
-// beats returns the best readers that this node knows, itself included.
+func (b Beat) newer(o Beat) bool {
+	return cmp.Or(cmp.Compare(b.Incarnation, o.Incarnation), cmp.Compare(b.Count, o.Count)) > 0
+}
+
+// someBeats returns n beats of the best candidates that this node knows, in turn.
+func (c *Core) someBeats(n int) []Beat {
+	all := c.beats()
+	beats := []Beat{}
+	for range min(n, len(all)) {
+		c.readers.turn++
+		beats = append(beats, all[c.readers.turn%len(all)])
+	}
+
+	return beats
+}
+
+// beats returns the best candidates that this node knows, itself included.
 func (c *Core) beats() []Beat {
 	beats := []Beat{}
 	if c.readers.candidate {
@@ -122,7 +171,7 @@
 		})
 	}
 	for _, k := range c.readers.known {
-		if len(beats) < MaxBeats {
+		if len(beats) < candidatesPerZone {
 			beats = append(beats, k.beat)
 		}
 	}
@@ -132,12 +181,10 @@
 
 func (c *Core) readerTick() {
 	r := &c.readers
-	r.known = slices.DeleteFunc(r.known, func(k beatEntry) bool {
-		return c.now-k.fresh > readerSilence
-	})
+	r.expire(c.now)
 	c.elect()
 	if c.now >= r.nextList {
-		r.nextList = c.now + c.jitter(listVMs)
+		r.nextList = c.now + c.jitter(listEvery)
 		c.out = append(c.out, ListVMs{})
 	}
 	if r.reading && c.now-r.asked > readTimeout {
@@ -148,6 +195,21 @@
 	}
 }
 
+// expire forgets readers that are silent.
+func (r *readers) expire(now time.Duration) {
+	r.known = slices.DeleteFunc(r.known, func(k beatEntry) bool {
+		if now-k.fresh <= readerSilence {
+			return false
+		}
+		if len(r.gone) >= maxGone {
+			r.gone = slices.Delete(r.gone, 0, 1)
+		}
+		r.gone = append(r.gone, k.beat)
+
+		return true
+	})
+}
+
 // elect decides whether this node is among the first of its zone.
 func (c *Core) elect() {
 	r := &c.readers
@@ -159,9 +221,10 @@
 		}
 	}
 	was := r.reader
-	r.candidate = better < readersPerZone
-	r.reader = r.candidate && c.now >= r.elected
+	r.candidate = better < candidatesPerZone
+	r.reader = better < readersPerZone && c.now >= r.elected
 	if r.reader && !was {
+		r.since = c.now
 		r.nextRead = c.now
 	}
 }
@@ -176,7 +239,7 @@
 		return
 	}
 	r.waited = false
-	if c.now-r.lastSeen >= readerSilence && c.now >= r.nextPoll {
+	if c.now-r.lastSeen >= unheardFor && c.now >= r.nextPoll {
 		c.read(false)
 	}
 }
@@ -185,10 +248,13 @@
 	r := &c.readers
 	r.reading = true
 	r.asked = c.now
-	r.nextPoll = c.now + fallbackEvery + time.Duration(c.random.Int64N(int64(readerSilence)))
+	r.nextPoll = c.now + fallbackEvery + time.Duration(c.random.Int64N(int64(unheardFor)))
 	m := ReadConfig{}
-	if wait {
+	switch {
+	case wait && c.now-r.since >= settleAfter:
 		m.Wait = ConfigWait
+	case wait:
+		m.Wait = shortWait
 	}
 	c.out = append(c.out, m)
 }
--- a/core/mesh/size.go
+++ b/core/mesh/size.go
@@ -1,31 +1,81 @@
 package mesh
 
-// Sizes on the wire in bytes. They are upper bounds of what package peer
+import (
+	"math/bits"
+	"net/netip"
+
+	"ibisfold.example/core/ticket"
+)
+
+// Sizes on the wire in bytes. They are close upper bounds of what package peer
 // encodes, because the core must account for bytes without the codec.
 const (
-	// headerBytes is IPv4, UDP, first byte, key identifier, MAC and kind.
-	headerBytes  = 20 + 8 + 11
-	versionBytes = 18
-	digestBytes  = 29
-	beatBytes    = 27
-	rumourBytes  = 28
-	partBytes    = 4 + 2*versionBytes + 16
+	// headerBytes is IPv4, UDP, first byte, key identifier, MAC, kind and length.
+	headerBytes = 20 + 8 + 13
+	fixedBytes  = 9
 )
 
+// varintBytes is the length of a tag and a varint; zero is left out.
+func varintBytes(v uint64) int {
+	if v == 0 {
+		return 0
+	}
+
+	return 1 + (bits.Len64(v)+6)/7
+}
+
+func addrBytes(a netip.AddrPort) int {
+	if a.Addr().Is4() {
+		return 8
+	}
+
+	return 20
+}
+
 func nodeBytes(n Node) int {
-	return 26 + len(n.Zone)
+	return 6 + addrBytes(n.Addr) + len(n.Zone) + fixedBytes
+}
+
+func versionBytes(v ticket.Version) int {
+	n := 2 + varintBytes(v.Number)
+	if v.Hash != 0 {
+		n += fixedBytes
+	}
+
+	return n
+}
+
+func versionsBytes(versions []ticket.Version) int {
+	n := 0
+	for _, v := range versions {
+		n += versionBytes(v)
+	}
+
+	return n
 }
 
 func (s Status) bytes() int {
-	n := 4 + nodeBytes(s.Self) + digestBytes
+	n := 4 + nodeBytes(s.Self) + varintBytes(s.State.Floor) + varintBytes(s.State.Highest) + fixedBytes + 2
 	for _, v := range s.Sample {
 		n += nodeBytes(v)
 	}
+	for _, v := range s.Beats {
+		n += 2 + addrBytes(v.Addr) + fixedBytes + varintBytes(v.Count)
+	}
+
+	return n + rumoursBytes(s.Rumours)
+}
+
+func rumoursBytes(rumours []Rumour) int {
+	n := 0
+	for _, r := range rumours {
+		n += 2 + 2*fixedBytes + varintBytes(uint64(r.Change)) + varintBytes(uint64(r.Age))
+	}
 
-	return n + beatBytes*len(s.Beats) + rumourBytes*len(s.Rumours)
+	return n
 }
 
-func sizeOfParts(parts []Part) int {
+func partsBytes(parts []Part) int {
 	n := 0
 	for _, p := range parts {
 		n += p.bytes()
@@ -35,37 +85,52 @@
 }
 
 func (p Part) bytes() int {
-	return partBytes + versionBytes*len(p.Items)
+	n := 3 + versionBytes(p.From) + versionBytes(p.To) + varintBytes(uint64(p.Count)) + fixedBytes + 2
+
+	return n + versionsBytes(p.Items)
 }
 
 // Bytes returns the length of the message with all headers.
-func (m Digest) Bytes() int { return headerBytes + 9 + m.Status.bytes() }
+func (m Digest) Bytes() int {
+	return headerBytes + fixedBytes + m.Status.bytes() + varintBytes(uint64(m.Room)) + 2
+}
 
 // Bytes returns the length of the message with all headers.
 func (m DigestAck) Bytes() int {
-	return headerBytes + 9 + m.Status.bytes() + sizeOfParts(m.Parts)
+	return headerBytes + fixedBytes + m.Status.bytes() + partsBytes(m.Parts)
 }
 
 // Bytes returns the length of the message with all headers.
-func (m Summary) Bytes() int { return headerBytes + sizeOfParts(m.Parts) }
+func (m Summary) Bytes() int {
+	return headerBytes + partsBytes(m.Parts) + varintBytes(uint64(m.Room))
+}
 
 // Bytes returns the length of the message with all headers.
-func (m Fetch) Bytes() int { return headerBytes + versionBytes*len(m.Versions) }
+func (m Fetch) Bytes() int { return headerBytes + versionsBytes(m.Versions) }
 
 // Bytes returns the length of the message with all headers.
-func (m Announce) Bytes() int { return headerBytes + versionBytes + 6 }
+func (m Announce) Bytes() int {
+	return headerBytes + versionBytes(m.Version) + varintBytes(uint64(m.Size)) + 2
+}
 
 // Bytes returns the length of the message with all headers.
-func (m Body) Bytes() int { return headerBytes + versionBytes + 4 + len(m.Data) }
+func (m Body) Bytes() int { return headerBytes + versionBytes(m.Version) + 3 + len(m.Data) }
 
 // Bytes returns the length of the message with all headers.
-func (m ChunkRequest) Bytes() int { return headerBytes + versionBytes + 3 }
+func (m ChunkRequest) Bytes() int {
+	return headerBytes + versionBytes(m.Version) + varintBytes(uint64(m.Index))
+}
 
 // Bytes returns the length of the message with all headers.
-func (m Chunk) Bytes() int { return headerBytes + versionBytes + 11 + len(m.Data) }
+func (m Chunk) Bytes() int {
+	return headerBytes + versionBytes(m.Version) + varintBytes(uint64(m.Index)) +
+		varintBytes(uint64(m.Size)) + 3 + len(m.Data)
+}
 
 // Bytes returns the length of the message with all headers.
-func (m ChunkRefused) Bytes() int { return headerBytes + versionBytes + 5 }
+func (m ChunkRefused) Bytes() int {
+	return headerBytes + versionBytes(m.Version) + varintBytes(uint64(m.Index)) + 2
+}
 
 // Bytes returns the length of the message with all headers.
-func (m Rumours) Bytes() int { return headerBytes + rumourBytes*len(m.Items) }
+func (m Rumours) Bytes() int { return headerBytes + rumoursBytes(m.Items) }
--- a/core/mesh/store.go
+++ b/core/mesh/store.go
@@ -33,6 +33,10 @@
 	urgentRounds = 3
 	urgentEvery  = 300 * time.Millisecond
 	maxPushes    = 16
+	// eagerTokens is the budget above which small tickets are sent unasked. A
+	// node gets each of them from about six peers, which a series of tickets
+	// would not leave room for; exchanges spread the rest of a series.
+	eagerTokens = BudgetBurst * 3 / 4
 )
 
 // store holds the compressed bodies of held tickets and remembers tickets
@@ -192,20 +196,13 @@
 
 func (c *Core) pushTo(except netip.AddrPort, v ticket.Version) {
 	b := c.store.body(v)
+	if c.budget.tokens < eagerTokens && len(b) <= MaxPushBytes && !urgent(c.state.Held(v)) {
+		c.hurry()
+
+		return
+	}
 	for _, a := range c.choose(pushFanout, except) {
-		if len(b) > MaxPushBytes {
-			c.send(classSmall, a, Announce{
-				Version: v,
-				Size:    uint32(len(b)),
-				Urgent:  urgent(c.state.Held(v)),
-			})
-
-			continue
-		}
-		c.send(classSmall, a, Body{
-			Version: v,
-			Data:    b,
-		})
+		c.send(classSmall, a, c.message(v, b))
 	}
 }
 
--- a/core/mesh/sync.go
+++ b/core/mesh/sync.go
@@ -8,17 +8,14 @@
 )
 
 const (
-	// maxGive bounds the tickets that one message makes a node send.
-	maxGive = 16
-	// maxAhead bounds the tickets that are sent at once to a node whose
-	// highest number is lower.
-	maxAhead = 4
+	// maxUrged bounds the tickets that one exchange makes a node send unasked.
+	maxUrged = 8
 )
 
 // onParts compares a summary with the own state: it asks for what is missing,
 // sends what the other lacks and describes differing ranges more closely. It
 // reports whether nothing is missing but tickets whose transfer may take long.
-func (c *Core) onParts(from netip.AddrPort, parts []Part) bool {
+func (c *Core) onParts(from netip.AddrPort, parts []Part, room int) bool {
 	if len(parts) > MaxParts {
 		c.counters.InvalidWire++
 
@@ -43,14 +40,13 @@
 	}
 
 	c.request(from, want)
-	for i, v := range give {
-		if i < maxGive {
-			c.offer(from, v)
-		}
+	for _, v := range give {
+		room -= c.offer(from, v, room)
 	}
 	if reply = fit(reply); len(reply) > 0 {
-		c.send(classSmall, from, Summary{
+		c.send(classBulk, from, Summary{
 			Parts: reply,
+			Room:  uint32(c.budget.room()),
 		})
 
 		return false
@@ -117,44 +113,53 @@
 	return fit(c.indexed().describe(nil, ticket.Version{}, ticket.Version{}))
 }
 
-// ahead sends the newest tickets to a node whose highest number is lower,
-// which saves it a round trip.
-func (c *Core) ahead(to netip.AddrPort, highest uint64) {
+// urge sends the newest zone-out tickets at once to a node whose highest
+// number is lower, whatever its budget.
+func (c *Core) urge(to netip.AddrPort, highest uint64) {
 	x := c.indexed()
-	for i := len(x.versions) - 1; i >= 0 && len(x.versions)-i <= maxAhead; i-- {
+	for i := len(x.versions) - 1; i >= 0 && len(x.versions)-i <= maxUrged; i-- {
 		if x.versions[i].Number <= highest {
 			return
 		}
-		c.offer(to, x.versions[i])
+		c.offer(to, x.versions[i], 0)
 	}
 }
 
-// offer sends a held ticket, or announces it if it is large.
-func (c *Core) offer(to netip.AddrPort, v ticket.Version) {
+// offer sends a held ticket, or announces it if it is large, unless it is
+// longer than room. Zone-out tickets are always sent. It returns the length.
+func (c *Core) offer(to netip.AddrPort, v ticket.Version, room int) int {
 	b := c.store.body(v)
-	switch {
-	case b == nil:
-	case len(b) <= MaxPushBytes:
-		c.send(c.repairClass(v), to, Body{
-			Version: v,
-			Data:    b,
-		})
-	default:
-		c.send(classSmall, to, Announce{
-			Version: v,
-			Size:    uint32(len(b)),
-			Urgent:  urgent(c.state.Held(v)),
-		})
+	if b == nil {
+		return 0
 	}
-}
 
-// repairClass lets zone-out tickets use the reserve of the budget.
-func (c *Core) repairClass(v ticket.Version) class {
+	m, k := c.message(v, b), classBulk
 	if urgent(c.state.Held(v)) {
-		return classSmall
+		k = classSmall
+	} else if m.Bytes() > room {
+		return 0
+	}
+	if !c.send(k, to, m) {
+		return 0
 	}
 
-	return classBulk
+	return m.Bytes()
+}
+
+// message returns the ticket's Body, or its Announce if it is large.
+func (c *Core) message(v ticket.Version, body []byte) Wire {
+	if len(body) <= MaxPushBytes {
+		return Body{
+			Version: v,
+			Data:    body,
+		}
+	}
+
+	return Announce{
+		Version: v,
+		Size:    uint32(len(body)),
+		Urgent:  urgent(c.state.Held(v)),
+	}
 }
 
 func (c *Core) onFetch(from netip.AddrPort, m Fetch) {
@@ -164,6 +169,6 @@
 		return
 	}
 	for _, v := range m.Versions {
-		c.offer(from, v)
+		c.offer(from, v, BudgetBurst)
 	}
 }
--- a/core/mesh/wire.go
+++ b/core/mesh/wire.go
@@ -43,6 +43,11 @@
 	// Nonce is random; the answer repeats it.
 	Nonce  uint64
 	Status Status
+	// Room is the number of bytes that the sender's budget has left for
+	// transfers; what it is sent unasked stays below that.
+	Room uint32
+	// Sparse asks for more peers, because the sender knows few.
+	Sparse bool
 }
 
 // DigestAck answers a Digest. Parts is empty if the digests are equal.
@@ -75,6 +80,8 @@
 // Summary continues the search for differences.
 type Summary struct {
 	Parts []Part
+	// Room is the sender's if it opened the exchange; see Digest.
+	Room uint32
 }
 
 // Fetch asks for tickets: small ones come as Body, others as Announce.
--- a/core/peer/decode.go
+++ b/core/peer/decode.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"google.golang.org/protobuf/encoding/protowire"
+
 	"ibisfold.example/core/mesh"
 	"ibisfold.example/core/ticket"
 )
@@ -32,21 +34,30 @@
 }
 
 func decodeKind(f field) (mesh.Wire, error) {
+	if f.kind != protowire.BytesType {
+		return nil, ErrKind
+	}
+
 	switch f.number {
 	case wireDigest:
 		x, err := decodeExchange(f.bytes)
 
 		return mesh.Digest{
-			Nonce:  x.Nonce,
-			Status: x.Status,
+			Nonce:  x.ack.Nonce,
+			Status: x.ack.Status,
+			Room:   x.room,
+			Sparse: x.sparse,
 		}, err
 	case wireDigestAck:
-		return decodeExchange(f.bytes)
+		x, err := decodeExchange(f.bytes)
+
+		return x.ack, err
 	case wireSummary:
 		x, err := decodeExchange(f.bytes)
 
 		return mesh.Summary{
-			Parts: x.Parts,
+			Parts: x.ack.Parts,
+			Room:  x.room,
 		}, err
 	case wireFetch:
 		return decodeFetch(f.bytes)
@@ -150,18 +161,29 @@
 	return v, err
 }
 
-// decodeExchange reads Digest, DigestAck and Summary, whose fields are numbered alike.
-func decodeExchange(b []byte) (mesh.DigestAck, error) {
-	m := mesh.DigestAck{}
+// exchangeFields are the fields of Digest, DigestAck and Summary, which are
+// numbered alike.
+type exchangeFields struct {
+	ack    mesh.DigestAck
+	room   uint32
+	sparse bool
+}
+
+func decodeExchange(b []byte) (exchangeFields, error) {
+	m := exchangeFields{}
 	err := fields(b, func(f field) error {
 		var err error
 		switch f.number {
 		case 1:
-			m.Nonce = f.value
+			m.ack.Nonce = f.value
 		case 2:
-			m.Status, err = decodeStatus(f.bytes)
+			m.ack.Status, err = decodeStatus(f.bytes)
 		case 3:
-			m.Parts, err = list(m.Parts, f, mesh.MaxParts, decodePart)
+			m.ack.Parts, err = list(m.ack.Parts, f, mesh.MaxParts, decodePart)
+		case 4:
+			m.room, err = f.uint32()
+		case 5:
+			m.sparse = f.value != 0
 		}
 
 		return err
--- a/core/peer/encode.go
+++ b/core/peer/encode.go
@@ -25,11 +25,14 @@
 func AppendWire(b []byte, m mesh.Wire) []byte {
 	switch m := m.(type) {
 	case mesh.Digest:
-		return appendMessage(b, wireDigest, encodeExchange(m.Nonce, m.Status, nil))
+		v := appendVarint(encodeExchange(m.Nonce, m.Status, nil), 4, uint64(m.Room))
+		v = appendVarint(v, 5, protowire.EncodeBool(m.Sparse))
+
+		return appendMessage(b, wireDigest, v)
 	case mesh.DigestAck:
 		return appendMessage(b, wireDigestAck, encodeExchange(m.Nonce, m.Status, m.Parts))
 	case mesh.Summary:
-		return appendMessage(b, wireSummary, appendParts(nil, m.Parts))
+		return appendMessage(b, wireSummary, appendVarint(appendParts(nil, m.Parts), 4, uint64(m.Room)))
 	case mesh.Fetch:
 		return appendMessage(b, wireFetch, appendVersions(nil, 1, m.Versions))
 	case mesh.Announce:
--- a/core/peer/field.go
+++ b/core/peer/field.go
@@ -110,6 +110,9 @@
 }
 
 func appendAddrPort(b []byte, n protowire.Number, a netip.AddrPort) []byte {
+	if !a.IsValid() {
+		return b
+	}
 	v, _ := a.MarshalBinary()
 
 	return appendBytes(b, n, v)
