--- a/core/mesh/core.go
+++ b/core/mesh/core.go
@@ -37,6 +37,9 @@
 	if o.Parse == nil {
 		o.Parse = ticket.Parse
 	}
+	if o.Compress == nil {
+		o.Compress = Compress
+	}
 	c := &Core{
 		options: o,
 		random:  rand.New(rand.NewPCG(o.Seed, o.Self.Incarnation)),
--- a/core/mesh/size.go
+++ b/core/mesh/size.go
@@ -10,8 +10,9 @@
 // Sizes on the wire in bytes. They are close upper bounds of what package peer
 // encodes, because the core must account for bytes without the codec.
 const (
-	// headerBytes is IPv4, UDP, first byte, key identifier, MAC, kind and length.
-	headerBytes = 20 + 8 + 13
+	// headerBytes is IPv4, UDP, first byte, key identifier, MAC, the sender's
+	// address, kind and length.
+	headerBytes = 20 + 8 + 10 + 18 + 3
 	fixedBytes  = 9
 )
 
--- a/core/mesh/store.go
+++ b/core/mesh/store.go
@@ -150,7 +150,7 @@
 	c.counters.Merged++
 	c.changed = true
 	if body == nil {
-		body = Compress(text)
+		body = c.options.Compress(text)
 	}
 	c.keep(t.Version, body)
 	c.push(from, t)
--- a/core/peer/codec_test.go
+++ b/core/peer/codec_test.go
@@ -130,13 +130,16 @@
 	is := is.New(t)
 	r := testKeys(t, 1)
 	for _, m := range testWires {
-		b, err := AppendDatagram(nil, m, r)
+		b, err := AppendDatagram(nil, testNode.Addr, m, r)
 		is.NoErr(err)
 		is.True(IsDatagram(b))
 		is.True(len(b)+28 <= m.Bytes()) // IPv4 and UDP headers
 		got, err := DecodeDatagram(b, r)
 		is.NoErr(err)
-		is.Equal(got, m)
+		is.Equal(got, mesh.Received{
+			From: testNode.Addr,
+			Body: m,
+		})
 	}
 }
 
@@ -148,7 +151,7 @@
 	d := &Drops{}
 	reject := func(b []byte, want error) {
 		m, err := DecodeDatagram(b, r)
-		is.True(m == nil)
+		is.Equal(m, mesh.Received{})
 		is.True(errors.Is(err, want))
 		before := d.Of(want)
 		d.Count(err)
@@ -156,7 +159,7 @@
 	}
 
 	for _, m := range testWires {
-		b, err := AppendDatagram(nil, m, r)
+		b, err := AppendDatagram(nil, testNode.Addr, m, r)
 		is.NoErr(err)
 		for n := range b {
 			_, err := DecodeDatagram(b[:n], r)
@@ -167,7 +170,7 @@
 			b[n] ^= 0x10
 		}
 	}
-	other, _ := AppendDatagram(nil, testWires[0], testKeys(t, 2))
+	other, _ := AppendDatagram(nil, testNode.Addr, testWires[0], testKeys(t, 2))
 	reject(other, ErrMAC)
 	reject(make([]byte, MaxDatagramBytes+1), ErrTooLong)
 	reject([]byte{0xB1, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}, ErrMalformed)
@@ -183,7 +186,7 @@
 
 // signed returns a datagram with a valid MAC over any content.
 func signed(r *keyring.Keyring, content []byte) []byte {
-	b := append([]byte{datagramMark, r.Signer()}, make([]byte, 8)...)
+	b := append([]byte{datagramMark, r.Signer()}, make([]byte, datagramHeader-macStart)...)
 	b = append(b, content...)
 	binary.BigEndian.PutUint64(b[macStart:], datagramMAC(b, r))
 
@@ -194,7 +197,7 @@
 // under an old key verify while the keyring holds it.
 func TestKeyRotation(t *testing.T) {
 	is := is.New(t)
-	b, err := AppendDatagram(nil, testWires[0], testKeys(t, 1))
+	b, err := AppendDatagram(nil, testNode.Addr, testWires[0], testKeys(t, 1))
 	is.NoErr(err)
 	_, err = DecodeDatagram(b, testKeys(t, 2, 1))
 	is.NoErr(err)
@@ -204,7 +207,7 @@
 	r := testKeys(f, 1)
 	for _, m := range testWires {
 		f.Add(AppendWire(nil, m), true)
-		b, _ := AppendDatagram(nil, m, r)
+		b, _ := AppendDatagram(nil, testNode.Addr, m, r)
 		f.Add(b, false)
 	}
 	f.Fuzz(func(t *testing.T, b []byte, sign bool) {
@@ -217,17 +220,17 @@
 			d.Count(err)
 			n := uint64(0)
 			d.Each(func(_ string, k uint64) { n += k })
-			if n != 1 || m != nil {
+			if n != 1 || m.Body != nil {
 				t.Fatalf("error without a reason: %v", err)
 			}
 
 			return
 		}
-		again, err := DecodeWire(AppendWire(nil, m))
+		again, err := DecodeWire(AppendWire(nil, m.Body))
 		if err != nil {
 			t.Fatalf("decoded message doesn't encode: %v", err)
 		}
-		if len(AppendWire(nil, again)) != len(AppendWire(nil, m)) {
+		if len(AppendWire(nil, again)) != len(AppendWire(nil, m.Body)) {
 			t.Fatal("encoding isn't stable")
 		}
 	})
