--- a/core/mesh/network_test.go
+++ b/core/mesh/network_test.go
@@ -32,6 +32,15 @@
 	return []byte(t)
 }
 
+func version(t []byte) ticket.Version {
+	p, err := ticket.Parse(t)
+	if err != nil {
+		panic(err)
+	}
+
+	return p.Version
+}
+
 // cluster starts n nodes in three zones that know the first three.
 func cluster(seed uint64, n int) *meshtest.Network {
 	w := meshtest.New(seed)
