Measure capacity on a virtual network

proof/capacity_test.go measures spread, idle cost, recovery and memory at the sizes in IBISFOLD_CAPACITY.

--- /dev/null
+++ b/proof/capacity_test.go
@@ -0,0 +1,352 @@
+package proof
+
+import (
+	"encoding/csv"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"ibisfold.example/core/mesh"
+	"ibisfold.example/core/mesh/meshtest"
+)
+
+// capacityVariable turns the measurements on. Its value is a list of sizes.
+const capacityVariable = "IBISFOLD_CAPACITY"
+
+// capacitySizes returns the sizes to measure, or skips the test.
+func capacitySizes(t *testing.T) []int {
+	t.Helper()
+	v := os.Getenv(capacityVariable)
+	if v == "" {
+		t.Skip(capacityVariable + " is not set")
+	}
+	sizes := []int{}
+	for s := range strings.SplitSeq(v, ",") {
+		n, err := strconv.Atoi(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sizes = append(sizes, n)
+	}
+
+	return sizes
+}
+
+// table is printed and written to docs/capacity.
+type table struct {
+	name string
+	rows [][]string
+}
+
+func (b *table) add(values ...any) {
+	row := []string{}
+	for _, v := range values {
+		if f, ok := v.(float64); ok {
+			v = fmt.Sprintf("%.2f", f)
+		}
+		row = append(row, fmt.Sprint(v))
+	}
+	b.rows = append(b.rows, row)
+	fmt.Println(b.name, strings.Join(row, "\t"))
+}
+
+func (b *table) write(t *testing.T) {
+	t.Helper()
+	dir := filepath.Join("..", "docs", "capacity")
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	f, err := os.Create(filepath.Join(dir, b.name+".csv"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	w := csv.NewWriter(f)
+	if err := w.WriteAll(b.rows); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func seconds(d time.Duration) float64 { return d.Seconds() }
+
+// verdict says whether a figure keeps its bound.
+func verdict(ok bool) string {
+	if ok {
+		return "ok"
+	}
+
+	return "MISSED"
+}
+
+// TestCapacitySpread measures the time and the bytes until a ticket is in force.
+func TestCapacitySpread(t *testing.T) {
+	sizes := capacitySizes(t)
+	b := &table{
+		name: "spread",
+	}
+	b.add("Nodes", "LossPercent", "Ticket", "Compressed", "SecondsHalf", "SecondsP99", "SecondsAll", "Bound", "Verdict",
+		"MeanBytesPerSecond", "HighestBytesPerSecond", "PeakBytesInASecond")
+	for _, n := range sizes {
+		for _, loss := range []float64{0, 0.1} {
+			f := newFleet(1, n, 90)
+			f.Loss = loss
+			f.Run(30 * time.Second)
+			f.spread(b, "small", f.small(), 13)
+			f.spread(b, "zone-out", f.zone(1, false), 3)
+			for _, k := range []int{1, 4, 8, 13, 26} {
+				f.spread(b, fmt.Sprintf("%dKB", k), f.sized(k*1000), 13)
+			}
+		}
+	}
+	b.write(t)
+}
+
+func (f *fleet) spread(b *table, name string, text []byte, bound float64) {
+	const (
+		limit = 120 * time.Second
+		// quiet lets the budgets fill up again.
+		quiet = 40 * time.Second
+	)
+	f.publish(text)
+	before, start := f.bytes(), f.Now
+	f.RunUntil(limit, func() bool { return f.Missing == 0 })
+	took := f.Now - start
+	if rest := 13*time.Second - took; rest > 0 {
+		f.Run(rest)
+	}
+	mean, highest, peak := f.rates(before, f.Now-start)
+	times := []time.Duration{}
+	for _, v := range f.Nodes {
+		d := v.InForce - start
+		if v.InForce == 0 {
+			d = limit
+		}
+		times = append(times, d)
+	}
+	slices.Sort(times)
+	all := seconds(times[len(times)-1])
+	b.add(len(f.Nodes), int(100*f.Loss), name, len(mesh.Compress(text)), seconds(times[len(times)/2]),
+		seconds(times[len(times)*99/100]), all, bound, verdict(f.Missing == 0 && all <= bound),
+		mean, highest, peak)
+	f.Run(quiet)
+}
+
+// TestCapacityIdle measures bytes, real CPU time and reads of the configuration
+// service without changes.
+func TestCapacityIdle(t *testing.T) {
+	const idle = 60 * time.Second
+	sizes := capacitySizes(t)
+	b := &table{
+		name: "idle",
+	}
+	b.add("Nodes", "LossPercent", "MeanBytesPerSecond", "HighestBytesPerSecond", "Verdict", "PeakBytesInASecond",
+		"Readers", "ConfigReadsPerSecond", "UnconfirmedPercent", "CPUPercentOfCore", "CPUVerdict")
+	for _, n := range sizes {
+		for _, loss := range []float64{0, 0.1, 0.3} {
+			f := newFleet(2, n, 90)
+			f.Loss = loss
+			f.Run(60 * time.Second)
+			f.WatchFor(f.Watch)
+			before, reads := f.bytes(), f.Config.Reads
+			f.Timed, f.Work = true, 0
+			held := 0
+			for range int(idle / time.Second) {
+				f.Run(time.Second)
+				held += f.unconfirmed()
+			}
+			mean, highest, peak := f.rates(before, idle)
+			cpu := 100 * f.Work.Seconds() / idle.Seconds() / float64(n)
+			b.add(n, int(100*loss), mean, highest, verdict(highest <= mesh.BudgetRate), peak, f.readers(),
+				float64(f.Config.Reads-reads)/idle.Seconds(), 100*float64(held)/float64(n)/idle.Seconds(),
+				fmt.Sprintf("%.4f", cpu), verdict(cpu <= 3.4))
+		}
+	}
+	b.write(t)
+}
+
+func (f *fleet) unconfirmed() int {
+	n := 0
+	for _, v := range f.Nodes {
+		if !v.Down && v.Core.ConfirmedUntil() <= f.Now {
+			n++
+		}
+	}
+
+	return n
+}
+
+func (f *fleet) readers() int {
+	n := 0
+	for _, v := range f.Nodes {
+		if v.Core.Reader() {
+			n++
+		}
+	}
+
+	return n
+}
+
+// TestCapacityRecovery measures how nodes get the state back while the
+// configuration service is down. The state has 3,700 targets.
+func TestCapacityRecovery(t *testing.T) {
+	sizes := capacitySizes(t)
+	b := &table{
+		name: "recovery",
+	}
+	b.add("Nodes", "Case", "Restarted", "StateBytes", "SecondsHalf", "SecondsAll", "BytesPerRestartedNode", "MeanBytesPerOtherNode")
+	for _, n := range sizes {
+		f := newFleet(3, n, 3700)
+		f.Run(40 * time.Second)
+		f.Config.Down = true
+		entries := []*meshtest.Node{}
+		zone := []*meshtest.Node{}
+		for _, v := range f.Nodes {
+			if v.Self.Role == mesh.RoleEntry {
+				entries = append(entries, v)
+			}
+			if v.Self.Zone == zoneName(4) {
+				zone = append(zone, v)
+			}
+		}
+		f.recover(b, "one entry", entries[len(entries)-1:])
+		if len(entries) > 50 {
+			f.recover(b, "40 entries", entries[5:45])
+		}
+		if n >= 40 {
+			f.recover(b, "zone", zone)
+		}
+		f.part(b)
+	}
+	b.write(t)
+}
+
+// recover restarts nodes without state and waits until they have it and are confirmed.
+func (f *fleet) recover(b *table, name string, nodes []*meshtest.Node) {
+	const limit = 10 * time.Minute
+	seeds := []netip.AddrPort{}
+	for _, v := range f.Nodes[:zones] {
+		seeds = append(seeds, v.Self.Addr)
+	}
+	restarted := map[*meshtest.Node]bool{}
+	before := f.bytes()
+	start := f.Now
+	for _, v := range nodes {
+		restarted[v] = true
+		f.Start(v, seeds...)
+	}
+	times := []time.Duration{}
+	done := map[*meshtest.Node]bool{}
+	f.RunUntil(limit, func() bool {
+		for _, v := range nodes {
+			if !done[v] && v.Core.ConfirmedUntil() > f.Now {
+				done[v] = true
+				times = append(times, f.Now-start)
+			}
+		}
+
+		return len(done) == len(nodes) && f.Converged()
+	})
+	for len(times) < len(nodes) {
+		times = append(times, limit)
+	}
+
+	own, others := 0.0, 0.0
+	after := f.bytes()
+	for i, v := range f.Nodes {
+		if restarted[v] {
+			own += float64(after[i]) / float64(len(nodes))
+		} else {
+			others += float64(after[i]-before[i]) / float64(len(f.Nodes)-len(nodes))
+		}
+	}
+	b.add(len(f.Nodes), name, len(nodes), len(mesh.Compress(f.texts[0])), seconds(times[len(times)/2]),
+		seconds(times[len(times)-1]), own, others)
+	f.Run(time.Minute)
+}
+
+// part cuts a region off for an hour; both sides get tickets meanwhile.
+func (f *fleet) part(b *table) {
+	f.Blocked = func(x, y *meshtest.Node) bool { return (x.Region == 0) != (y.Region == 0) }
+	f.Run(time.Hour)
+	for i, text := range [][]byte{f.zone(3, false), f.small(), f.sized(1000), f.zone(4, false)} {
+		v := f.Nodes[0]
+		for k := range f.Nodes {
+			if (f.Nodes[k].Region == 0) == (i%2 == 0) {
+				v = f.Nodes[k]
+			}
+		}
+		f.texts = append(f.texts, text)
+		f.Update(v, mesh.ConfigRead{
+			Texts: [][]byte{text},
+		})
+	}
+	f.Run(time.Minute)
+	f.Blocked = func(*meshtest.Node, *meshtest.Node) bool { return false }
+	before, start := f.bytes(), f.Now
+	half := time.Duration(0)
+	f.RunUntil(5*time.Minute, func() bool {
+		n := 0
+		for _, v := range f.Nodes {
+			if v.Core.State().Digest() == f.Nodes[0].Core.State().Digest() {
+				n++
+			}
+		}
+		if half == 0 && 2*n > len(f.Nodes) {
+			half = f.Now - start
+		}
+
+		return f.Converged()
+	})
+	mean, _, _ := f.rates(before, time.Second)
+	b.add(len(f.Nodes), "region parted for 1 h", 0, 0, seconds(half), seconds(f.Now-start), 0, mean)
+}
+
+// TestCapacityMemory measures the heap of a core that shares nothing, and the
+// real time to unpack, check and merge the complete ticket.
+func TestCapacityMemory(t *testing.T) {
+	capacitySizes(t)
+	const cores = 16
+	b := &table{
+		name: "memory",
+	}
+	b.add("Targets", "TextBytes", "CompressedBytes", "HeapBytesPerCore", "Verdict", "MergeCPUSeconds")
+	for _, targets := range []int{30, 370, 3700} {
+		f := newFleet(4, 18, targets)
+		text := f.texts[0]
+		self := f.Nodes[0].Self
+		f = nil
+		all := []*mesh.Core{}
+		used := heap()
+		begin := time.Now()
+		for range cores {
+			c := mesh.New(mesh.Options{
+				Self: self,
+			})
+			c.Update(0, mesh.ConfigRead{
+				Texts: [][]byte{slices.Clone(text)},
+			})
+			all = append(all, c)
+		}
+		took := time.Since(begin).Seconds() / cores
+		per := (heap() - used) / cores
+		b.add(targets, len(text), len(mesh.Compress(text)), int(per), verdict(per <= 32e6), took)
+		runtime.KeepAlive(all)
+	}
+	b.write(t)
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	m := runtime.MemStats{}
+	runtime.ReadMemStats(&m)
+
+	return float64(m.HeapAlloc)
+}
--- /dev/null
+++ b/proof/fleet_test.go
@@ -0,0 +1,197 @@
+package proof
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"ibisfold.example/core/mesh"
+	"ibisfold.example/core/mesh/meshtest"
+	"ibisfold.example/core/ticket"
+)
+
+const (
+	regions = 3
+	zones   = 9
+	// entryOneIn is the share of entries at the design size: 740 of 4,440 nodes.
+	entryOneIn = 6
+)
+
+func zoneName(i int) string { return fmt.Sprintf("zone-%d", i%zones) }
+
+// fleet is a network at one size with the tickets that were published.
+type fleet struct {
+	*meshtest.Network
+	texts  [][]byte
+	number int
+	random *rand.Rand
+}
+
+// newFleet starts n nodes in 9 zones of 3 regions. The delays are 1 ms within
+// a zone, 5 to 10 ms within a region and 40 to 60 ms between regions; one
+// message in a hundred between zones takes up to 200 ms more.
+func newFleet(seed uint64, n, targets int) *fleet {
+	f := &fleet{
+		Network: meshtest.New(seed),
+		random:  rand.New(rand.NewPCG(seed, 1)),
+	}
+	ms := func(low, range_ int) time.Duration {
+		return time.Duration(low)*time.Millisecond + time.Duration(f.random.IntN(range_*1000+1))*time.Microsecond
+	}
+	f.Delay = func(a, b *meshtest.Node) time.Duration {
+		late := time.Duration(0)
+		if f.random.IntN(100) == 0 {
+			late = ms(0, 200)
+		}
+		switch {
+		case a.Self.Zone == b.Self.Zone:
+			return ms(1, 0)
+		case a.Region == b.Region:
+			return late + ms(5, 5)
+		default:
+			return late + ms(40, 20)
+		}
+	}
+	seeds := []netip.AddrPort{}
+	for i := range n {
+		role := mesh.RoleAgent
+		if i%entryOneIn == 0 {
+			role = mesh.RoleEntry
+		}
+		z := i / 2 % zones
+		f.Add(role, zoneName(z), z%regions, seeds...)
+		if len(seeds) < zones {
+			seeds = append(seeds, f.Nodes[i].Self.Addr)
+		}
+	}
+	f.start(targets)
+
+	return f
+}
+
+// start gives all nodes the first, complete ticket and lets them settle.
+func (f *fleet) start(targets int) {
+	f.Run(20 * time.Second)
+	f.publish(f.complete(targets))
+	for _, v := range f.Nodes {
+		f.Update(v, mesh.ConfigRead{
+			Texts: f.texts,
+		})
+	}
+	f.Run(40 * time.Second)
+}
+
+// publish stores a ticket in the configuration service and watches it.
+func (f *fleet) publish(text []byte) {
+	t, err := ticket.Parse(text)
+	if err != nil {
+		panic(err)
+	}
+	f.texts = append(f.texts, text)
+	f.WatchFor(t.Version)
+	f.Config.Set(f.Network, f.texts...)
+}
+
+func (f *fleet) next(reason string) string {
+	f.number++
+
+	return fmt.Sprintf("Ticket: %d\nReason: %s\n", f.number, reason)
+}
+
+// complete writes a ticket with the whole state.
+func (f *fleet) complete(targets int) []byte {
+	b := &strings.Builder{}
+	b.WriteString(f.next("start") + "Complete: true\nZones:\n")
+	for i := range zones {
+		fmt.Fprintf(b, "  - Name: %s\n", zoneName(i))
+	}
+	services := max(1, targets*960/3700)
+	b.WriteString("Services:\n")
+	for i := range services {
+		fmt.Fprintf(b, "  - Name: service-%d\n    Tenant: tenant-%d\n", i, i%40)
+		fmt.Fprintf(b, "    Addresses: [10.200.%d.%d:7000]\n", i/250, i%250)
+	}
+	b.WriteString("Targets:\n")
+	for i := range targets {
+		f.target(b, i, services)
+	}
+
+	return []byte(b.String())
+}
+
+// target writes a target whose agent is one of the nodes.
+func (f *fleet) target(b *strings.Builder, i, services int) {
+	v := f.Nodes[(i*6/5+1)%len(f.Nodes)].Self
+	if i >= len(f.Nodes)*5/6 {
+		v.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 250, byte(i >> 8), byte(i)}), 7100)
+	}
+	fmt.Fprintf(b, "  - Name: target-%d-%04x\n    Service: service-%d\n    Zone: %s\n", i, f.random.IntN(1<<16), i%services, v.Zone)
+	fmt.Fprintf(b, "    Agent: %s\n    Slots: %d\n    Connections: 2000\n", v.Addr, 2+i%6)
+}
+
+// sized writes a ticket that replaces targets and compresses to about size bytes.
+func (f *fleet) sized(size int) []byte {
+	head := f.next("replace targets")
+	make_ := func(n int) []byte {
+		b := &strings.Builder{}
+		b.WriteString(head + "Targets:\n")
+		for i := range n {
+			f.target(b, i, 960)
+		}
+
+		return []byte(b.String())
+	}
+	n := 1
+	for step := 4096; step > 0; step /= 2 {
+		if len(mesh.Compress(make_(n+step))) <= size {
+			n += step
+		}
+	}
+
+	return make_(n)
+}
+
+func (f *fleet) small() []byte {
+	return []byte(f.next("drain") + "Targets:\n  - Name: target-x\n    Service: service-0\n    Zone: zone-1\n" +
+		"    Agent: 10.251.0.1:7100\n    Slots: 2\n    Connections: 2000\n    State: Draining\n")
+}
+
+func (f *fleet) zone(i int, inService bool) []byte {
+	return []byte(f.next("zone") + fmt.Sprintf("Zones:\n  - Name: %s\n    InService: %v\n", zoneName(i), inService))
+}
+
+// bytes returns the bytes that each node sent and received since its start.
+func (f *fleet) bytes() []uint64 {
+	all := []uint64{}
+	for _, v := range f.Nodes {
+		c := v.Core.Counters()
+		all = append(all, c.BytesSent+c.BytesReceived)
+	}
+
+	return all
+}
+
+// rates returns the mean and the highest bytes per second of the nodes since
+// before, and the highest bytes in any single second since the last WatchFor.
+func (f *fleet) rates(before []uint64, d time.Duration) (mean, highest float64, peak int) {
+	for i, n := range f.bytes() {
+		r := float64(n-before[i]) / d.Seconds()
+		mean += r / float64(len(before))
+		highest = max(highest, r)
+		peak = max(peak, f.Nodes[i].Peak)
+	}
+
+	return mean, highest, peak
+}
+
+// TestFleetConverges guards against a scaffold whose nodes don't work together.
+func TestFleetConverges(t *testing.T) {
+	f := newFleet(1, 18, 12)
+	f.publish(f.zone(1, false))
+	if !f.RunUntil(3*time.Second, func() bool { return f.Missing == 0 }) {
+		t.Fatal("zone-out ticket is not in force at all nodes")
+	}
+}
