Probe seeds only when no other address is known

Cause: every node probed one of nine seeds every 20 s on average, so the seeds of a fleet of 740 spent more than their byte budget when idle and could fetch no large ticket.

--- a/core/mesh/view.go
+++ b/core/mesh/view.go
@@ -225,9 +225,6 @@
 			all = append(all, a)
 		}
 	}
-	for _, a := range c.options.Seeds {
-		add(a)
-	}
 	for _, l := range c.view.lost {
 		add(l.node.Addr)
 	}
@@ -237,6 +234,13 @@
 	for _, a := range c.agents() {
 		add(a)
 	}
+	// Seeds come last: the whole fleet names the same few nodes as seeds, and
+	// they would be probed more often than their byte budget allows.
+	if len(all) == 0 || len(c.view.peers) == 0 {
+		for _, a := range c.options.Seeds {
+			add(a)
+		}
+	}
 	if len(all) == 0 {
 		return netip.AddrPort{}, false
 	}
