Serve chunks while a ticket is still being fetched

Cause: nodes only served complete copies, asked for each chunk in a message of its own, and searched for differences in every exchange during a transfer. The byte budget was used up before a ticket of more than 4 KB reached 740 nodes.

Change: nodes serve the chunks that they have, ask for up to 4 chunks at a time in random order, name pending tickets in digests so that the search is left out, and reserve the budget for the chunks that they asked for.

--- a/core/mesh/budget.go
+++ b/core/mesh/budget.go
@@ -37,8 +37,10 @@
 
 type budget struct {
 	tokens float64
-	at     time.Duration
-	queue  []queued
+	// expected is the cost of the chunks that were asked for, in bytes.
+	expected int
+	at       time.Duration
+	queue    []queued
 }
 
 type queued struct {
@@ -48,7 +50,7 @@
 
 // room returns the number of bytes that bulk transfers may use now.
 func (b *budget) room() int {
-	return max(0, int(b.tokens)-bulkReserve)
+	return max(0, int(b.tokens)-b.expected-bulkReserve)
 }
 
 func (b *budget) refill(now time.Duration) {
@@ -71,7 +73,7 @@
 	case classSmall:
 		return b.tokens >= float64(n)
 	default:
-		return b.tokens >= float64(n+bulkReserve)
+		return n <= b.room()
 	}
 }
 
--- a/core/mesh/exchange.go
+++ b/core/mesh/exchange.go
@@ -30,6 +30,9 @@
 	sampleOneIn = 2
 	// sparsePeers is the size of the view below which a node asks for peers.
 	sparsePeers = MaxPeers / 2
+	// searchOneIn is the share of exchanges that look for differences although
+	// a transfer explains them.
+	searchOneIn = 4
 	// hurriedExchanges spread a series of tickets.
 	hurriedExchanges = 4
 	// unconfirmedEvery is used while neither side has a confirmed view.
@@ -124,10 +127,11 @@
 	}
 	c.exchange.open = append(c.exchange.open, o)
 	c.send(classControl, a, Digest{
-		Nonce:  o.nonce,
-		Status: c.status(a),
-		Room:   uint32(c.budget.room()),
-		Sparse: len(c.view.peers) < sparsePeers,
+		Nonce:   o.nonce,
+		Status:  c.status(a),
+		Room:    uint32(c.budget.room()),
+		Sparse:  len(c.view.peers) < sparsePeers,
+		Pending: c.pending(),
 	})
 }
 
@@ -180,7 +184,9 @@
 		ack.Status.Sample = c.sample(1)
 	}
 	differs := !sameState(m.Status.State, ack.Status.State)
-	if differs && m.Room >= syncBytes && c.budget.room() >= syncBytes {
+	ack.Has = c.has(m.Pending)
+	search := m.Room >= syncBytes && c.budget.room() >= syncBytes && !c.explained(m, len(ack.Has) > 0)
+	if differs && search {
 		ack.Parts = c.summary()
 	}
 	c.send(classControl, from, ack)
@@ -190,10 +196,21 @@
 	}
 }
 
+// explained reports whether the tickets that the other side is fetching are
+// probably all that differs. One time in searchOneIn it is checked all the same.
+func (c *Core) explained(m Digest, has bool) bool {
+	highest := m.Status.State.Highest
+	for _, v := range m.Pending {
+		highest = max(highest, v.Number)
+	}
+
+	return has && m.Status.Confirmed && c.state.Highest() <= highest && c.random.IntN(searchOneIn) > 0
+}
+
 // turn opens an exchange with a node that has a newer ticket: tickets are only
 // given to the side that opened an exchange, so that a node gets each one once.
 func (c *Core) turn(from netip.AddrPort, highest uint64) {
-	if highest > c.state.Highest() && c.budget.room() >= syncBytes && !c.exchange.has(from) {
+	if highest > c.known() && c.budget.room() >= syncBytes && !c.exchange.has(from) {
 		c.openWith(from)
 	}
 }
@@ -217,6 +234,9 @@
 		c.counters.Differences++
 		level = c.onParts(from, m.Parts, 0)
 	}
+	for _, v := range m.Has {
+		c.addSource(v, from)
+	}
 	c.answer(o.started, m.Status.Confirmed, equal, level)
 	c.schedule(o.started, equal, m.Status)
 }
@@ -225,7 +245,7 @@
 // view is unconfirmed or the peer holds a newer ticket.
 func (c *Core) schedule(started time.Duration, equal bool, s Status) {
 	e := &c.exchange
-	behind := !equal && (c.empty() || s.State.Highest > c.state.Highest() || !c.confirm.synced)
+	behind := !equal && (c.empty() || s.State.Highest > c.known() || !c.confirm.synced)
 	e.retries = 0
 	switch {
 	case (behind || e.hurried > 0) && c.budget.room() > syncBytes:
--- a/core/mesh/fetch.go
+++ b/core/mesh/fetch.go
@@ -9,15 +9,17 @@
 )
 
 const (
-	// maxTransfers bounds the tickets that are fetched in chunks at a time.
-	maxTransfers = 4
-	maxSources   = 8
+	maxSources = 8
 	// window is the number of chunks of a transfer that are asked for at a time.
 	window = 8
+	// perRequest is the number of chunks that one source is asked for at a time.
+	perRequest = 4
+	// chunkCost is the cost of receiving a chunk.
+	chunkCost = ChunkBytes + headerBytes
 	// chunkTimeout is when a chunk is asked for again, from another source.
 	chunkTimeout = 700 * time.Millisecond
 	// busyFor keeps a source that refused a chunk out of use.
-	busyFor = time.Second
+	busyFor = 400 * time.Millisecond
 	// transferTimeout ends a transfer that gets no chunk.
 	transferTimeout = 15 * time.Second
 	// askedFor is how long a small ticket is not asked for again.
@@ -28,9 +30,9 @@
 )
 
 type source struct {
-	addr     netip.AddrPort
-	from     time.Duration
-	timeouts int
+	addr netip.AddrPort
+	// from is when the source may be asked again.
+	from time.Duration
 }
 
 type chunkState struct {
@@ -39,17 +41,23 @@
 	expires time.Duration
 }
 
-// transfer fetches one large ticket.
+// transfer fetches one large ticket. Chunks that have arrived are served to
+// other nodes at once, so that uploads don't wait for complete copies.
 type transfer struct {
-	version  ticket.Version
-	size     int
-	urgent   bool
-	chunks   []chunkState
-	left     int
+	version ticket.Version
+	size    int
+	urgent  bool
+	// announced is set when others were told that chunks can be served.
+	announced bool
+	chunks    []chunkState
+	left      int
+	// open counts the chunks that were asked for and are to come.
+	open     int
 	sources  []source
 	progress time.Duration
 }
 
+// fetches are the tickets that the core is about to get.
 type fetches struct {
 	transfers []*transfer
 	asked     map[ticket.Version]time.Duration
@@ -105,10 +113,51 @@
 	if t == nil || t.size != int(m.Size) {
 		return
 	}
-	t.add(from, c.now)
+	t.add(from)
 	c.advanceTransfer(t)
 }
 
+// addSource notes that a node can serve a ticket that is being fetched.
+func (c *Core) addSource(v ticket.Version, from netip.AddrPort) {
+	if t := c.transfer(v); t != nil {
+		t.add(from)
+		c.advanceTransfer(t)
+	}
+}
+
+// pending returns the versions that are being fetched in chunks.
+func (c *Core) pending() []ticket.Version {
+	versions := []ticket.Version{}
+	for _, t := range c.fetch.transfers {
+		versions = append(versions, t.version)
+	}
+
+	return versions
+}
+
+// has returns those of versions that the core can serve, at least in part.
+func (c *Core) has(versions []ticket.Version) []ticket.Version {
+	has := []ticket.Version{}
+	for _, v := range versions {
+		t := c.transfer(v)
+		if c.store.body(v) != nil || t != nil && t.left < len(t.chunks) {
+			has = append(has, v)
+		}
+	}
+
+	return has
+}
+
+// known returns the highest ticket number that is held or being fetched.
+func (c *Core) known() uint64 {
+	n := c.state.Highest()
+	for _, t := range c.fetch.transfers {
+		n = max(n, t.version.Number)
+	}
+
+	return n
+}
+
 func (c *Core) transfer(v ticket.Version) *transfer {
 	for _, t := range c.fetch.transfers {
 		if t.version == v {
@@ -120,7 +169,7 @@
 }
 
 func (c *Core) newTransfer(m Announce) *transfer {
-	if len(c.fetch.transfers) >= maxTransfers {
+	if len(c.fetch.transfers) >= MaxPending {
 		return nil
 	}
 	n := (int(m.Size) + ChunkBytes - 1) / ChunkBytes
@@ -137,12 +186,9 @@
 	return t
 }
 
-func (t *transfer) add(a netip.AddrPort, now time.Duration) {
+func (t *transfer) add(a netip.AddrPort) {
 	for i := range t.sources {
 		if t.sources[i].addr == a {
-			t.sources[i].from = now
-			t.sources[i].timeouts = 0
-
 			return
 		}
 	}
@@ -166,171 +212,3 @@
 func (t *transfer) remove(a netip.AddrPort) {
 	t.sources = slices.DeleteFunc(t.sources, func(s source) bool { return s.addr == a })
 }
-
-// fetchTick expires chunk requests and sends new ones.
-func (c *Core) fetchTick() {
-	f := &c.fetch
-	f.transfers = slices.DeleteFunc(f.transfers, func(t *transfer) bool {
-		return !c.wants(t.version) || c.now-t.progress > transferTimeout
-	})
-	for _, t := range f.transfers {
-		c.expireChunks(t)
-		c.advanceTransfer(t)
-	}
-}
-
-func (c *Core) expireChunks(t *transfer) {
-	for i := range t.chunks {
-		k := &t.chunks[i]
-		if k.data != nil || k.expires == 0 || c.now < k.expires {
-			continue
-		}
-		k.expires = 0
-		c.counters.ChunkTimeouts++
-		if s := t.source(k.asked); s != nil {
-			s.timeouts++
-			s.from = c.now + busyFor
-		}
-	}
-}
-
-// advanceTransfer asks for the next chunks as far as window and budget allow.
-func (c *Core) advanceTransfer(t *transfer) {
-	open := t.open()
-	expected := 0
-	for _, o := range c.fetch.transfers {
-		expected += o.open()
-	}
-	// Chunks are asked for in random order, so that nodes that fetch the same
-	// ticket do not all depend on the same chunk of one source.
-	for _, i := range c.random.Perm(len(t.chunks)) {
-		k := &t.chunks[i]
-		if k.data != nil || k.expires > 0 {
-			continue
-		}
-		a, ok := c.chooseSource(t)
-		if open >= window || !ok || !c.budget.allows(classBulk, (expected+1)*(ChunkBytes+headerBytes)) {
-			return
-		}
-		k.asked = a
-		k.expires = c.now + chunkTimeout
-		open++
-		expected++
-		c.send(classSmall, a, ChunkRequest{
-			Version: t.version,
-			Index:   uint32(i),
-		})
-	}
-}
-
-// open returns the number of chunks that were asked for and are to come.
-func (t *transfer) open() int {
-	n := 0
-	for i := range t.chunks {
-		if t.chunks[i].data == nil && t.chunks[i].expires > 0 {
-			n++
-		}
-	}
-
-	return n
-}
-
-// chooseSource returns a random source that isn't busy.
-func (c *Core) chooseSource(t *transfer) (netip.AddrPort, bool) {
-	ready := []netip.AddrPort{}
-	for _, s := range t.sources {
-		if c.now >= s.from {
-			ready = append(ready, s.addr)
-		}
-	}
-	if len(ready) == 0 {
-		return netip.AddrPort{}, false
-	}
-
-	return pick(c.random, ready), true
-}
-
-func (c *Core) onChunkRequest(from netip.AddrPort, m ChunkRequest) {
-	b := c.store.body(m.Version)
-	start := int(m.Index) * ChunkBytes
-	if b == nil || start >= len(b) {
-		c.refuse(from, m, true)
-
-		return
-	}
-
-	served := c.send(classBulk, from, Chunk{
-		Version: m.Version,
-		Index:   m.Index,
-		Size:    uint32(len(b)),
-		Data:    b[start:min(start+ChunkBytes, len(b))],
-	})
-	if !served {
-		c.counters.ChunksRefused++
-		c.refuse(from, m, false)
-	}
-}
-
-func (c *Core) refuse(from netip.AddrPort, m ChunkRequest, gone bool) {
-	c.send(classSmall, from, ChunkRefused{
-		Version: m.Version,
-		Index:   m.Index,
-		Gone:    gone,
-	})
-}
-
-func (c *Core) onChunkRefused(from netip.AddrPort, m ChunkRefused) {
-	t := c.transfer(m.Version)
-	if t == nil || int(m.Index) >= len(t.chunks) {
-		return
-	}
-	if k := &t.chunks[m.Index]; k.asked == from {
-		k.expires = 0
-	}
-	if s := t.source(from); s != nil {
-		s.from = c.now + busyFor
-	}
-	if m.Gone {
-		t.remove(from)
-	}
-	c.advanceTransfer(t)
-}
-
-func (c *Core) onChunk(from netip.AddrPort, m Chunk) {
-	t := c.transfer(m.Version)
-	if t == nil || int(m.Index) >= len(t.chunks) || int(m.Size) != t.size {
-		return
-	}
-	k := &t.chunks[m.Index]
-	if len(m.Data) != t.length(int(m.Index)) || k.data != nil {
-		return
-	}
-
-	k.data = m.Data
-	k.expires = 0
-	t.left--
-	t.progress = c.now
-	if s := t.source(from); s != nil {
-		s.timeouts = 0
-	}
-	if t.left > 0 {
-		c.advanceTransfer(t)
-
-		return
-	}
-	c.finish(from, t)
-}
-
-// length returns the length of chunk i.
-func (t *transfer) length(i int) int {
-	return min(ChunkBytes, t.size-i*ChunkBytes)
-}
-
-func (c *Core) finish(from netip.AddrPort, t *transfer) {
-	body := make([]byte, 0, t.size)
-	for _, k := range t.chunks {
-		body = append(body, k.data...)
-	}
-	c.fetch.transfers = slices.DeleteFunc(c.fetch.transfers, func(o *transfer) bool { return o == t })
-	c.accept(from, t.version, body)
-}
--- a/core/mesh/index.go
+++ b/core/mesh/index.go
@@ -1,13 +1,10 @@
 package mesh
 
 import (
-	"encoding/binary"
 	"net/netip"
 	"slices"
 	"sort"
 
-	"github.com/dchest/siphash"
-
 	"ibisfold.example/core/ticket"
 )
 
@@ -42,7 +39,7 @@
 	x.versions = c.state.Versions()
 	x.prefix = make([]uint64, 1, len(x.versions)+1)
 	for i, v := range x.versions {
-		x.prefix = append(x.prefix, x.prefix[i]^mix(v))
+		x.prefix = append(x.prefix, x.prefix[i]^v.Sum())
 	}
 
 	return x
@@ -72,15 +69,6 @@
 	c.index.agentsValid = false
 }
 
-func mix(v ticket.Version) uint64 {
-	var b [16]byte
-
-	binary.BigEndian.PutUint64(b[:], v.Number)
-	binary.BigEndian.PutUint64(b[8:], v.Hash)
-
-	return siphash.Hash(0, 0, b[:])
-}
-
 // bounds returns the positions of the range from <= version < to.
 func (x *index) bounds(from, to ticket.Version) (int, int) {
 	lo := x.position(from)
--- a/core/mesh/size.go
+++ b/core/mesh/size.go
@@ -46,6 +46,16 @@
 	return n
 }
 
+// indexesBytes is the length of a packed list of varints.
+func indexesBytes(indexes []uint32) int {
+	n := 2
+	for _, i := range indexes {
+		n += max(1, varintBytes(uint64(i))-1)
+	}
+
+	return n
+}
+
 func versionsBytes(versions []ticket.Version) int {
 	n := 0
 	for _, v := range versions {
@@ -93,12 +103,12 @@
 
 // Bytes returns the length of the message with all headers.
 func (m Digest) Bytes() int {
-	return headerBytes + fixedBytes + m.Status.bytes() + varintBytes(uint64(m.Room)) + 2
+	return headerBytes + fixedBytes + m.Status.bytes() + varintBytes(uint64(m.Room)) + 2 + versionsBytes(m.Pending)
 }
 
 // Bytes returns the length of the message with all headers.
 func (m DigestAck) Bytes() int {
-	return headerBytes + fixedBytes + m.Status.bytes() + partsBytes(m.Parts)
+	return headerBytes + fixedBytes + m.Status.bytes() + partsBytes(m.Parts) + versionsBytes(m.Has)
 }
 
 // Bytes returns the length of the message with all headers.
@@ -119,7 +129,7 @@
 
 // Bytes returns the length of the message with all headers.
 func (m ChunkRequest) Bytes() int {
-	return headerBytes + versionBytes(m.Version) + varintBytes(uint64(m.Index))
+	return headerBytes + versionBytes(m.Version) + indexesBytes(m.Indexes)
 }
 
 // Bytes returns the length of the message with all headers.
@@ -130,7 +140,7 @@
 
 // Bytes returns the length of the message with all headers.
 func (m ChunkRefused) Bytes() int {
-	return headerBytes + versionBytes(m.Version) + varintBytes(uint64(m.Index)) + 2
+	return headerBytes + versionBytes(m.Version) + indexesBytes(m.Indexes) + 2
 }
 
 // Bytes returns the length of the message with all headers.
--- a/core/mesh/store.go
+++ b/core/mesh/store.go
@@ -201,6 +201,10 @@
 
 		return
 	}
+	if len(b) > MaxPushBytes && except.IsValid() {
+		// It came in chunks and was announced with the first one.
+		return
+	}
 	for _, a := range c.choose(pushFanout, except) {
 		c.send(classSmall, a, c.message(v, b))
 	}
--- a/core/mesh/wire.go
+++ b/core/mesh/wire.go
@@ -20,6 +20,10 @@
 	MaxRumours = 16
 	// MaxParts is the number of ranges in one summary.
 	MaxParts = 24
+	// MaxPending is the number of tickets that are fetched in chunks at a time.
+	MaxPending = 4
+	// MaxIndexes is the number of chunks in one request.
+	MaxIndexes = 8
 	// MaxItems is the number of versions in one list.
 	MaxItems = 16
 	// MaxBodyBytes is the largest compressed ticket.
@@ -48,6 +52,8 @@
 	Room uint32
 	// Sparse asks for more peers, because the sender knows few.
 	Sparse bool
+	// Pending are the tickets that the sender is fetching in chunks.
+	Pending []ticket.Version
 }
 
 // DigestAck answers a Digest. Parts is empty if the digests are equal.
@@ -55,6 +61,9 @@
 	Nonce  uint64
 	Status Status
 	Parts  []Part
+	// Has are those of the other side's Pending that the sender can serve,
+	// at least in part.
+	Has []ticket.Version
 }
 
 // Beat is a sign of life of a reader, passed on by the nodes of its zone.
@@ -104,10 +113,10 @@
 	Data    []byte
 }
 
-// ChunkRequest asks for one chunk of a ticket.
+// ChunkRequest asks for chunks of a ticket.
 type ChunkRequest struct {
 	Version ticket.Version
-	Index   uint32
+	Indexes []uint32
 }
 
 // Chunk carries one chunk of a compressed ticket.
@@ -119,12 +128,12 @@
 	Data []byte
 }
 
-// ChunkRefused tells that the sender can't serve a chunk.
+// ChunkRefused tells that the sender can't serve chunks.
 type ChunkRefused struct {
 	Version ticket.Version
-	Index   uint32
-	// Gone means that the sender no longer holds the ticket; otherwise its
-	// byte budget is used up for the moment.
+	Indexes []uint32
+	// Gone means that the sender neither holds nor fetches the ticket;
+	// otherwise it lacks the chunks or its byte budget is used up for now.
 	Gone bool
 }
 
--- a/core/peer/codec_test.go
+++ b/core/peer/codec_test.go
@@ -77,15 +77,17 @@
 	}
 	testWires = []mesh.Wire{
 		mesh.Digest{
-			Nonce:  5,
-			Status: testStatus,
-			Room:   mesh.BudgetBurst,
-			Sparse: true,
+			Nonce:   5,
+			Status:  testStatus,
+			Room:    mesh.BudgetBurst,
+			Sparse:  true,
+			Pending: []ticket.Version{testVersion},
 		},
 		mesh.DigestAck{
 			Nonce:  5,
 			Status: testStatus,
 			Parts:  testParts,
+			Has:    []ticket.Version{testVersion},
 		},
 		mesh.Summary{
 			Parts: testParts,
@@ -105,7 +107,7 @@
 		},
 		mesh.ChunkRequest{
 			Version: testVersion,
-			Index:   999,
+			Indexes: []uint32{0, 999},
 		},
 		mesh.Chunk{
 			Version: testVersion,
@@ -115,7 +117,7 @@
 		},
 		mesh.ChunkRefused{
 			Version: testVersion,
-			Index:   999,
+			Indexes: []uint32{0, 999},
 			Gone:    true,
 		},
 		mesh.Rumours{
--- a/core/peer/decode.go
+++ b/core/peer/decode.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"slices"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -43,14 +44,17 @@
 		x, err := decodeExchange(f.bytes)
 
 		return mesh.Digest{
-			Nonce:  x.ack.Nonce,
-			Status: x.ack.Status,
-			Room:   x.room,
-			Sparse: x.sparse,
+			Nonce:   x.ack.Nonce,
+			Status:  x.ack.Status,
+			Room:    x.room,
+			Sparse:  x.sparse,
+			Pending: x.pending,
 		}, err
 	case wireDigestAck:
 		x, err := decodeExchange(f.bytes)
 
+		x.ack.Has = x.pending
+
 		return x.ack, err
 	case wireSummary:
 		x, err := decodeExchange(f.bytes)
@@ -167,6 +171,8 @@
 	ack    mesh.DigestAck
 	room   uint32
 	sparse bool
+	// pending is Pending of Digest and Has of DigestAck.
+	pending []ticket.Version
 }
 
 func decodeExchange(b []byte) (exchangeFields, error) {
@@ -184,6 +190,8 @@
 			m.room, err = f.uint32()
 		case 5:
 			m.sparse = f.value != 0
+		case 6:
+			m.pending, err = list(m.pending, f, mesh.MaxPending, decodeVersion)
 		}
 
 		return err
@@ -291,10 +299,12 @@
 			Data:    t.data,
 		}, err
 	case wireChunkRequest:
+		indexes, wrong := decodeIndexes(t.data)
+
 		return mesh.ChunkRequest{
 			Version: t.version,
-			Index:   t.number,
-		}, err
+			Indexes: indexes,
+		}, cmp.Or(err, wrong)
 	case wireChunk:
 		return mesh.Chunk{
 			Version: t.version,
@@ -303,14 +313,33 @@
 			Data:    t.data,
 		}, err
 	default:
+		indexes, wrong := decodeIndexes(t.data)
+
 		return mesh.ChunkRefused{
 			Version: t.version,
-			Index:   t.number,
+			Indexes: indexes,
 			Gone:    t.third != 0,
-		}, err
+		}, cmp.Or(err, wrong)
 	}
 }
 
+func decodeIndexes(b []byte) ([]uint32, error) {
+	indexes := []uint32{}
+	for len(b) > 0 {
+		v, size := protowire.ConsumeVarint(b)
+		if size < 0 {
+			return nil, ErrMalformed
+		}
+		if v > mesh.MaxBodyBytes || len(indexes) >= mesh.MaxIndexes {
+			return nil, ErrField
+		}
+		indexes = append(indexes, uint32(v))
+		b = b[size:]
+	}
+
+	return indexes, nil
+}
+
 func decodeTicketFields(b []byte) (ticketFields, error) {
 	t := ticketFields{}
 	err := fields(b, func(f field) error {
--- a/core/peer/encode.go
+++ b/core/peer/encode.go
@@ -27,10 +27,11 @@
 	case mesh.Digest:
 		v := appendVarint(encodeExchange(m.Nonce, m.Status, nil), 4, uint64(m.Room))
 		v = appendVarint(v, 5, protowire.EncodeBool(m.Sparse))
+		v = appendVersions(v, 6, m.Pending)
 
 		return appendMessage(b, wireDigest, v)
 	case mesh.DigestAck:
-		return appendMessage(b, wireDigestAck, encodeExchange(m.Nonce, m.Status, m.Parts))
+		return appendMessage(b, wireDigestAck, appendVersions(encodeExchange(m.Nonce, m.Status, m.Parts), 6, m.Has))
 	case mesh.Summary:
 		return appendMessage(b, wireSummary, appendVarint(appendParts(nil, m.Parts), 4, uint64(m.Room)))
 	case mesh.Fetch:
@@ -40,11 +41,11 @@
 	case mesh.Body:
 		return appendMessage(b, wireBody, encodeTicket(m.Version, 0, false, m.Data))
 	case mesh.ChunkRequest:
-		return appendMessage(b, wireChunkRequest, encodeTicket(m.Version, uint64(m.Index), false, nil))
+		return appendMessage(b, wireChunkRequest, encodeTicket(m.Version, 0, false, encodeIndexes(m.Indexes)))
 	case mesh.Chunk:
 		return appendMessage(b, wireChunk, encodeChunk(m))
 	case mesh.ChunkRefused:
-		return appendMessage(b, wireChunkRefused, encodeTicket(m.Version, uint64(m.Index), m.Gone, nil))
+		return appendMessage(b, wireChunkRefused, encodeTicket(m.Version, 0, m.Gone, encodeIndexes(m.Indexes)))
 	case mesh.Rumours:
 		return appendMessage(b, wireRumours, appendRumours(nil, 1, m.Items))
 	default:
@@ -127,6 +128,15 @@
 	return appendBytes(b, 4, data)
 }
 
+func encodeIndexes(indexes []uint32) []byte {
+	b := []byte{}
+	for _, i := range indexes {
+		b = protowire.AppendVarint(b, uint64(i))
+	}
+
+	return b
+}
+
 func encodeChunk(m mesh.Chunk) []byte {
 	b := appendMessage(nil, 1, encodeVersion(m.Version))
 	b = appendVarint(b, 2, uint64(m.Index))
--- a/core/ticket/state.go
+++ b/core/ticket/state.go
@@ -159,7 +159,7 @@
 
 func (s *State) hold(h *held) {
 	s.held[h.ticket.Version] = h
-	s.hash ^= h.ticket.Version.sum()
+	s.hash ^= h.ticket.Version.Sum()
 }
 
 // drop counts one object less for the ticket of version v.
@@ -179,10 +179,11 @@
 		return
 	}
 	delete(s.held, v)
-	s.hash ^= v.sum()
+	s.hash ^= v.Sum()
 }
 
-func (v Version) sum() uint64 {
+// Sum returns the hash of the version that Digest.Hash is made of.
+func (v Version) Sum() uint64 {
 	var b [16]byte
 
 	binary.BigEndian.PutUint64(b[:], v.Number)
