Ask sources only for chunks that they hold

Cause: half of the bytes of a transfer were requests that were refused, because a source lacked the chunk or its budget was used up. Change: announcements, chunks and refusals carry the set of chunks that the sender holds, and a source without budget is left alone for 1 s, doubling to 8 s. The fleet of the capacity runs now has a target for each agent, as in the design; with 90 targets the probes of 740 nodes had met the same 90 agents.

--- a/core/mesh/chunks.go
+++ b/core/mesh/chunks.go
@@ -6,6 +6,32 @@
 	"time"
 )
 
+// maxInlineChunks is the largest number of chunks whose set goes with each chunk.
+const maxInlineChunks = 256
+
+// bitmap is a set of chunks; nil is the set of all.
+type bitmap []byte
+
+func (b bitmap) holds(i int) bool {
+	return len(b) == 0 || i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0
+}
+
+// have returns the set of chunks that have arrived; nil for no transfer, whose
+// ticket is complete.
+func (t *transfer) have() bitmap {
+	if t == nil {
+		return nil
+	}
+	b := make(bitmap, (len(t.chunks)+7)/8)
+	for i := range t.chunks {
+		if t.chunks[i].data != nil {
+			b[i/8] |= 1 << (i % 8)
+		}
+	}
+
+	return b
+}
+
 // fetchTick expires chunk requests and sends new ones.
 func (c *Core) fetchTick() {
 	for _, t := range slices.Clone(c.fetch.transfers) {
@@ -27,7 +53,7 @@
 		}
 		c.free(t, i)
 		c.counters.ChunkTimeouts++
-		t.pause(k.asked, c.now+busyFor)
+		t.pause(k.asked, c.now+minBusy)
 	}
 }
 
@@ -40,40 +66,42 @@
 
 // advanceTransfer asks for the next chunks as far as window and budget allow.
 func (c *Core) advanceTransfer(t *transfer) {
-	for t.open < window {
-		n := min(perRequest, window-t.open)
-		for n > 0 && !c.budget.allows(classBulk, n*chunkCost) {
-			n--
-		}
-		indexes := t.unasked(c, n)
-		a, ok := c.chooseSource(t)
-		if len(indexes) == 0 || !ok {
+	for _, i := range c.random.Perm(len(t.sources)) {
+		s := &t.sources[i]
+		n := min(perRequest, window-t.open, c.budget.room()/chunkCost)
+		if n <= 0 {
 			return
 		}
-		for _, i := range indexes {
-			t.chunks[i].asked = a
-			t.chunks[i].expires = c.now + chunkTimeout
+		if c.now >= s.from {
+			c.askSource(t, s, n)
 		}
-		t.open += len(indexes)
-		c.budget.expected += len(indexes) * chunkCost
-		c.send(classSmall, a, ChunkRequest{
-			Version: t.version,
-			Indexes: indexes,
-		})
-		// A source has one request at a time, so that all sources are used.
-		t.pause(a, c.now+busyFor)
 	}
 }
 
-// unasked returns up to n chunks to ask for, in random order, so that nodes
-// that fetch the same ticket have different chunks to serve to each other.
-func (t *transfer) unasked(c *Core, n int) []uint32 {
-	indexes := []uint32{}
-	if n == 0 {
-		return indexes
+func (c *Core) askSource(t *transfer, s *source, n int) {
+	indexes := t.unasked(c, s, n)
+	if len(indexes) == 0 {
+		return
 	}
+	for _, i := range indexes {
+		t.chunks[i].asked = s.addr
+		t.chunks[i].expires = c.now + chunkTimeout
+	}
+	t.open += len(indexes)
+	c.budget.expected += len(indexes) * chunkCost
+	s.from = c.now + askedPause
+	c.send(classSmall, s.addr, ChunkRequest{
+		Version: t.version,
+		Indexes: indexes,
+	})
+}
+
+// unasked returns up to n chunks to ask a source for, in random order, so that
+// nodes that fetch the same ticket have different chunks to serve to each other.
+func (t *transfer) unasked(c *Core, s *source, n int) []uint32 {
+	indexes := []uint32{}
 	for _, i := range c.random.Perm(len(t.chunks)) {
-		if k := t.chunks[i]; k.data == nil && k.expires == 0 && len(indexes) < n {
+		if k := t.chunks[i]; k.data == nil && k.expires == 0 && s.have.holds(i) && len(indexes) < n {
 			indexes = append(indexes, uint32(i))
 		}
 	}
@@ -99,21 +127,6 @@
 	c.fetch.transfers = slices.DeleteFunc(c.fetch.transfers, func(o *transfer) bool { return o == t })
 }
 
-// chooseSource returns a random source that isn't busy.
-func (c *Core) chooseSource(t *transfer) (netip.AddrPort, bool) {
-	ready := []netip.AddrPort{}
-	for _, s := range t.sources {
-		if c.now >= s.from {
-			ready = append(ready, s.addr)
-		}
-	}
-	if len(ready) == 0 {
-		return netip.AddrPort{}, false
-	}
-
-	return pick(c.random, ready), true
-}
-
 func (c *Core) onChunkRequest(from netip.AddrPort, m ChunkRequest) {
 	if len(m.Indexes) > MaxIndexes {
 		c.counters.InvalidWire++
@@ -127,12 +140,15 @@
 	}
 	for _, i := range m.Indexes {
 		k := c.chunk(m, i)
-		if k.Data == nil || !c.send(classBulk, from, k) {
-			refused.Indexes = append(refused.Indexes, i)
+		if k.Data != nil && c.send(classBulk, from, k) {
+			continue
 		}
+		refused.Busy = refused.Busy || k.Data != nil
+		refused.Indexes = append(refused.Indexes, i)
 	}
 	if len(refused.Indexes) > 0 {
 		c.counters.ChunksRefused += uint64(len(refused.Indexes))
+		refused.Have = c.transfer(m.Version).have()
 		c.send(classSmall, from, refused)
 	}
 }
@@ -153,6 +169,9 @@
 	case b == nil && t != nil && int(i) < len(t.chunks):
 		k.Size = uint32(t.size)
 		k.Data = t.chunks[i].data
+		if len(t.chunks) <= maxInlineChunks {
+			k.Have = t.have()
+		}
 	}
 
 	return k
@@ -168,11 +187,24 @@
 			c.free(t, int(i))
 		}
 	}
-	t.pause(from, c.now+busyFor)
-	if m.Gone {
+	t.refusedBy(from, m, c.now)
+	c.advanceTransfer(t)
+}
+
+func (t *transfer) refusedBy(from netip.AddrPort, m ChunkRefused, now time.Duration) {
+	s := t.source(from)
+	switch {
+	case s == nil:
+	case m.Gone:
 		t.remove(from)
+	case m.Busy:
+		s.busy = min(max(2*s.busy, minBusy), maxBusy)
+		s.from = now + s.busy
+		s.have = m.Have
+	default:
+		s.from = now
+		s.have = m.Have
 	}
-	c.advanceTransfer(t)
 }
 
 func (c *Core) onChunk(from netip.AddrPort, m Chunk) {
@@ -189,7 +221,11 @@
 	c.free(t, int(m.Index))
 	t.left--
 	t.progress = c.now
-	t.pause(from, c.now)
+	if s := t.source(from); s != nil {
+		s.from = c.now
+		s.busy = 0
+		s.have = m.Have
+	}
 	if !t.announced {
 		t.announced = true
 		c.announce(from, t)
@@ -204,11 +240,16 @@
 
 // announce offers a ticket as soon as its first chunk can be served.
 func (c *Core) announce(except netip.AddrPort, t *transfer) {
+	k := classBulk
+	if t.urgent {
+		k = classSmall
+	}
 	for _, a := range c.choose(pushFanout, except) {
-		c.send(classSmall, a, Announce{
+		c.send(k, a, Announce{
 			Version: t.version,
 			Size:    uint32(t.size),
 			Urgent:  t.urgent,
+			Have:    t.have(),
 		})
 	}
 }
--- a/core/mesh/fetch.go
+++ b/core/mesh/fetch.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -18,8 +19,12 @@
 	chunkCost = ChunkBytes + headerBytes
 	// chunkTimeout is when a chunk is asked for again, from another source.
 	chunkTimeout = 700 * time.Millisecond
-	// busyFor keeps a source that refused a chunk out of use.
-	busyFor = 400 * time.Millisecond
+	// askedPause leaves a source that was asked alone until it answers.
+	askedPause = 400 * time.Millisecond
+	// minBusy and maxBusy bound the pause of a source whose byte budget is used
+	// up; it doubles each time, because refusals use up the budget of both.
+	minBusy = time.Second
+	maxBusy = 8 * time.Second
 	// transferTimeout ends a transfer that gets no chunk.
 	transferTimeout = 15 * time.Second
 	// askedFor is how long a small ticket is not asked for again.
@@ -33,6 +38,10 @@
 	addr netip.AddrPort
 	// from is when the source may be asked again.
 	from time.Duration
+	// busy is the last pause after a refusal for lack of budget.
+	busy time.Duration
+	// have are the chunks that the source is known to hold; nil means all.
+	have bitmap
 }
 
 type chunkState struct {
@@ -113,14 +122,14 @@
 	if t == nil || t.size != int(m.Size) {
 		return
 	}
-	t.add(from)
+	t.add(from, m.Have)
 	c.advanceTransfer(t)
 }
 
 // addSource notes that a node can serve a ticket that is being fetched.
 func (c *Core) addSource(v ticket.Version, from netip.AddrPort) {
 	if t := c.transfer(v); t != nil {
-		t.add(from)
+		t.add(from, nil)
 		c.advanceTransfer(t)
 	}
 }
@@ -186,16 +195,29 @@
 	return t
 }
 
-func (t *transfer) add(a netip.AddrPort) {
+func (t *transfer) add(a netip.AddrPort, have bitmap) {
 	for i := range t.sources {
 		if t.sources[i].addr == a {
+			t.sources[i].have = have
+
 			return
 		}
 	}
+	n := source{
+		addr: a,
+		have: have,
+	}
 	if len(t.sources) < maxSources {
-		t.sources = append(t.sources, source{
-			addr: a,
-		})
+		t.sources = append(t.sources, n)
+
+		return
+	}
+	// A source that refused several times gives way.
+	worst := slices.MaxFunc(t.sources, func(a, b source) int {
+		return cmp.Compare(a.from, b.from)
+	})
+	if worst.busy >= maxBusy {
+		*t.source(worst.addr) = n
 	}
 }
 
--- a/core/mesh/size.go
+++ b/core/mesh/size.go
@@ -121,7 +121,7 @@
 
 // Bytes returns the length of the message with all headers.
 func (m Announce) Bytes() int {
-	return headerBytes + versionBytes(m.Version) + varintBytes(uint64(m.Size)) + 2
+	return headerBytes + versionBytes(m.Version) + varintBytes(uint64(m.Size)) + 4 + len(m.Have)
 }
 
 // Bytes returns the length of the message with all headers.
@@ -135,12 +135,12 @@
 // Bytes returns the length of the message with all headers.
 func (m Chunk) Bytes() int {
 	return headerBytes + versionBytes(m.Version) + varintBytes(uint64(m.Index)) +
-		varintBytes(uint64(m.Size)) + 3 + len(m.Data)
+		varintBytes(uint64(m.Size)) + 5 + len(m.Data) + len(m.Have)
 }
 
 // Bytes returns the length of the message with all headers.
 func (m ChunkRefused) Bytes() int {
-	return headerBytes + versionBytes(m.Version) + indexesBytes(m.Indexes) + 2
+	return headerBytes + versionBytes(m.Version) + indexesBytes(m.Indexes) + 6 + len(m.Have)
 }
 
 // Bytes returns the length of the message with all headers.
--- a/core/mesh/store.go
+++ b/core/mesh/store.go
@@ -201,12 +201,12 @@
 
 		return
 	}
-	if len(b) > MaxPushBytes && except.IsValid() {
-		// It came in chunks and was announced with the first one.
-		return
+	k := classSmall
+	if len(b) > MaxPushBytes && !urgent(c.state.Held(v)) {
+		k = classBulk
 	}
 	for _, a := range c.choose(pushFanout, except) {
-		c.send(classSmall, a, c.message(v, b))
+		c.send(k, a, c.message(v, b))
 	}
 }
 
--- a/core/mesh/wire.go
+++ b/core/mesh/wire.go
@@ -22,6 +22,8 @@
 	MaxParts = 24
 	// MaxPending is the number of tickets that are fetched in chunks at a time.
 	MaxPending = 4
+	// MaxHaveBytes is the length of the set of all chunks of the largest ticket.
+	MaxHaveBytes = (MaxBodyBytes/ChunkBytes + 7) / 8
 	// MaxIndexes is the number of chunks in one request.
 	MaxIndexes = 8
 	// MaxItems is the number of versions in one list.
@@ -105,6 +107,9 @@
 	Size uint32
 	// Urgent tells that the ticket takes a zone out of service.
 	Urgent bool
+	// Have is the set of chunks that the sender holds, one bit each; it is
+	// empty if it holds all.
+	Have []byte
 }
 
 // Body carries a whole compressed ticket.
@@ -126,15 +131,20 @@
 	// Size is the compressed length of the whole ticket in bytes.
 	Size uint32
 	Data []byte
+	// Have is as in Announce; it is left out for tickets of many chunks.
+	Have []byte
 }
 
 // ChunkRefused tells that the sender can't serve chunks.
 type ChunkRefused struct {
 	Version ticket.Version
 	Indexes []uint32
-	// Gone means that the sender neither holds nor fetches the ticket;
-	// otherwise it lacks the chunks or its byte budget is used up for now.
+	// Gone means that the sender neither holds nor fetches the ticket.
 	Gone bool
+	// Busy means that its byte budget is used up for now.
+	Busy bool
+	// Have is as in Announce.
+	Have []byte
 }
 
 // Rumour is a suspicion of a target's agent, or its refutation. The rumour
--- a/core/peer/codec_test.go
+++ b/core/peer/codec_test.go
@@ -100,6 +100,7 @@
 			Version: testVersion,
 			Size:    mesh.MaxBodyBytes,
 			Urgent:  true,
+			Have:    make([]byte, mesh.MaxHaveBytes),
 		},
 		mesh.Body{
 			Version: testVersion,
@@ -114,11 +115,14 @@
 			Index:   999,
 			Size:    mesh.MaxBodyBytes,
 			Data:    make([]byte, mesh.ChunkBytes),
+			Have:    make([]byte, 32),
 		},
 		mesh.ChunkRefused{
 			Version: testVersion,
 			Indexes: []uint32{0, 999},
 			Gone:    true,
+			Busy:    true,
+			Have:    []byte{5},
 		},
 		mesh.Rumours{
 			Items: []mesh.Rumour{testRumour},
--- a/core/peer/decode.go
+++ b/core/peer/decode.go
@@ -282,6 +282,7 @@
 	number  uint32
 	third   uint32
 	data    []byte
+	have    []byte
 }
 
 func decodeTicketKind(f field) (mesh.Wire, error) {
@@ -292,6 +293,7 @@
 			Version: t.version,
 			Size:    t.number,
 			Urgent:  t.third != 0,
+			Have:    t.have,
 		}, err
 	case wireBody:
 		return mesh.Body{
@@ -311,6 +313,7 @@
 			Index:   t.number,
 			Size:    t.third,
 			Data:    t.data,
+			Have:    t.have,
 		}, err
 	default:
 		indexes, wrong := decodeIndexes(t.data)
@@ -319,6 +322,8 @@
 			Version: t.version,
 			Indexes: indexes,
 			Gone:    t.third != 0,
+			Busy:    t.number != 0,
+			Have:    t.have,
 		}, cmp.Or(err, wrong)
 	}
 }
@@ -356,6 +361,11 @@
 				return ErrField
 			}
 			t.data = slices.Clone(f.bytes)
+		case fieldHave:
+			if len(f.bytes) > mesh.MaxHaveBytes {
+				return ErrField
+			}
+			t.have = slices.Clone(f.bytes)
 		}
 
 		return err
--- a/core/peer/encode.go
+++ b/core/peer/encode.go
@@ -21,6 +21,9 @@
 	wireRumours
 )
 
+// fieldHave is the field of the messages that carry a set of chunks.
+const fieldHave protowire.Number = 5
+
 // AppendWire appends the encoded message to b, without authentication.
 func AppendWire(b []byte, m mesh.Wire) []byte {
 	switch m := m.(type) {
@@ -37,7 +40,7 @@
 	case mesh.Fetch:
 		return appendMessage(b, wireFetch, appendVersions(nil, 1, m.Versions))
 	case mesh.Announce:
-		return appendMessage(b, wireAnnounce, encodeTicket(m.Version, uint64(m.Size), m.Urgent, nil))
+		return appendMessage(b, wireAnnounce, appendBytes(encodeTicket(m.Version, uint64(m.Size), m.Urgent, nil), fieldHave, m.Have))
 	case mesh.Body:
 		return appendMessage(b, wireBody, encodeTicket(m.Version, 0, false, m.Data))
 	case mesh.ChunkRequest:
@@ -45,7 +48,7 @@
 	case mesh.Chunk:
 		return appendMessage(b, wireChunk, encodeChunk(m))
 	case mesh.ChunkRefused:
-		return appendMessage(b, wireChunkRefused, encodeTicket(m.Version, 0, m.Gone, encodeIndexes(m.Indexes)))
+		return appendMessage(b, wireChunkRefused, encodeRefused(m))
 	case mesh.Rumours:
 		return appendMessage(b, wireRumours, appendRumours(nil, 1, m.Items))
 	default:
@@ -142,7 +145,15 @@
 	b = appendVarint(b, 2, uint64(m.Index))
 	b = appendVarint(b, 3, uint64(m.Size))
 
-	return appendBytes(b, 4, m.Data)
+	b = appendBytes(b, 4, m.Data)
+
+	return appendBytes(b, fieldHave, m.Have)
+}
+
+func encodeRefused(m mesh.ChunkRefused) []byte {
+	b := encodeTicket(m.Version, protowire.EncodeBool(m.Busy), m.Gone, encodeIndexes(m.Indexes))
+
+	return appendBytes(b, fieldHave, m.Have)
 }
 
 func appendRumours(b []byte, n protowire.Number, items []mesh.Rumour) []byte {
--- a/proof/capacity_test.go
+++ b/proof/capacity_test.go
@@ -95,7 +95,7 @@
 		"MeanBytesPerSecond", "HighestBytesPerSecond", "PeakBytesInASecond")
 	for _, n := range sizes {
 		for _, loss := range []float64{0, 0.1} {
-			f := newFleet(1, n, 90)
+			f := newFleet(1, n, agents(n))
 			f.Loss = loss
 			f.Run(30 * time.Second)
 			f.spread(b, "small", f.small(), 13)
@@ -150,7 +150,7 @@
 		"Readers", "ConfigReadsPerSecond", "UnconfirmedPercent", "CPUPercentOfCore", "CPUVerdict")
 	for _, n := range sizes {
 		for _, loss := range []float64{0, 0.1, 0.3} {
-			f := newFleet(2, n, 90)
+			f := newFleet(2, n, agents(n))
 			f.Loss = loss
 			f.Run(60 * time.Second)
 			f.WatchFor(f.Watch)
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -22,6 +22,10 @@
 
 func zoneName(i int) string { return fmt.Sprintf("zone-%d", i%zones) }
 
+// agents is the number of agents among n nodes; each has a target, so that
+// probes of agents' addresses spread over the fleet.
+func agents(n int) int { return n - (n+entryOneIn-1)/entryOneIn }
+
 // fleet is a network at one size with the tickets that were published.
 type fleet struct {
 	*meshtest.Network
