--- /dev/null
+++ b/core/mesh/chunks.go
@@ -0,0 +1,269 @@
+package mesh
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// maxInlineChunks is the largest number of chunks whose set goes with each chunk.
+const maxInlineChunks = 256
+
+// bitmap is a set of chunks; nil is the set of all.
+type bitmap []byte
+
+func (b bitmap) holds(i int) bool {
+	return len(b) == 0 || i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0
+}
+
+// have returns the set of chunks that have arrived; nil for no transfer, whose
+// ticket is complete.
+func (t *transfer) have() bitmap {
+	if t == nil {
+		return nil
+	}
+	b := make(bitmap, (len(t.chunks)+7)/8)
+	for i := range t.chunks {
+		if t.chunks[i].data != nil {
+			b[i/8] |= 1 << (i % 8)
+		}
+	}
+
+	return b
+}
+
+// fetchTick expires chunk requests and sends new ones.
+func (c *Core) fetchTick() {
+	for _, t := range slices.Clone(c.fetch.transfers) {
+		if !c.wants(t.version) || c.now-t.progress > transferTimeout {
+			c.drop(t)
+
+			continue
+		}
+		c.expireChunks(t)
+		c.advanceTransfer(t)
+	}
+}
+
+func (c *Core) expireChunks(t *transfer) {
+	for i := range t.chunks {
+		k := &t.chunks[i]
+		if k.data != nil || k.expires == 0 || c.now < k.expires {
+			continue
+		}
+		c.free(t, i)
+		c.counters.ChunkTimeouts++
+		t.pause(k.asked, c.now+minBusy)
+	}
+}
+
+// pause keeps a source out of use for a while.
+func (t *transfer) pause(a netip.AddrPort, until time.Duration) {
+	if s := t.source(a); s != nil {
+		s.from = until
+	}
+}
+
+// advanceTransfer asks for the next chunks as far as window and budget allow.
+func (c *Core) advanceTransfer(t *transfer) {
+	for _, i := range c.random.Perm(len(t.sources)) {
+		s := &t.sources[i]
+		n := min(perRequest, window-t.open, c.budget.room()/chunkCost)
+		if n <= 0 {
+			return
+		}
+		if c.now >= s.from {
+			c.askSource(t, s, n)
+		}
+	}
+}
+
+func (c *Core) askSource(t *transfer, s *source, n int) {
+	indexes := t.unasked(c, s, n)
+	if len(indexes) == 0 {
+		return
+	}
+	for _, i := range indexes {
+		t.chunks[i].asked = s.addr
+		t.chunks[i].expires = c.now + chunkTimeout
+	}
+	t.open += len(indexes)
+	c.budget.expected += len(indexes) * chunkCost
+	s.from = c.now + askedPause
+	c.send(classSmall, s.addr, ChunkRequest{
+		Version: t.version,
+		Indexes: indexes,
+	})
+}
+
+// unasked returns up to n chunks to ask a source for, in random order, so that
+// nodes that fetch the same ticket have different chunks to serve to each other.
+func (t *transfer) unasked(c *Core, s *source, n int) []uint32 {
+	indexes := []uint32{}
+	for _, i := range c.random.Perm(len(t.chunks)) {
+		if k := t.chunks[i]; k.data == nil && k.expires == 0 && s.have.holds(i) && len(indexes) < n {
+			indexes = append(indexes, uint32(i))
+		}
+	}
+
+	return indexes
+}
+
+// free ends the wait for a chunk.
+func (c *Core) free(t *transfer, i int) {
+	if t.chunks[i].expires == 0 {
+		return
+	}
+	t.chunks[i].expires = 0
+	t.open--
+	c.budget.expected -= chunkCost
+}
+
+// drop ends a transfer.
+func (c *Core) drop(t *transfer) {
+	for i := range t.chunks {
+		c.free(t, i)
+	}
+	c.fetch.transfers = slices.DeleteFunc(c.fetch.transfers, func(o *transfer) bool { return o == t })
+}
+
+func (c *Core) onChunkRequest(from netip.AddrPort, m ChunkRequest) {
+	if len(m.Indexes) > MaxIndexes {
+		c.counters.InvalidWire++
+
+		return
+	}
+
+	refused := ChunkRefused{
+		Version: m.Version,
+		Gone:    c.store.body(m.Version) == nil && c.transfer(m.Version) == nil,
+	}
+	for _, i := range m.Indexes {
+		k := c.chunk(m, i)
+		if k.Data != nil && c.send(classBulk, from, k) {
+			continue
+		}
+		refused.Busy = refused.Busy || k.Data != nil
+		refused.Indexes = append(refused.Indexes, i)
+	}
+	if len(refused.Indexes) > 0 {
+		c.counters.ChunksRefused += uint64(len(refused.Indexes))
+		refused.Have = c.transfer(m.Version).have()
+		c.send(classSmall, from, refused)
+	}
+}
+
+// chunk returns a chunk of a held ticket, or of one that is being fetched.
+func (c *Core) chunk(m ChunkRequest, i uint32) Chunk {
+	k := Chunk{
+		Version: m.Version,
+		Index:   i,
+	}
+	start := int(i) * ChunkBytes
+	b := c.store.body(m.Version)
+	t := c.transfer(m.Version)
+	switch {
+	case start < len(b):
+		k.Size = uint32(len(b))
+		k.Data = b[start:min(start+ChunkBytes, len(b))]
+	case b == nil && t != nil && int(i) < len(t.chunks):
+		k.Size = uint32(t.size)
+		k.Data = t.chunks[i].data
+		if len(t.chunks) <= maxInlineChunks {
+			k.Have = t.have()
+		}
+	}
+
+	return k
+}
+
+func (c *Core) onChunkRefused(from netip.AddrPort, m ChunkRefused) {
+	t := c.transfer(m.Version)
+	if t == nil || len(m.Indexes) > MaxIndexes {
+		return
+	}
+	for _, i := range m.Indexes {
+		if int(i) < len(t.chunks) && t.chunks[i].asked == from {
+			c.free(t, int(i))
+		}
+	}
+	t.refusedBy(from, m, c.now)
+	c.advanceTransfer(t)
+}
+
+func (t *transfer) refusedBy(from netip.AddrPort, m ChunkRefused, now time.Duration) {
+	s := t.source(from)
+	switch {
+	case s == nil:
+	case m.Gone:
+		t.remove(from)
+	case m.Busy:
+		s.busy = min(max(2*s.busy, minBusy), maxBusy)
+		s.from = now + s.busy
+		s.have = m.Have
+	default:
+		s.from = now
+		s.have = m.Have
+	}
+}
+
+func (c *Core) onChunk(from netip.AddrPort, m Chunk) {
+	t := c.transfer(m.Version)
+	if t == nil || int(m.Index) >= len(t.chunks) || int(m.Size) != t.size {
+		return
+	}
+	k := &t.chunks[m.Index]
+	if len(m.Data) != t.length(int(m.Index)) || k.data != nil {
+		return
+	}
+
+	k.data = m.Data
+	c.free(t, int(m.Index))
+	t.left--
+	t.progress = c.now
+	if s := t.source(from); s != nil {
+		s.from = c.now
+		s.busy = 0
+		s.have = m.Have
+	}
+	if !t.announced {
+		t.announced = true
+		c.announce(from, t)
+	}
+	if t.left > 0 {
+		c.advanceTransfer(t)
+
+		return
+	}
+	c.finish(from, t)
+}
+
+// announce offers a ticket as soon as its first chunk can be served.
+func (c *Core) announce(except netip.AddrPort, t *transfer) {
+	k := classBulk
+	if t.urgent {
+		k = classSmall
+	}
+	for _, a := range c.choose(pushFanout, except) {
+		c.send(k, a, Announce{
+			Version: t.version,
+			Size:    uint32(t.size),
+			Urgent:  t.urgent,
+			Have:    t.have(),
+		})
+	}
+}
+
+// length returns the length of chunk i.
+func (t *transfer) length(i int) int {
+	return min(ChunkBytes, t.size-i*ChunkBytes)
+}
+
+func (c *Core) finish(from netip.AddrPort, t *transfer) {
+	body := make([]byte, 0, t.size)
+	for _, k := range t.chunks {
+		body = append(body, k.data...)
+	}
+	c.drop(t)
+	c.accept(from, t.version, body)
+}
--- a/core/mesh/core.go
+++ b/core/mesh/core.go
@@ -37,6 +37,9 @@
 	if o.Parse == nil {
 		o.Parse = ticket.Parse
 	}
+	if o.Compress == nil {
+		o.Compress = Compress
+	}
 	c := &Core{
 		options: o,
 		random:  rand.New(rand.NewPCG(o.Seed, o.Self.Incarnation)),
@@ -124,7 +127,7 @@
 	case DigestAck:
 		c.onDigestAck(m.From, b)
 	case Summary:
-		c.onParts(m.From, b.Parts)
+		c.onParts(m.From, b.Parts, int(b.Room))
 	case Fetch:
 		c.onFetch(m.From, b)
 	case Announce:
--- a/core/mesh/meshtest/network.go
+++ b/core/mesh/meshtest/network.go
@@ -62,7 +62,7 @@
 	random *rand.Rand
 	ring   [slots][]event
 	byAddr map[netip.AddrPort]*Node
-	parsed map[string]*ticket.Ticket
+	shares map[string]shared
 }
 
 // New returns an empty network.
@@ -70,7 +70,7 @@
 	n := &Network{
 		random: rand.New(rand.NewPCG(seed, 0)),
 		byAddr: map[netip.AddrPort]*Node{},
-		parsed: map[string]*ticket.Ticket{},
+		shares: map[string]shared{},
 	}
 	n.Delay = func(*Node, *Node) time.Duration {
 		return 5*time.Millisecond + time.Duration(n.random.Int64N(int64(5*time.Millisecond)))
@@ -109,21 +109,35 @@
 		Seeds: seeds,
 		Seed:  n.random.Uint64(),
 		Parse: n.parse,
+		Compress: func(text []byte) []byte {
+			return n.shared(text).body
+		},
 	})
 	n.put(v, nil, time.Duration(1+n.random.IntN(tick))*step)
 }
 
-// parse shares parsed tickets among the nodes, which saves memory.
-func (n *Network) parse(text []byte) (*ticket.Ticket, error) {
-	if t := n.parsed[string(text)]; t != nil {
-		return t, nil
-	}
-	t, err := ticket.Parse(text)
-	if err == nil {
-		n.parsed[string(text)] = t
+// shared is the work on a ticket's text that all nodes would repeat.
+type shared struct {
+	ticket *ticket.Ticket
+	err    error
+	body   []byte
+}
+
+func (n *Network) shared(text []byte) shared {
+	s, ok := n.shares[string(text)]
+	if !ok {
+		s.ticket, s.err = ticket.Parse(text)
+		s.body = mesh.Compress(text)
+		n.shares[string(text)] = s
 	}
 
-	return t, err
+	return s
+}
+
+func (n *Network) parse(text []byte) (*ticket.Ticket, error) {
+	s := n.shared(text)
+
+	return s.ticket, s.err
 }
 
 func (n *Network) put(v *Node, m mesh.Message, after time.Duration) {
--- a/core/peer/decode.go
+++ b/core/peer/decode.go
@@ -1,8 +1,11 @@
 package peer
 
 import (
+	"cmp"
 	"slices"
 
+	"google.golang.org/protobuf/encoding/protowire"
+
 	"ibisfold.example/core/mesh"
 	"ibisfold.example/core/ticket"
 )
@@ -32,21 +35,33 @@
 }
 
 func decodeKind(f field) (mesh.Wire, error) {
+	if f.kind != protowire.BytesType {
+		return nil, ErrKind
+	}
+
 	switch f.number {
 	case wireDigest:
 		x, err := decodeExchange(f.bytes)
 
 		return mesh.Digest{
-			Nonce:  x.Nonce,
-			Status: x.Status,
+			Nonce:   x.ack.Nonce,
+			Status:  x.ack.Status,
+			Room:    x.room,
+			Sparse:  x.sparse,
+			Pending: x.pending,
 		}, err
 	case wireDigestAck:
-		return decodeExchange(f.bytes)
+		x, err := decodeExchange(f.bytes)
+
+		x.ack.Has = x.pending
+
+		return x.ack, err
 	case wireSummary:
 		x, err := decodeExchange(f.bytes)
 
 		return mesh.Summary{
-			Parts: x.Parts,
+			Parts: x.ack.Parts,
+			Room:  x.room,
 		}, err
 	case wireFetch:
 		return decodeFetch(f.bytes)
@@ -150,18 +165,33 @@
 	return v, err
 }
 
-// decodeExchange reads Digest, DigestAck and Summary, whose fields are numbered alike.
-func decodeExchange(b []byte) (mesh.DigestAck, error) {
-	m := mesh.DigestAck{}
+// exchangeFields are the fields of Digest, DigestAck and Summary, which are
+// numbered alike.
+type exchangeFields struct {
+	ack    mesh.DigestAck
+	room   uint32
+	sparse bool
+	// pending is Pending of Digest and Has of DigestAck.
+	pending []ticket.Version
+}
+
+func decodeExchange(b []byte) (exchangeFields, error) {
+	m := exchangeFields{}
 	err := fields(b, func(f field) error {
 		var err error
 		switch f.number {
 		case 1:
-			m.Nonce = f.value
+			m.ack.Nonce = f.value
 		case 2:
-			m.Status, err = decodeStatus(f.bytes)
+			m.ack.Status, err = decodeStatus(f.bytes)
 		case 3:
-			m.Parts, err = list(m.Parts, f, mesh.MaxParts, decodePart)
+			m.ack.Parts, err = list(m.ack.Parts, f, mesh.MaxParts, decodePart)
+		case 4:
+			m.room, err = f.uint32()
+		case 5:
+			m.sparse = f.value != 0
+		case 6:
+			m.pending, err = list(m.pending, f, mesh.MaxPending, decodeVersion)
 		}
 
 		return err
@@ -252,6 +282,7 @@
 	number  uint32
 	third   uint32
 	data    []byte
+	have    []byte
 }
 
 func decodeTicketKind(f field) (mesh.Wire, error) {
@@ -262,6 +293,7 @@
 			Version: t.version,
 			Size:    t.number,
 			Urgent:  t.third != 0,
+			Have:    t.have,
 		}, err
 	case wireBody:
 		return mesh.Body{
@@ -269,26 +301,50 @@
 			Data:    t.data,
 		}, err
 	case wireChunkRequest:
+		indexes, wrong := decodeIndexes(t.data)
+
 		return mesh.ChunkRequest{
 			Version: t.version,
-			Index:   t.number,
-		}, err
+			Indexes: indexes,
+		}, cmp.Or(err, wrong)
 	case wireChunk:
 		return mesh.Chunk{
 			Version: t.version,
 			Index:   t.number,
 			Size:    t.third,
 			Data:    t.data,
+			Have:    t.have,
 		}, err
 	default:
+		indexes, wrong := decodeIndexes(t.data)
+
 		return mesh.ChunkRefused{
 			Version: t.version,
-			Index:   t.number,
+			Indexes: indexes,
 			Gone:    t.third != 0,
-		}, err
+			Busy:    t.number != 0,
+			Have:    t.have,
+		}, cmp.Or(err, wrong)
 	}
 }
 
+func decodeIndexes(b []byte) ([]uint32, error) {
+	indexes := []uint32{}
+	for len(b) > 0 {
+		v, size := protowire.ConsumeVarint(b)
+		if size < 0 {
+			return nil, ErrMalformed
+		}
+		if v > mesh.MaxBodyBytes || len(indexes) >= mesh.MaxIndexes {
+			return nil, ErrField
+		}
+		indexes = append(indexes, uint32(v))
+		b = b[size:]
+	}
+
+	return indexes, nil
+}
+
 func decodeTicketFields(b []byte) (ticketFields, error) {
 	t := ticketFields{}
 	err := fields(b, func(f field) error {
@@ -305,6 +361,11 @@
 				return ErrField
 			}
 			t.data = slices.Clone(f.bytes)
+		case fieldHave:
+			if len(f.bytes) > mesh.MaxHaveBytes {
+				return ErrField
+			}
+			t.have = slices.Clone(f.bytes)
 		}
 
 		return err
