--- a/core/agent/caller_test.go
+++ b/core/agent/caller_test.go
@@ -221,6 +221,11 @@
 // refusal was answered without having run.
 func (w *world) check(t *testing.T) {
 	t.Helper()
+	for k, n := range w.runs {
+		if n > 1 && !w.callers[k.flow].idempotent {
+			t.Errorf("flow %x request %d ran %d times", k.flow, k.number, n)
+		}
+	}
 	for _, f := range w.callers {
 		for n, o := range f.outcomes {
 			runs := w.runs[passKey{
@@ -228,8 +233,6 @@
 				number: n,
 			}]
 			switch {
-			case runs > 1 && !f.idempotent:
-				t.Errorf("flow %x request %d ran %d times", f.flow, n, runs)
 			case o.status == packet.StatusNotRun && runs > 0:
 				t.Errorf("flow %x request %d was reported as not run but ran", f.flow, n)
 			case o.kind == packet.Answer && runs == 0:
--- /dev/null
+++ b/core/agent/limits_test.go
@@ -0,0 +1,224 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/packet"
+	"ibisfold.example/core/ticket"
+)
+
+// Guards against more flows than the target's connections: further ones go to
+// the peer with room, and are refused at once when there is none.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 2)
+	w.run(2 * time.Second)
+	for range 230 {
+		w.caller(w.agents[0], 0, 0)
+	}
+	w.run(4 * time.Second)
+	is.Equal(w.agents[0].core.Load().Flows, 100)
+	is.Equal(w.agents[1].core.Load().Flows, 100)
+	is.True(w.agents[0].core.Counters.FlowsRefused > 0)
+}
+
+// Guards against requests that are held until their deadline: what can't be
+// served in time is refused at once, with the time to come back.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 1)
+	a := w.agents[0]
+	a.target.work = 100 * time.Millisecond
+	w.run(time.Second)
+	warm := w.caller(a, 40, 1)
+	w.run(20 * time.Second)
+	is.Equal(warm.count(packet.StatusOK), 40)
+	f := w.caller(a, 60, 30)
+	f.deadline = time.Second
+	w.run(400 * time.Millisecond)
+	is.True(f.count(packet.StatusNotRun) > 0)
+	for _, o := range f.outcomes {
+		if o.status == packet.StatusNotRun {
+			is.True(o.after > 0)
+			is.True(o.took < 300*time.Millisecond)
+		}
+	}
+	w.run(20 * time.Second)
+	w.check(t)
+	is.Equal(len(f.waiting), 0)
+}
+
+// Guards against packets that reach another target, another start of the agent
+// or another service, and against forged tokens.
+func TestFence(t *testing.T) {
+	const dropped packet.Kind = 255
+
+	tests := []struct {
+		name   string
+		change func(c *Core, m *FromTunnel)
+		want   packet.Kind
+	}{
+		{
+			name:   "served",
+			change: func(*Core, *FromTunnel) {},
+		},
+		{
+			name:   "other target",
+			change: func(_ *Core, m *FromTunnel) { m.Header.Target++ },
+			want:   packet.Reset,
+		},
+		{
+			name:   "other start",
+			change: func(_ *Core, m *FromTunnel) { m.Header.Incarnation = 2 },
+			want:   packet.Reset,
+		},
+		{
+			name:   "other service",
+			change: func(_ *Core, m *FromTunnel) { m.Header.Service++ },
+			want:   packet.Reset,
+		},
+		{
+			name: "token of another start",
+			change: func(c *Core, m *FromTunnel) {
+				m.Packet.Token.Incarnation = 7
+				m.Packet.Token.Sign(c.options.Keys, 1)
+			},
+			want: packet.Reset,
+		},
+		{
+			name:   "forged token",
+			change: func(_ *Core, m *FromTunnel) { m.Packet.Token.MAC++ },
+			want:   dropped,
+		},
+		{
+			name:   "token of another flow",
+			change: func(_ *Core, m *FromTunnel) { m.Packet.Flow = 2 },
+			want:   dropped,
+		},
+	}
+	for _, o := range tests {
+		t.Run(o.name, func(t *testing.T) {
+			is := is.New(t)
+			c := benchCore(t, 10, 2)
+			m := fromEntry(packet.Packet{
+				Kind:    packet.Request,
+				Flow:    1,
+				Request: 1,
+				Token:   openFlow(c, 0, 1),
+			})
+			o.change(c, &m)
+			out := c.Update(0, m)
+			switch o.want {
+			case 0:
+				is.Equal(out[len(out)-1].(SendTarget).Packet.Kind, packet.Request)
+			case packet.Reset:
+				is.Equal(out[0].(SendTunnel).Packet.Kind, packet.Reset)
+				is.Equal(out[0].(SendTunnel).Packet.Status, packet.StatusOutcomeUnknown)
+			default:
+				is.Equal(len(out), 0)
+				is.Equal(c.Counters.DroppedToken, uint64(1))
+			}
+		})
+	}
+}
+
+// Guards against answers of another request, pass or start of the target, and
+// against answers that lack a part.
+func TestCrossedAnswers(t *testing.T) {
+	is := is.New(t)
+	c := benchCore(t, 10, 1)
+	c.Update(0, fromEntry(packet.Packet{
+		Kind:    packet.Request,
+		Flow:    1,
+		Request: 1,
+		Token:   openFlow(c, 0, 1),
+	}))
+	good := packet.Packet{
+		Kind:    packet.Answer,
+		Flow:    1,
+		Request: 1,
+		Boot:    9,
+		Parts:   2,
+	}
+	for _, change := range []func(p *packet.Packet){
+		func(p *packet.Packet) { p.Request = 2 },
+		func(p *packet.Packet) { p.Flow = 2 },
+		func(p *packet.Packet) { p.Attempt = 77 },
+		func(p *packet.Packet) { p.Boot = 0 },
+		func(*packet.Packet) {},
+		func(*packet.Packet) {},
+	} {
+		p := good
+		change(&p)
+		is.Equal(len(c.Update(0, FromTarget{
+			Packet: p,
+		})), 0)
+	}
+	good.Part = 1
+	is.Equal(len(c.Update(0, FromTarget{
+		Packet: good,
+	})), 4)
+}
+
+// Guards against a request that runs again, or is reported as not run, after
+// its answer has left the cache or its number the window.
+func TestBeyondCache(t *testing.T) {
+	is := is.New(t)
+	c := benchCore(t, 10, 1)
+	token := openFlow(c, 0, 1)
+	ask := func(now time.Duration, n uint64) packet.Packet {
+		out := c.Update(now, fromEntry(packet.Packet{
+			Kind:    packet.Request,
+			Flow:    1,
+			Request: n,
+			Token:   token,
+		}))
+		if m, ok := out[0].(SendTunnel); ok {
+			return m.Packet
+		}
+		c.Update(now, FromTarget{
+			Packet: packet.Packet{
+				Kind:    packet.Answer,
+				Flow:    1,
+				Request: n,
+				Boot:    9,
+			},
+		})
+
+		return packet.Packet{}
+	}
+	ask(0, 1)
+	is.Equal(ask(0, 1).Kind, packet.Answer)
+	for range 100 {
+		c.Update(DefaultCacheTime, Tick{})
+	}
+	is.Equal(ask(DefaultCacheTime, 1).Status, packet.StatusOutcomeUnknown)
+	ask(DefaultCacheTime, 100)
+	is.Equal(ask(DefaultCacheTime, 36).Status, packet.StatusOutcomeUnknown)
+	is.Equal(c.Counters.Passed, uint64(1))
+}
+
+// Guards against an agent without a view that serves, or that stays silent.
+func TestUnknownView(t *testing.T) {
+	is := is.New(t)
+	c := New(Options{
+		Self: agentAddr(0),
+		Name: "t0",
+		Keys: testKeys(t),
+	})
+	m := fromEntry(packet.Packet{
+		Kind: packet.Open,
+		Flow: 1,
+	})
+	out := c.Update(0, m)
+	is.Equal(out[0].(SendTunnel).Packet.Status, packet.StatusNotRun)
+	is.True(out[0].(SendTunnel).Packet.RetryAfter > 0)
+	c.Update(0, ViewChanged{
+		View: BuildView(&ticket.State{}, "t0"),
+	})
+	out = c.Update(0, m)
+	is.Equal(out[0].(SendTunnel).Packet.Kind, packet.Refused)
+}
--- a/core/agent/world_test.go
+++ b/core/agent/world_test.go
@@ -89,17 +89,10 @@
 
 func newWorld(t *testing.T, seed uint64, targets int) *world {
 	t.Helper()
-	keys, err := keyring.New([]keyring.Key{{
-		ID:     1,
-		Secret: "000102030405060708090a0b0c0d0e0f",
-	}})
-	if err != nil {
-		t.Fatal(err)
-	}
 	w := &world{
 		t:       t,
 		rand:    rand.New(rand.NewPCG(seed, 1)),
-		keys:    keys,
+		keys:    testKeys(t),
 		delay:   10 * time.Millisecond,
 		callers: map[uint64]*testCaller{},
 		runs:    map[passKey]int{},
@@ -130,6 +123,18 @@
 	return w
 }
 
+func testKeys(t testing.TB) *keyring.Keyring {
+	keys, err := keyring.New([]keyring.Key{{
+		ID:     1,
+		Secret: "000102030405060708090a0b0c0d0e0f",
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return keys
+}
+
 func targetLine(i int, service, state string) string {
 	return fmt.Sprintf("  - {Name: t%d, Service: %s, Zone: z%d, Agent: '%s', Slots: 2, Connections: 100, State: %s}\n",
 		i, service, i%3, agentAddr(i), cmp.Or(state, "InService"))
