Queue and Balance: refuse above 5 service times of waiting, and offer requests of small tenants while all are full

Cause: at saturation a small tenant waited behind its own requests at one agent while it had nothing waiting at the others, and queues held up to 1 s of work. Change: Queue.Refuse, Welcomes, Leads and Ahead; Balance offers to any peer if none seems free and the request would wait a service time; a plateau restarts after a setback.

--- a/core/admission/balance.go
+++ b/core/admission/balance.go
@@ -47,7 +47,8 @@
 }
 
 // PickRequest returns the index of the peer that should run a request, or -1
-// for the own target.
+// for the own target. The caller may set own.Waiting to Queue.Ahead of the
+// request's tenant.
 func (b *Balance) PickRequest(now time.Duration, own Load, peers []Load, r *rand.Rand) int {
 	mean := meanUtilisation(own, peers)
 	b.follow(now, own.busy()/own.capacity()-mean)
@@ -55,7 +56,7 @@
 	full := own.Draining || own.Running+own.Waiting >= int(own.capacity())
 	switch {
 	case full:
-		return b.pick(now, peers, 1, r)
+		return b.pickFull(now, own, peers, r)
 	case r.Float64() < b.shift:
 		return b.pick(now, peers, mean, r)
 	default:
@@ -63,6 +64,26 @@
 	}
 }
 
+// pickFull chooses a peer with a free slot. If none seems to have one and the
+// request would wait a whole service time, any peer may be better: the request's
+// tenant may have nothing waiting there.
+func (b *Balance) pickFull(now time.Duration, own Load, peers []Load, r *rand.Rand) int {
+	if i := b.pick(now, peers, 1, r); i >= 0 {
+		return i
+	}
+	if float64(own.Waiting) < own.capacity() {
+		return -1
+	}
+	weights := make([]float64, len(peers))
+	for i, p := range peers {
+		if !p.Draining {
+			weights[i] = b.trust(now, p.Target)
+		}
+	}
+
+	return choose(weights, r)
+}
+
 // follow adjusts the moved share to the difference in utilisation.
 func (b *Balance) follow(now time.Duration, excess float64) {
 	d := min(now-b.last, time.Second).Seconds()
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -22,6 +22,8 @@
 	relearnBatches = 16
 	// improvement is the factor under which a batch counts as faster service.
 	improvement = 0.95
+	// setback is the factor above which a batch counts as another cold start.
+	setback = 1.4
 )
 
 // Limiter holds the number of requests that a target may have in progress. It
--- a/core/admission/plateau.go
+++ b/core/admission/plateau.go
@@ -17,9 +17,11 @@
 }
 
 // reached ends a batch and reports whether as many batches as patience showed
-// no improvement.
+// neither improvement nor setback. A setback means that the target fell cold
+// again while it was warming up.
 func (p *plateau) reached(mean time.Duration, patience int) bool {
-	if p.best == 0 || float64(mean) < improvement*float64(p.best) {
+	change := float64(mean) / max(1, float64(p.best))
+	if p.best == 0 || change < improvement || change > setback {
 		p.best = mean
 		p.flat = 0
 		p.usual = usualTime{}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// DefaultQueueMax is the number of waiting requests per tenant if Max is zero.
-const DefaultQueueMax = 64
+const (
+	// DefaultQueueMax is the number of waiting requests per tenant if Max is zero.
+	DefaultQueueMax = 64
+	// LongestWait is the estimated wait, in mean service times, above which a
+	// request is refused instead of queued; see docs/decisions/0012-longest-wait.md.
+	LongestWait = 5
+)
 
 // Queue holds waiting requests and serves them by deficit round robin over
 // tenants. A tenant that had nothing waiting is served once before the others,
@@ -141,20 +146,64 @@
 	return time.Duration(q.length+1) * mean / time.Duration(max(1, slots))
 }
 
-// WaitOf is Wait for the next request of one tenant: round robin serves at most
-// as many requests of each other tenant before it as that tenant has waiting.
+// Ahead is the number of waiting requests that are served before the next one of
+// a tenant: round robin serves at most as many of each other tenant as that
+// tenant has waiting.
+func (q *Queue[T]) Ahead(tenant string) int {
+	t, ok := q.tenants[tenant]
+	if !ok || len(t.waiting) == 0 {
+		return 0
+	}
+	n := len(t.waiting)
+	for o := range q.all() {
+		if o != t {
+			n += min(len(t.waiting)+1, len(o.waiting))
+		}
+	}
+
+	return n
+}
+
+// WaitOf is Wait for the next request of one tenant.
 func (q *Queue[T]) WaitOf(tenant string, slots int, mean time.Duration) time.Duration {
-	n := 1
-	if t, ok := q.tenants[tenant]; ok && len(t.waiting) > 0 {
-		n += len(t.waiting)
-		for o := range q.all() {
-			if o != t {
-				n += min(len(t.waiting)+1, len(o.waiting))
-			}
+	return time.Duration(q.Ahead(tenant)+1) * mean / time.Duration(max(1, slots))
+}
+
+// Refuse reports whether the next request of a tenant should be refused at once,
+// because it can't be answered in the remaining time or would wait longer than
+// LongestWait service times. The duration is the advised RetryAfter.
+func (q *Queue[T]) Refuse(tenant string, slots int, mean, remaining time.Duration) (time.Duration, bool) {
+	w := q.WaitOf(tenant, slots, mean)
+
+	return w, w+mean > remaining || w > LongestWait*mean
+}
+
+// Welcomes reports whether to accept a request of a tenant that a peer offers:
+// a slot is free or next to free, or the owner's queue is longer and the tenant
+// has nothing waiting here.
+func (q *Queue[T]) Welcomes(tenant string, own, owner Load) bool {
+	if own.Running+q.length <= own.Limit {
+		return true
+	}
+	t, ok := q.tenants[tenant]
+
+	return owner.Waiting*own.Limit > q.length*owner.Limit && (!ok || len(t.waiting) == 0)
+}
+
+// Leads reports whether no other tenant has more requests waiting. Its requests
+// would find the same queue at the peers and aren't worth offering.
+func (q *Queue[T]) Leads(tenant string) bool {
+	t, ok := q.tenants[tenant]
+	if !ok {
+		return false
+	}
+	for o := range q.all() {
+		if len(o.waiting) > len(t.waiting) {
+			return false
 		}
 	}
 
-	return time.Duration(n) * mean / time.Duration(max(1, slots))
+	return true
 }
 
 func (q *Queue[T]) max() int {
--- a/ibisfold-standin/experiment/agent.go
+++ b/ibisfold-standin/experiment/agent.go
@@ -132,8 +132,14 @@
 	if q.hops >= maxHops {
 		return false
 	}
+	t := tenantName(q.tenant)
+	own := a.load()
+	own.Waiting = a.queue.Ahead(t)
+	if own.Waiting > 0 && a.queue.Leads(t) {
+		return false
+	}
 	agents, loads := a.view()
-	i := a.balance.PickRequest(a.sim.now, a.load(), loads, a.sim.random)
+	i := a.balance.PickRequest(a.sim.now, own, loads, a.sim.random)
 	if i < 0 {
 		return false
 	}
@@ -142,12 +148,12 @@
 	d := a.sim.between(a, o)
 	q.hops++
 	a.sim.moves++
-	own := a.reported()
+	report := a.reported()
 	a.sim.after(d, func() {
 		if carries(a.sim.fault, a.index) {
-			o.peers[a.index] = own
+			o.peers[a.index] = report
 		}
-		if o.accepts(q) {
+		if o.accepts(q, report) {
 			q.delay += d
 			o.admit(q)
 			a.hear(o, d)
@@ -163,9 +169,10 @@
 	return true
 }
 
-// accepts reports whether an offered request can be run soon.
-func (a *agent) accepts(*request) bool {
-	return !a.out && len(a.running)+a.queue.Len() < a.allow()+a.sim.options.offerQueue
+// accepts reports whether a request that an owner with this load offers can be
+// run soon.
+func (a *agent) accepts(q *request, owner admission.Load) bool {
+	return !a.out && !a.down && a.queue.Welcomes(tenantName(q.tenant), a.load(), owner)
 }
 
 // hear delivers the load that a peer's answer carries.
@@ -196,8 +203,8 @@
 	}
 
 	t := tenantName(q.tenant)
-	wait := a.queue.WaitOf(t, a.allow(), a.took)
-	if a.sim.now+wait+a.took > q.deadline || wait > a.sim.options.maxWait || !a.queue.Push(t, q.deadline-a.took, q) {
+	wait, refuse := a.queue.Refuse(t, a.allow(), a.took, q.deadline-a.sim.now)
+	if refuse || !a.queue.Push(t, q.deadline-a.took, q) {
 		a.sim.refuse(q, wait)
 	}
 	a.dispatch()
--- a/ibisfold-standin/experiment/experiment.go
+++ b/ibisfold-standin/experiment/experiment.go
@@ -56,10 +56,7 @@
 
 // normal are the options of the product.
 func normal() options {
-	return options{
-		offerQueue: 1,
-		maxWait:    time.Second,
-	}
+	return options{}
 }
 
 // steady is a workload of constant load.
--- a/ibisfold-standin/experiment/simulation.go
+++ b/ibisfold-standin/experiment/simulation.go
@@ -25,10 +25,6 @@
 	cold bool
 	// warmAfter replaces usualWarmAfter unless it is zero.
 	warmAfter int
-	// offerQueue is how many moved requests may wait at an agent.
-	offerQueue int
-	// maxWait is the longest estimated wait at which a request is queued.
-	maxWait time.Duration
 }
 
 // simulation runs one trace under one policy.
