Tell which requests reached a target of another service

The demo told the target of its new service only after it had published the ticket, so the target could refuse a request that an agent rightly passed within that time; targets now change first. The demo now prints time, service, flow and pass of each such request.

--- a/ibisfold-standin/demo/play.go
+++ b/ibisfold-standin/demo/play.go
@@ -131,10 +131,11 @@
 		r.noteZone(z, now)
 	}
 	r.state.Merge(t)
+	// Targets change first: a process may act on a ticket within a millisecond.
+	r.applyTargets()
 	if err := r.config.Store.PublishFile(path); err != nil {
 		r.say("cannot publish ticket: %v", err)
 	}
-	r.applyTargets()
 	r.say("published %s: %s", filepath.Base(path), t.Reason)
 
 	return t
--- a/ibisfold-standin/demo/report.go
+++ b/ibisfold-standin/demo/report.go
@@ -51,6 +51,7 @@
 	r.printServices()
 	r.printTargets()
 	r.printFaults()
+	r.printWrong()
 	imbalance := r.printImbalance()
 
 	c := r.callers.Total()
@@ -94,6 +95,16 @@
 	}
 }
 
+// printWrong prints the first requests that reached a target of another service.
+func (r *run) printWrong() {
+	for _, v := range r.site.agents {
+		for _, w := range r.targets[v.name].Wrong() {
+			fmt.Printf("%6.2fs  %s got request %d of flow %016x, pass %d, for %v, which it does not serve\n",
+				w.At.Seconds(), v.name, w.Run.Request, w.Run.Flow, w.Attempt, w.Service)
+		}
+	}
+}
+
 func table() *tabwriter.Writer {
 	const gap = 2
 
--- a/ibisfold-standin/target/model.go
+++ b/ibisfold-standin/target/model.go
@@ -62,6 +62,18 @@
 	LastPacket time.Duration
 }
 
+// maxWrong bounds the requests of other services that are kept.
+const maxWrong = 20
+
+// Wrong describes a request of a service that the target does not serve.
+type Wrong struct {
+	At      time.Duration
+	Service netip.AddrPort
+	Run     Run
+	// Attempt is the pass of the agent.
+	Attempt uint32
+}
+
 // Reply is a packet for the agent.
 type Reply struct {
 	To     netip.AddrPort
@@ -86,6 +98,8 @@
 	Counters Counters
 	Usage    Usage
 	Report   Report
+	// Wrong holds the first requests of other services.
+	Wrong []Wrong
 
 	rand    *rand.Rand
 	boot    uint64
@@ -196,7 +210,7 @@
 
 func (m *Model) request(now time.Duration, from netip.AddrPort, p *packet.Packet) []Reply {
 	if !m.serves(now, p.Service) {
-		m.Counters.WrongService++
+		m.wrong(now, p)
 	}
 	bears := m.Bears(now)
 	switch {
@@ -219,6 +233,22 @@
 	return []Reply{m.reply(now, from, p, packet.Shed)}
 }
 
+func (m *Model) wrong(now time.Duration, p *packet.Packet) {
+	m.Counters.WrongService++
+	if len(m.Wrong) >= maxWrong {
+		return
+	}
+	m.Wrong = append(m.Wrong, Wrong{
+		At:      now,
+		Service: p.Service,
+		Run: Run{
+			Flow:    p.Flow,
+			Request: p.Request,
+		},
+		Attempt: p.Attempt,
+	})
+}
+
 func (m *Model) serves(now time.Duration, a netip.AddrPort) bool {
 	s, ok := m.services[a]
 
--- a/ibisfold-standin/target/model_test.go
+++ b/ibisfold-standin/target/model_test.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -132,6 +133,36 @@
 	is.Equal(m.Counters.WrongService, 0)
 	m.Receive(6*time.Second, agentAddr, request(4))
 	is.Equal(m.Counters.WrongService, 1)
+	is.Equal(m.Wrong[0].Run.Request, uint64(4))
+}
+
+// TestTargetOnSocket guards against a target that reads packets and never ends
+// the requests, because nothing wakes it when they are due.
+func TestTargetOnSocket(t *testing.T) {
+	is := is.New(t)
+	s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), time.Now(), Options{
+		Name:  "rufdienst-1",
+		Slots: 1,
+		Work:  time.Millisecond,
+	})
+	is.NoErr(err)
+	defer s.Close()
+	s.Serve(0, "rufdienst", []netip.AddrPort{serviceAddr})
+	c, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(s.Addr()))
+	is.NoErr(err)
+	defer c.Close()
+
+	_, err = c.Write(request(1).Append(nil))
+	is.NoErr(err)
+	b := make([]byte, packet.MaxBytes)
+	for range 2 {
+		n, err := c.Read(b)
+		is.NoErr(err)
+		p := packet.Packet{}
+		is.NoErr(p.Decode(b[:n]))
+		is.Equal(p.Kind, packet.Answer)
+	}
+	is.Equal(s.Counters().Runs, 1)
 }
 
 // TestReports guards against lying targets that report the truth.
--- a/ibisfold-standin/target/target.go
+++ b/ibisfold-standin/target/target.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,6 +87,14 @@
 	return t.model.Counters
 }
 
+// Wrong returns the first requests of other services.
+func (t *Target) Wrong() []Wrong {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return slices.Clone(t.model.Wrong)
+}
+
 // Usage returns the usage up to now.
 func (t *Target) Usage() Usage {
 	u := Usage{}
