--- a/ibisfold-standin/demo/run.go
+++ b/ibisfold-standin/demo/run.go
@@ -81,7 +81,7 @@
 			logs: logs,
 		},
 	}
-	r.say("logs of the processes are in %s", logs)
+	r.say("logs of the processes are in %s; they are removed if all goes well", logs)
 	defer r.stop()
 
 	if err := r.prepare(ctx); err != nil {
@@ -91,8 +91,11 @@
 		return err
 	}
 	r.endProcesses()
+	if err := r.report(); err != nil {
+		return err
+	}
 
-	return r.report()
+	return errors.Trace(os.RemoveAll(logs))
 }
 
 // prepare starts the stand-ins and the processes.
