Name the owner in every Reset of an agent

Change: agents put the token into Reset as entries do; callers of the stand-in confirm Moved with a KeepAlive.

--- a/core/agent/reply.go
+++ b/core/agent/reply.go
@@ -16,11 +16,12 @@
 )
 
 // reply sends a packet to the flow's caller through the entry that delivered
-// the flow's last packet, with a new token.
+// the flow's last packet, with a new token. A Reset carries it too: a caller
+// whose Open reached two agents must be able to tell which copy has ended.
 func (c *Core) reply(f *flow, p packet.Packet) {
 	p.Flow = f.key.flow
 	p.Service = f.address
-	if p.Kind != packet.Reset && p.Kind != packet.Closed {
+	if p.Kind != packet.Closed {
 		p.Token = c.token(f.key.service, f.key.flow)
 	}
 	c.send(SendTunnel{
--- a/ibisfold-standin/callers/flow.go
+++ b/ibisfold-standin/callers/flow.go
@@ -183,8 +183,11 @@
 		f.closed()
 	case packet.Reset:
 		f.reset(p)
-	case packet.Moved, packet.KeepAlive:
+	case packet.KeepAlive:
 		f.adopt(p)
+	case packet.Moved:
+		f.adopt(p)
+		f.confirm()
 	case packet.Answer, packet.Refused:
 		f.adopt(p)
 		f.deliver(p)
@@ -243,6 +246,13 @@
 	f.adopted = time.Now()
 }
 
+// confirm uses a new token at once, so that the flow's previous owner need not
+// wait for the next request.
+func (f *flow) confirm() {
+	p := f.packet(packet.KeepAlive)
+	f.socket.send(&p)
+}
+
 func (f *flow) deliver(p *packet.Packet) {
 	f.mu.Lock()
 	c := f.waiting[p.Request]
