Let tickets state a service time, and tell ended flows apart

Cause: at the start of a site no agent knows how fast a warm target is and each held its limit at 1 for about 13 s under load: 4,041 of 16,254 requests of hire-desk were refused. A flow that was handed over into a zone taken out was reset with the old owner's token and counted as broken; a KeepAlive that crossed a Close was answered with Reset. Change: optional ServiceTime of a service, used like a group's usual time; a reset of a handed-over flow names the new owner; late KeepAlives of a closed flow get Closed; the demo lets agents warm up before the second ticket.

--- a/core/agent/change.go
+++ b/core/agent/change.go
@@ -16,6 +16,7 @@
 	was := c.confirmed()
 	c.view = v
 	c.limiter.Slots = v.Slots
+	c.limiter.Suggest(v.ServiceTime)
 	c.changeGroups(old)
 	c.changeDrain()
 	if old != nil && old.Known && !old.ZoneInService && v.ZoneInService {
--- a/core/agent/core.go
+++ b/core/agent/core.go
@@ -29,7 +29,7 @@
 	hold   holdQueue
 
 	flows    flowTable
-	closed   recent[flowKey, struct{}]
+	closed   recent[flowKey, ending]
 	passedOn recent[flowKey, uint64]
 	forwards forwardTable
 	entries  entryList
--- a/core/agent/fence.go
+++ b/core/agent/fence.go
@@ -140,7 +140,7 @@
 		c.forward(w, h, p)
 		return
 	}
-	if p.Kind == packet.Close {
+	if e, ok := c.closed.get(k); p.Kind == packet.Close || ok && e == endedByCaller && p.Kind == packet.KeepAlive {
 		c.replyTo(h, packet.Packet{
 			Kind:    packet.Closed,
 			Service: p.Service,
@@ -190,4 +190,5 @@
 	})
 	c.Counters.FlowsClosed++
 	c.forget(f)
+	c.closed.put(c.now, f.key, endedByCaller, 1)
 }
--- a/core/agent/flow.go
+++ b/core/agent/flow.go
@@ -26,6 +26,15 @@
 	flow    uint64
 }
 
+// ending says how a flow ended.
+type ending uint8
+
+const (
+	endedHere ending = iota
+	// endedByCaller means that the caller closed the flow.
+	endedByCaller
+)
+
 type flowState uint8
 
 const (
@@ -195,6 +204,6 @@
 	c.abandon(f)
 	c.flows.remove(f)
 	if f.state == active || f.state == handingOver {
-		c.closed.put(c.now, f.key, struct{}{}, 1)
+		c.closed.put(c.now, f.key, endedHere, 1)
 	}
 }
--- a/core/agent/forward.go
+++ b/core/agent/forward.go
@@ -96,10 +96,14 @@
 
 // forward passes a late packet on to the flow's new owner.
 func (c *Core) forward(w *forward, h *packet.Tunnel, p *packet.Packet) {
-	if h.Hops >= chainMax || c.view == nil || c.view.zoneOut(w.to.zone) {
+	if h.Hops >= chainMax || c.view == nil {
 		c.reset(h, p)
 		return
 	}
+	if c.view.zoneOut(w.to.zone) {
+		c.resetForwarded(w, h, p)
+		return
+	}
 
 	c.tellPrevious(w.key, h)
 	if w.done {
@@ -119,6 +123,21 @@
 	})
 }
 
+// resetForwarded tells the caller that its flow ended with the new owner's zone.
+// The token shows the caller in which zone that was.
+func (c *Core) resetForwarded(w *forward, h *packet.Tunnel, p *packet.Packet) {
+	t := c.tokenOf(w)
+	c.replyTo(h, packet.Packet{
+		Kind:    packet.Moved,
+		Service: p.Service,
+		Flow:    p.Flow,
+		Token:   t,
+	})
+	last := *p
+	last.Token = t
+	c.reset(h, &last)
+}
+
 // announce tells the new owner that the flow is its own, and the caller the
 // token of the new owner.
 func (c *Core) announce(w *forward) {
--- a/core/agent/view.go
+++ b/core/agent/view.go
@@ -28,6 +28,8 @@
 	Draining      bool
 	Slots         int
 	Connections   int
+	// ServiceTime is what the ticket states for a warm target; zero if unknown.
+	ServiceTime time.Duration
 	// Peers are the other targets of the service in zones in service, by Target.
 	Peers []Peer
 	// Former are the groups of services that the own target served earlier and
@@ -93,6 +95,7 @@
 	v.Draining = own.Value.State == ticket.Draining
 	v.Slots = own.Value.Slots
 	v.Connections = own.Value.Connections
+	v.ServiceTime = service.Value.ServiceTime
 	v.Peers = buildPeers(s, name, v.Service)
 
 	return v
--- a/core/ticket/check.go
+++ b/core/ticket/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"ibisfold.example/core/document"
 )
@@ -13,6 +14,8 @@
 	// MaxNumber is the highest ticket number. A state never goes back to lower
 	// numbers, so a mistyped number must leave room for later ones.
 	MaxNumber = 1 << 53
+	// MaxServiceTime is the longest service time that a ticket may state.
+	MaxServiceTime = 10 * time.Minute
 )
 
 // check reports every problem that follows from the ticket alone.
@@ -58,6 +61,9 @@
 	for i, v := range t.Services {
 		c.Name(document.Path("Services", i, "Name"), v.Name)
 		c.Name(document.Path("Services", i, "Tenant"), v.Tenant)
+		if v.ServiceTime < 0 || v.ServiceTime > MaxServiceTime {
+			c.Add(document.Path("Services", i, "ServiceTime"), document.CodeOutOfRange, "%v is not between 0s and %v", v.ServiceTime, MaxServiceTime)
+		}
 		for k, a := range v.Addresses {
 			path := document.Path(document.Path("Services", i, "Addresses"), k, "")
 			c.Address(path, a)
--- a/core/ticket/ticket.go
+++ b/core/ticket/ticket.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"net/netip"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -67,6 +68,10 @@
 	// Addresses are unique over all services in force; at a clash the service
 	// with the higher version keeps the address.
 	Addresses []netip.AddrPort `yaml:"Addresses"`
+	// ServiceTime is about how long a warm target takes for a request. Agents
+	// that know no better tell a cold target from a warm one by it; zero means
+	// that they have to learn it.
+	ServiceTime time.Duration `yaml:"ServiceTime,omitempty"`
 }
 
 // Target serves one service from one zone, with an agent beside it.
--- a/ibisfold-standin/demo/play.go
+++ b/ibisfold-standin/demo/play.go
@@ -16,7 +16,10 @@
 const (
 	// stepTime is the time between two tickets. It leaves a ticket the time to
 	// be in force everywhere.
-	stepTime = 5500 * time.Millisecond
+	stepTime = 5100 * time.Millisecond
+	// warmTime is the time before the second ticket, in which agents find out
+	// that their targets are warm.
+	warmTime = 7 * time.Second
 	// openTime bounds the time until most flows are open.
 	openTime = 6 * time.Second
 )
@@ -59,6 +62,7 @@
 		r.callers.Run(load)
 		close(done)
 	}()
+	sleepUntil(ctx, time.Now().Add(warmTime))
 	r.steps(ctx)
 
 	r.result.loadTo = time.Since(r.start)
--- a/ibisfold/change.go
+++ b/ibisfold/change.go
@@ -61,7 +61,7 @@
 
 func serviceChanges(before, after *ticket.State) []change[ticket.Service] {
 	return changes(before.Services, after.Services, func(a, b ticket.Service) bool {
-		return a.Tenant == b.Tenant && slices.Equal(a.Addresses, b.Addresses)
+		return a.Tenant == b.Tenant && a.ServiceTime == b.ServiceTime && slices.Equal(a.Addresses, b.Addresses)
 	})
 }
 
--- a/ibisfold/explanation.go
+++ b/ibisfold/explanation.go
@@ -87,6 +87,9 @@
 }
 
 func (e *explanation) serviceFields(s *section, c change[ticket.Service]) {
+	if c.before.ServiceTime != c.after.ServiceTime {
+		s.add("%s: service time changes from %v to %v", c.name, c.before.ServiceTime, c.after.ServiceTime)
+	}
 	if c.before.Tenant != c.after.Tenant {
 		s.add("%s: tenant changes from %s to %s", c.name, c.before.Tenant, c.after.Tenant)
 	}
