Shorten the datagrams of the mesh

The sender's address in the datagram header takes 7 instead of 18 bytes for IPv4, and digests no longer repeat it.

--- a/core/mesh/exchange.go
+++ b/core/mesh/exchange.go
@@ -138,7 +138,7 @@
 // status describes this node to the node at address to.
 func (c *Core) status(to netip.AddrPort) Status {
 	s := Status{
-		Self:      c.options.Self,
+		Self:      c.anonymous(),
 		State:     c.state.Digest(),
 		Confirmed: c.confirmed() && !c.confirm.cutOff,
 		Rumours:   c.rumours.take(c),
@@ -150,8 +150,17 @@
 	return s
 }
 
-// take merges what another node tells about itself and others.
-func (c *Core) takeStatus(s Status) {
+// anonymous describes this node without its address, which every message has.
+func (c *Core) anonymous() Node {
+	n := c.options.Self
+	n.Addr = netip.AddrPort{}
+
+	return n
+}
+
+// takeStatus merges what another node tells about itself and others.
+func (c *Core) takeStatus(from netip.AddrPort, s Status) {
+	s.Self.Addr = from
 	c.learn(s.Self, true)
 	for i, n := range s.Sample {
 		if i < MaxSample {
@@ -169,7 +178,7 @@
 }
 
 func (c *Core) onDigest(from netip.AddrPort, m Digest) {
-	c.takeStatus(m.Status)
+	c.takeStatus(from, m.Status)
 	ack := DigestAck{
 		Nonce:  m.Nonce,
 		Status: c.status(from),
@@ -227,7 +236,7 @@
 	o := e.open[i]
 	e.open = slices.Delete(e.open, i, i+1)
 	c.counters.Exchanges++
-	c.takeStatus(m.Status)
+	c.takeStatus(from, m.Status)
 	equal := sameState(m.Status.State, c.state.Digest())
 	level := equal
 	if !equal {
--- a/core/mesh/size.go
+++ b/core/mesh/size.go
@@ -11,8 +11,8 @@
 // encodes, because the core must account for bytes without the codec.
 const (
 	// headerBytes is IPv4, UDP, first byte, key identifier, MAC, the sender's
-	// address, kind and length.
-	headerBytes = 20 + 8 + 10 + 18 + 3
+	// IPv4 address, kind and length.
+	headerBytes = 20 + 8 + 10 + 7 + 3
 	fixedBytes  = 9
 )
 
@@ -26,11 +26,14 @@
 }
 
 func addrBytes(a netip.AddrPort) int {
-	if a.Addr().Is4() {
+	switch {
+	case !a.IsValid():
+		return 0
+	case a.Addr().Is4():
 		return 8
+	default:
+		return 20
 	}
-
-	return 20
 }
 
 func nodeBytes(n Node) int {
--- a/core/mesh/wire.go
+++ b/core/mesh/wire.go
@@ -34,6 +34,7 @@
 
 // Status is what both sides of an exchange tell about themselves.
 type Status struct {
+	// Self leaves out the address: it is the sender's.
 	Self  Node
 	State ticket.Digest
 	// Confirmed is false while the sender can't vouch for its view.
--- a/core/peer/codec_test.go
+++ b/core/peer/codec_test.go
@@ -193,6 +193,7 @@
 // signed returns a datagram with a valid MAC over any content.
 func signed(r *keyring.Keyring, content []byte) []byte {
 	b := append([]byte{datagramMark, r.Signer()}, make([]byte, datagramHeader-macStart)...)
+	b[senderStart] = 4
 	b = append(b, content...)
 	binary.BigEndian.PutUint64(b[macStart:], datagramMAC(b, r))
 
--- a/core/peer/datagram.go
+++ b/core/peer/datagram.go
@@ -24,9 +24,9 @@
 	macStart     = 2
 	// senderStart is after the mark, the key identifier and the MAC.
 	senderStart = macStart + 8
-	// datagramHeader ends with the sender's address: 16 bytes of IP address,
-	// IPv4 in its mapped form, and 2 bytes of port.
-	datagramHeader = senderStart + 18
+	// datagramHeader is the shortest header: after the MAC follow the length of
+	// the sender's IP address in bytes, which is 4 or 16, the address and the port.
+	datagramHeader = senderStart + 1 + 4 + 2
 )
 
 // Sentinel errors of the datagram codec. Each names a reason for a drop counter.
@@ -50,8 +50,9 @@
 	start := len(b)
 	b = append(b, datagramMark, r.Signer())
 	b = append(b, make([]byte, 8)...)
-	ip := from.Addr().As16()
-	b = append(b, ip[:]...)
+	ip := from.Addr().AsSlice()
+	b = append(b, byte(len(ip)))
+	b = append(b, ip...)
 	b = binary.BigEndian.AppendUint16(b, from.Port())
 	b = AppendWire(b, m)
 	if len(b)-start > MaxDatagramBytes {
@@ -91,14 +92,32 @@
 		return mesh.Received{}, ErrMAC
 	}
 
-	m, err := DecodeWire(b[datagramHeader:])
+	from, b, err := decodeSender(b[senderStart:])
+	if err != nil {
+		return mesh.Received{}, err
+	}
+	m, err := DecodeWire(b)
 	if err != nil {
 		return mesh.Received{}, err
 	}
-	ip := netip.AddrFrom16([16]byte(b[senderStart:])).Unmap()
 
 	return mesh.Received{
-		From: netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[datagramHeader-2:])),
+		From: from,
 		Body: m,
 	}, nil
 }
+
+// decodeSender reads the sender's address at the start of b and returns the rest.
+func decodeSender(b []byte) (netip.AddrPort, []byte, error) {
+	n := int(b[0])
+	if len(b) < 1+n+2 {
+		return netip.AddrPort{}, nil, ErrMalformed
+	}
+	ip, ok := netip.AddrFromSlice(b[1 : 1+n])
+	if !ok {
+		return netip.AddrPort{}, nil, ErrField
+	}
+	port := binary.BigEndian.Uint16(b[1+n:])
+
+	return netip.AddrPortFrom(ip.Unmap(), port), b[1+n+2:], nil
+}
