--- a/core/agent/core.go
+++ b/core/agent/core.go
@@ -32,6 +32,7 @@
 	closed   recent[flowKey, struct{}]
 	passedOn recent[flowKey, uint64]
 	forwards forwardTable
+	entries  entryList
 	// handing and handovers hold the handovers in progress, by flow and in order.
 	handing   map[flowKey]*handover
 	handovers []*handover
@@ -169,6 +170,7 @@
 		Limit:       c.limiter.Allow(),
 		Flows:       c.flows.len(),
 		Draining:    !c.acceptsWork(),
+		Usual:       c.limiter.Usual(),
 	}
 	if c.view != nil {
 		l.Slots = c.view.Slots
