Keep half of the burst for a node's own chunks

Cause: nodes that many others know spent their whole budget on serving chunks and got the ticket last.

--- a/core/mesh/chunks.go
+++ b/core/mesh/chunks.go
@@ -140,7 +140,7 @@
 	}
 	for _, i := range m.Indexes {
 		k := c.chunk(m, i)
-		if k.Data != nil && c.send(classBulk, from, k) {
+		if k.Data != nil && c.canServe(k) && c.send(classBulk, from, k) {
 			continue
 		}
 		refused.Busy = refused.Busy || k.Data != nil
@@ -153,6 +153,17 @@
 	}
 }
 
+// canServe reports whether the budget has room for a chunk besides those that
+// the node still needs itself, so that popular nodes get the ticket, too.
+func (c *Core) canServe(k Chunk) bool {
+	own := 0
+	for _, t := range c.fetch.transfers {
+		own += (t.left - t.open) * chunkCost
+	}
+
+	return k.Bytes()+min(own, ownShare) <= c.budget.room()
+}
+
 // chunk returns a chunk of a held ticket, or of one that is being fetched.
 func (c *Core) chunk(m ChunkRequest, i uint32) Chunk {
 	k := Chunk{
--- a/core/mesh/fetch.go
+++ b/core/mesh/fetch.go
@@ -17,6 +17,10 @@
 	perRequest = 4
 	// chunkCost is the cost of receiving a chunk.
 	chunkCost = ChunkBytes + headerBytes
+	// ownShare bounds the budget in bytes that is kept for the own chunks while
+	// others are served: half of the burst, because each chunk that a node gets
+	// has to be sent once by some node.
+	ownShare = BudgetBurst / 2
 	// chunkTimeout is when a chunk is asked for again, from another source.
 	chunkTimeout = 700 * time.Millisecond
 	// askedPause leaves a source that was asked alone until it answers.
