--- a/core/mesh/view.go
+++ b/core/mesh/view.go
@@ -29,6 +29,7 @@
 
 type viewPeer struct {
 	node   Node
+	since  time.Duration
 	heard  time.Duration
 	misses int
 	direct bool
@@ -82,6 +83,7 @@
 
 	p := viewPeer{
 		node:   n,
+		since:  c.now,
 		heard:  c.now,
 		direct: direct,
 	}
@@ -131,8 +133,9 @@
 	return len(c.view.peers)-own < MaxPeers-maxOwnZone
 }
 
-// victim returns the peer that n replaces: a random one of the most frequent
-// zone among the peers of the own zone or of the others, as n is.
+// victim returns the peer that n replaces: the oldest one of the most frequent
+// zone among the peers of the own zone or of the others, as n is. Replacing the
+// oldest keeps nodes that all others knew at the start from staying known to all.
 func (c *Core) victim(n Node) *viewPeer {
 	v := &c.view
 	counts := map[string]int{}
@@ -143,17 +146,20 @@
 			most = max(most, counts[p.node.Zone])
 		}
 	}
-	candidates := []int{}
-	for i, p := range v.peers {
-		if c.own(p.node) == c.own(n) && counts[p.node.Zone] == most {
-			candidates = append(candidates, i)
+	oldest := &v.peers[c.random.IntN(len(v.peers))]
+	found := false
+	for i := range v.peers {
+		p := &v.peers[i]
+		if c.own(p.node) != c.own(n) || counts[p.node.Zone] != most {
+			continue
+		}
+		if !found || p.since < oldest.since {
+			oldest = p
+			found = true
 		}
-	}
-	if len(candidates) == 0 {
-		return &v.peers[c.random.IntN(len(v.peers))]
 	}
 
-	return &v.peers[pick(c.random, candidates)]
+	return oldest
 }
 
 // missed counts an exchange without an answer.
