--- a/proof/capacity_test.go
+++ b/proof/capacity_test.go
@@ -15,6 +15,7 @@
 
 	"ibisfold.example/core/mesh"
 	"ibisfold.example/core/mesh/meshtest"
+	"ibisfold.example/core/ticket"
 )
 
 // capacityVariable turns the measurements on. Its value is a list of sizes.
@@ -155,18 +156,8 @@
 		f.Run(rest)
 	}
 	mean, highest, peak := f.rates(before, f.Now-start)
-	times := []time.Duration{}
-	for _, v := range f.Nodes {
-		d := v.InForce - start
-		if v.InForce == 0 {
-			d = limit
-		}
-		times = append(times, d)
-	}
-	slices.Sort(times)
-	all := seconds(times[len(times)-1])
-	b.add(len(f.Nodes), int(100*f.Loss), name, len(mesh.Compress(text)), seconds(times[len(times)/2]),
-		seconds(times[len(times)*99/100]), all, bound, verdict(f.Missing == 0 && all <= bound),
+	half, p99, all := f.times(start, limit)
+	b.add(len(f.Nodes), int(100*f.Loss), name, len(mesh.Compress(text)), half, p99, all, bound, verdict(f.Missing == 0 && all <= bound),
 		mean, highest, peak)
 	f.Run(quiet)
 }
@@ -385,3 +376,58 @@
 
 	return float64(m.HeapAlloc)
 }
+
+// TestCapacityZoneOut measures a zone-out ticket that only one node got from
+// the configuration service, five times for each loss.
+func TestCapacityZoneOut(t *testing.T) {
+	const (
+		limit = 30 * time.Second
+		bound = 3.0
+		quiet = 20 * time.Second
+		tries = 5
+	)
+	sizes := capacitySizes(t)
+	b := &table{
+		name: "zoneout",
+	}
+	b.add("Nodes", "LossPercent", "Try", "SecondsHalf", "SecondsP99", "SecondsAll", "Bound", "Verdict")
+	for _, n := range sizes {
+		f := newFleet(5, n, min(agents(n), 616))
+		for _, loss := range []float64{0, 0.1, 0.3} {
+			f.Loss = loss
+			for i := range tries {
+				text := f.zone(i, false)
+				p, err := ticket.Parse(text)
+				if err != nil {
+					t.Fatal(err)
+				}
+				f.WatchFor(p.Version)
+				start := f.Now
+				f.Update(f.Nodes[f.random.IntN(n)], mesh.ConfigRead{
+					Texts: [][]byte{text},
+				})
+				f.RunUntil(limit, func() bool { return f.Missing == 0 })
+				half, p99, all := f.times(start, limit)
+				b.add(n, int(100*loss), i, half, p99, all, bound, verdict(f.Missing == 0 && all <= bound))
+				f.Run(quiet)
+			}
+		}
+	}
+	b.write(t)
+}
+
+// times returns the seconds until the watched ticket was in force at half, at
+// 99% and at all of the nodes.
+func (f *fleet) times(start, limit time.Duration) (half, p99, all float64) {
+	times := []time.Duration{}
+	for _, v := range f.Nodes {
+		d := v.InForce - start
+		if v.InForce == 0 {
+			d = limit
+		}
+		times = append(times, d)
+	}
+	slices.Sort(times)
+
+	return seconds(times[len(times)/2]), seconds(times[len(times)*99/100]), seconds(times[len(times)-1])
+}
