--- a/core/agent/core.go
+++ b/core/agent/core.go
@@ -37,6 +37,8 @@
 	handing   map[flowKey]*handover
 	handovers []*handover
 	adoptions recent[flowKey, adoption]
+	// busyFlows are those that did not become idle while they were paused.
+	busyFlows recent[flowKey, struct{}]
 
 	progress requestList
 	answers  recent[answerKey, answer]
@@ -79,6 +81,7 @@
 	c.closed.limit(closedTime, closedMax)
 	c.passedOn.limit(halfOpenTime, passedOnMax)
 	c.adoptions.limit(o.IdleTimeout, adoptionsMax)
+	c.busyFlows.limit(2*pauseTime, handoversMax)
 
 	return c
 }
@@ -136,6 +139,7 @@
 	c.closed.expire(c.now)
 	c.passedOn.expire(c.now)
 	c.adoptions.expire(c.now)
+	c.busyFlows.expire(c.now)
 	c.forwards.expire(c.now)
 }
 
--- a/core/agent/drain.go
+++ b/core/agent/drain.go
@@ -67,7 +67,7 @@
 	c.promoteUnused()
 	started := 0
 	for f := c.flows.live.first; f != nil && started < handoversPerTick && len(c.handovers) < handoversMax; f = f.next {
-		if f.state != active || f.open != nil || !c.leaves(f) {
+		if f.state != active || !c.leaves(f) || !c.mayPause(f) {
 			continue
 		}
 		if q := c.flowPeer(f); q != nil {
@@ -94,6 +94,16 @@
 	}
 }
 
+// mayPause reports whether a flow is idle or has been busy for too long.
+func (c *Core) mayPause(f *flow) bool {
+	if f.open == nil {
+		return true
+	}
+	_, tried := c.busyFlows.get(f.key)
+
+	return !tried && c.now-c.drain.since >= pauseAfter
+}
+
 // leaves reports whether a flow is to be handed over.
 func (c *Core) leaves(f *flow) bool {
 	return c.leaving() || !c.view.Known || f.key.service != c.view.Service
--- a/core/agent/drain_test.go
+++ b/core/agent/drain_test.go
@@ -226,3 +226,24 @@
 		is.True(w.total(packet.StatusOK) >= 2970)
 	}
 }
+
+// Guards against a shutdown that cuts flows whose callers always have a request
+// in progress, and against answers lost with the window of a moved flow.
+func TestStopBusyFlows(t *testing.T) {
+	for seed := range uint64(3) {
+		is := is.New(t)
+		w := newWorld(t, seed, 3)
+		w.run(2 * time.Second)
+		w.lossy(0.1)
+		w.load(6, 500, 12)
+		w.run(3 * time.Second)
+		w.update(w.agents[0], Stop{})
+		w.run(10 * time.Second)
+		is.True(w.agents[0].stopped)
+		is.Equal(w.agents[0].core.Counters.FlowsCut, uint64(0))
+		w.run(2 * time.Minute)
+		w.check(t)
+		is.Equal(w.resets(), 0)
+		is.Equal(w.total(packet.StatusOK), 3000)
+	}
+}
--- a/core/agent/flowbody.go
+++ b/core/agent/flowbody.go
@@ -15,6 +15,8 @@
 	// packet. Cached answers that do not fit are left out.
 	flowBytesMax = packet.MaxBytes - packet.TunnelBytes - 256
 	ackBytesMax  = 64
+	// fieldBytesMax is the most that a tag and a length add to a field.
+	fieldBytesMax = 8
 )
 
 // Field numbers of an encoded flow.
@@ -91,9 +93,13 @@
 			flow:   f.key.flow,
 			number: n,
 		})
-		if ok && len(b)+a.bytes() <= flowBytesMax {
+		if !ok {
+			continue
+		}
+		s := appendAnswer(nil, n, a)
+		if len(b)+len(s)+fieldBytesMax <= flowBytesMax {
 			b = protowire.AppendTag(b, flowAnswer, protowire.BytesType)
-			b = protowire.AppendBytes(b, appendAnswer(nil, n, a))
+			b = protowire.AppendBytes(b, s)
 		}
 	}
 
--- a/core/agent/handover.go
+++ b/core/agent/handover.go
@@ -23,6 +23,11 @@
 	handoverHeldMax = 16
 	// handoverRest is how long a peer that refused a flow gets no other one.
 	handoverRest = time.Second
+	// pauseAfter is how long a leaving flow may stay busy before new requests
+	// are held until those in progress have ended; pauseTime bounds the hold. A
+	// flow whose caller always has a request in progress would never leave.
+	pauseAfter = time.Second
+	pauseTime  = time.Second
 )
 
 // remote names one start of a peer agent.
@@ -52,25 +57,47 @@
 	repeatAt time.Duration
 	delay    time.Duration
 	held     []FromTunnel
+	// paused means that the flow still has requests in progress, so that
+	// nothing was sent yet.
+	paused bool
 }
 
-// startHandover offers an idle flow to a peer.
+// startHandover offers a flow to a peer, at once if it is idle.
 func (c *Core) startHandover(f *flow, q *peer) {
-	f.epoch++
 	f.state = handingOver
 	o := &handover{
 		flow:    f,
 		to:      q.remote(),
-		body:    c.encodeFlow(f),
 		started: c.now,
-		delay:   handoverDelay,
+		paused:  f.open != nil,
 	}
 	c.handing[f.key] = o
 	c.handovers = append(c.handovers, o)
-	q.load.Flows++
+	if !o.paused {
+		c.offerFlow(o)
+	}
+}
+
+// offerFlow sends a flow that has no request in progress.
+func (c *Core) offerFlow(o *handover) {
+	o.paused = false
+	o.started = c.now
+	o.delay = handoverDelay
+	o.flow.epoch++
+	o.body = c.encodeFlow(o.flow)
+	if q := c.peerOf(o.to.target); q != nil {
+		q.load.Flows++
+	}
 	c.sendHandover(o)
 }
 
+// resumeFlow ends the pause of a flow that did not become idle.
+func (c *Core) resumeFlow(o *handover) {
+	c.dropHandover(o)
+	c.busyFlows.put(c.now, o.flow.key, struct{}{}, 1)
+	c.serveHeld(o)
+}
+
 func (c *Core) sendHandover(o *handover) {
 	o.repeatAt = c.now + c.jitter(o.delay)
 	o.delay = min(handoverDelayMax, 2*o.delay)
@@ -96,6 +123,11 @@
 func (c *Core) repeatHandovers() {
 	for _, o := range slices.Clone(c.handovers) {
 		switch {
+		case o.paused && o.flow.open == nil:
+			c.offerFlow(o)
+		case o.paused && c.now-o.started >= pauseTime:
+			c.resumeFlow(o)
+		case o.paused:
 		case c.now-o.started >= handoverTime || c.view.zoneOut(o.to.zone):
 			c.abort(o)
 		case c.now >= o.repeatAt:
@@ -121,6 +153,11 @@
 		q.restUntil = c.now + handoverRest
 	}
 	c.dropHandover(o)
+	c.serveHeld(o)
+}
+
+// serveHeld applies the held packets of a flow that stays.
+func (c *Core) serveHeld(o *handover) {
 	o.flow.state = active
 	for i := range o.held {
 		m := &o.held[i]
@@ -170,7 +207,7 @@
 		service: h.Service,
 		flow:    a.flow,
 	}]
-	if !c.meant(h) || o == nil || a.epoch != o.flow.epoch ||
+	if !c.meant(h) || o == nil || o.paused || a.epoch != o.flow.epoch ||
 		h.Sender != o.to.agent || h.SenderIncarnation != o.to.incarnation {
 		return
 	}
--- /dev/null
+++ b/core/agent/handover_test.go
@@ -0,0 +1,211 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/packet"
+	"ibisfold.example/core/ticket"
+)
+
+// handing returns a core that hands flow 1 to a peer, the caller's token and the
+// handover.
+func handing(t *testing.T) (*Core, packet.Token, SendTunnel) {
+	t.Helper()
+	c := benchCore(t, 10, 2)
+	token := openFlow(c, 0, 1)
+	v := *c.view
+	v.Ticket++
+	v.Draining = true
+	v.Peers = []Peer{{
+		Target: ticket.ID("t1"),
+		Agent:  agentAddr(1),
+		Slots:  2,
+	}}
+	c.Update(0, ViewChanged{
+		View: &v,
+	})
+	beat(c, 0, 5)
+	for _, o := range c.Update(0, Tick{}) {
+		if m, ok := o.(SendTunnel); ok && m.Header.Kind == packet.Handover {
+			return c, token, m
+		}
+	}
+	t.Fatal("no handover")
+
+	return nil, token, SendTunnel{}
+}
+
+// beat delivers a heartbeat of the peer.
+func beat(c *Core, now time.Duration, incarnation uint64) {
+	c.Update(now, FromTunnel{
+		Header: fromPeer(packet.Heartbeat, incarnation),
+		Body: AppendLoad(nil, Load{
+			Target:      ticket.ID("t1"),
+			Incarnation: incarnation,
+			Slots:       2,
+			Limit:       2,
+		}),
+	})
+}
+
+func fromPeer(k packet.TunnelKind, incarnation uint64) packet.Tunnel {
+	return packet.Tunnel{
+		Kind:              k,
+		Service:           ticket.ID("s"),
+		Target:            ticket.ID("t0"),
+		Incarnation:       1,
+		SenderIncarnation: incarnation,
+		Sender:            agentAddr(1),
+	}
+}
+
+func acknowledge(c *Core, now time.Duration, incarnation uint64, epoch uint32) {
+	c.Update(now, FromTunnel{
+		Header: fromPeer(packet.HandoverAck, incarnation),
+		Body: appendAck(nil, ack{
+			flow:     1,
+			epoch:    epoch,
+			accepted: true,
+		}),
+	})
+}
+
+// Guards against a flow with two owners: only the acknowledgement of the present
+// handover, from the start of the peer that it names, gives the flow away.
+func TestLateAcknowledgement(t *testing.T) {
+	tests := []struct {
+		name        string
+		incarnation uint64
+		epoch       uint32
+		aborted     bool
+		gone        bool
+	}{
+		{
+			name:        "present",
+			incarnation: 5,
+			epoch:       1,
+			gone:        true,
+		},
+		{
+			name:        "other epoch",
+			incarnation: 5,
+			epoch:       2,
+		},
+		{
+			name:        "other start of the peer",
+			incarnation: 4,
+			epoch:       1,
+		},
+		{
+			name:        "after the peer restarted",
+			incarnation: 5,
+			epoch:       1,
+			aborted:     true,
+		},
+	}
+	for _, o := range tests {
+		t.Run(o.name, func(t *testing.T) {
+			is := is.New(t)
+			c, _, _ := handing(t)
+			if o.aborted {
+				beat(c, 0, 6)
+			}
+			acknowledge(c, 0, o.incarnation, o.epoch)
+			is.Equal(c.Load().Flows == 0, o.gone)
+		})
+	}
+}
+
+// Guards against packets that are served while a handover is open, and against
+// late packets that do not follow the flow to its new owner.
+func TestPacketsFollowTheFlow(t *testing.T) {
+	is := is.New(t)
+	c, token, _ := handing(t)
+	m := fromEntry(packet.Packet{
+		Kind:    packet.Request,
+		Flow:    1,
+		Request: 1,
+		Token:   token,
+	})
+	is.Equal(len(c.Update(0, m)), 0)
+	acknowledge(c, 0, 5, 1)
+	kinds := []packet.TunnelKind{}
+	for _, o := range c.out {
+		kinds = append(kinds, o.(SendTunnel).Header.Kind)
+	}
+	is.Equal(kinds, []packet.TunnelKind{packet.ToOwner, packet.HandoverCommit, packet.ToEntry})
+	o := c.Update(0, m)[0].(SendTunnel)
+	is.Equal(o.Header.Kind, packet.ToOwner)
+	is.Equal(o.Header.Incarnation, uint64(5))
+	is.Equal(o.Packet.Request, uint64(1))
+}
+
+// Guards against late copies of Open and Handover that revive a flow with an
+// old window: its requests could run again.
+func TestNoRevival(t *testing.T) {
+	is := is.New(t)
+	_, _, sent := handing(t)
+	c := benchCore(t, 10, 2)
+	take := FromTunnel{
+		Header: fromPeer(packet.Handover, 5),
+		Body:   sent.Body,
+	}
+	accepted := func() bool {
+		a, err := decodeAck(c.Update(0, take)[0].(SendTunnel).Body)
+		is.NoErr(err)
+
+		return a.accepted
+	}
+	is.True(accepted())
+	is.True(accepted())
+	is.Equal(c.Counters.FlowsAdopted, uint64(1))
+	c.Update(0, fromEntry(packet.Packet{
+		Kind:  packet.Close,
+		Flow:  1,
+		Token: c.token(ticket.ID("s"), 1),
+	}))
+	is.Equal(c.Load().Flows, 0)
+	is.True(!accepted())
+	out := c.Update(0, fromEntry(packet.Packet{
+		Kind: packet.Open,
+		Flow: 1,
+	}))
+	is.Equal(out[0].(SendTunnel).Packet.Kind, packet.Reset)
+	is.Equal(c.Load().Flows, 0)
+}
+
+// Guards against an agent that is told by its own silence that its peers are
+// gone, and against suspicions that are never taken back.
+func TestSuspicion(t *testing.T) {
+	is := is.New(t)
+	c, _, _ := handing(t)
+	reports := func(out []Command) (suspect, alive int) {
+		for _, o := range out {
+			switch o.(type) {
+			case ReportSuspect:
+				suspect++
+			case ReportAlive:
+				alive++
+			}
+		}
+
+		return suspect, alive
+	}
+	suspect, _ := reports(c.Update(3*time.Second, Tick{}))
+	is.Equal(suspect, 0)
+	suspect, _ = reports(c.Update(3*time.Second+TickInterval, Tick{}))
+	is.Equal(suspect, 1)
+	suspect, _ = reports(c.Update(4*time.Second, Tick{}))
+	is.Equal(suspect, 0)
+	beat(c, 4*time.Second, 5)
+	_, alive := reports(c.out)
+	is.Equal(alive, 1)
+	beat(c, 4*time.Second, 6)
+	_, alive = reports(c.out)
+	is.Equal(alive, 1)
+	beat(c, 4*time.Second, 5)
+	is.Equal(c.group.peers[0].incarnation, uint64(6))
+}
--- a/core/agent/request.go
+++ b/core/agent/request.go
@@ -144,12 +144,7 @@
 		return
 	}
 
-	switch f.window.check(p.Request) {
-	case belowWindow:
-		c.Counters.Duplicates++
-		c.replyAnswer(f, p.Request, c.refusal(packet.StatusOutcomeUnknown, 0))
-		return
-	case seenBefore:
+	if f.window.check(p.Request) != unseen {
 		c.Counters.Duplicates++
 		c.repeatAnswer(f, p.Request)
 		return
@@ -166,8 +161,8 @@
 	c.place(r)
 }
 
-// repeatAnswer answers a copy of a request. Beyond the cache nobody knows the
-// outcome any more, and the request is never run again.
+// repeatAnswer answers a copy of a request, or a request below the window. Beyond
+// the cache nobody knows the outcome any more, and the request is never run again.
 func (c *Core) repeatAnswer(f *flow, number uint64) {
 	if f.inProgress(number) != nil {
 		return
