--- a/core/admission/choose.go
+++ b/core/admission/choose.go
@@ -8,15 +8,12 @@
 
 // choose returns a random index in proportion to the weights, or -1 if all are zero.
 func choose(weights []float64, r *rand.Rand) int {
-	total := 0.0
-	for _, w := range weights {
-		total += w
-	}
-	if total <= 0 {
+	sum := total(weights)
+	if sum <= 0 {
 		return -1
 	}
 
-	x := r.Float64() * total
+	x := r.Float64() * sum
 	last := -1
 	for i, w := range weights {
 		if w <= 0 {
@@ -32,6 +29,15 @@
 	return last
 }
 
+func total(weights []float64) float64 {
+	t := 0.0
+	for _, w := range weights {
+		t += w
+	}
+
+	return t
+}
+
 // decay is the factor left after d with a half-life.
 func decay(d, half time.Duration) float64 {
 	return math.Exp2(-max(0, d).Seconds() / half.Seconds())
