--- a/core/admission/balance.go
+++ b/core/admission/balance.go
@@ -11,7 +11,7 @@
 	shiftGain = 0.5
 	// shiftLeak is how fast the moved share shrinks, per second, so that a wrong
 	// level of the group can't drive it to shiftMax.
-	shiftLeak = 0.05
+	shiftLeak = 0.01
 	// shiftMax bounds the moved share.
 	shiftMax = 0.9
 	// explore is the least share of a peer's capacity that counts as room when the
