Balance: compare refusals with the whole own queue

Cause: the own refusal ratio was derived from the requests ahead of one tenant, which is nearly always none, so at 90% load all peers looked busier than the own target and too few requests moved. Change: PickRequest takes the plain load of the own target.

--- a/core/admission/balance.go
+++ b/core/admission/balance.go
@@ -38,8 +38,7 @@
 
 // PickRequest returns the index of the peer that should run a request, or -1
 // for the own target. It counts as an offer to that peer; Refused takes back
-// what it suggests of the peer's load. The caller may set own.Waiting to
-// Queue.Ahead of the request's tenant.
+// what it suggests of the peer's load.
 func (b *Balance) PickRequest(now time.Duration, own Load, peers []Load, r *rand.Rand) int {
 	full := own.Draining || own.Running+own.Waiting >= int(own.capacity())
 	b.own.offer(now)
--- a/ibisfold-standin/experiment/agent.go
+++ b/ibisfold-standin/experiment/agent.go
@@ -134,7 +134,6 @@
 	}
 	t := tenantName(q.tenant)
 	own := a.load()
-	own.Waiting = a.queue.Ahead(t)
 	if own.Waiting > 0 && a.queue.Leads(t) {
 		return false
 	}
