--- a/core/admission/balance.go
+++ b/core/admission/balance.go
@@ -42,7 +42,7 @@
 func (b *Balance) PickRequest(now time.Duration, own Load, peers []Load, r *rand.Rand) int {
 	full := own.Draining || own.Running+own.Waiting >= int(own.capacity())
 	b.own.offer(now)
-	if own.Running+own.Waiting > own.Limit {
+	if !own.welcomes() {
 		b.own.refuse(now)
 	}
 	ratios := b.utilisations(now, own, peers)
--- /dev/null
+++ b/core/admission/balance_test.go
@@ -0,0 +1,232 @@
+package admission_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/admission"
+)
+
+// group runs requests through the balances of n agents in a simple model: each
+// request stays for the usual time, reports are one second old, and an agent
+// refuses offers as Queue.Welcomes does, so at most 8 requests are at an agent.
+type group struct {
+	r         *rand.Rand
+	shares    []float64
+	report    func(l admission.Load) admission.Load
+	now       time.Duration
+	balances  []admission.Balance
+	averages  []admission.Average
+	running   [][]time.Duration
+	reports   []admission.Load
+	busy      []float64
+	refused   int
+	requested int
+}
+
+func newGroup(seed uint64, shares []float64, report func(l admission.Load) admission.Load) *group {
+	n := len(shares)
+
+	return &group{
+		r:        rand.New(rand.NewPCG(seed, 1)),
+		shares:   shares,
+		report:   report,
+		balances: make([]admission.Balance, n),
+		averages: make([]admission.Average, n),
+		running:  make([][]time.Duration, n),
+		reports:  make([]admission.Load, n),
+		busy:     make([]float64, n),
+	}
+}
+
+func (g *group) load(i int) admission.Load {
+	return admission.Load{
+		Target:  uint64(i + 1),
+		Busy:    g.averages[i].Value(g.now),
+		Running: min(7, len(g.running[i])),
+		Waiting: max(0, len(g.running[i])-7),
+		Slots:   7,
+		Limit:   7,
+	}
+}
+
+// run offers rate requests per second for d and returns highest over mean of
+// the work that the agents ran in the second half.
+func (g *group) run(rate float64, d time.Duration) float64 {
+	end := g.now + d
+	for next := g.now; g.now < end; {
+		g.now += time.Duration(g.r.ExpFloat64() / rate * float64(time.Second))
+		if g.now >= next {
+			next += time.Second
+			for i := range g.reports {
+				g.reports[i] = g.report(g.load(i))
+			}
+		}
+		g.request(g.now > end-d/2)
+	}
+	highest, sum := 0.0, 0.0
+	for _, v := range g.busy {
+		highest = max(highest, v)
+		sum += v
+	}
+
+	return highest * float64(len(g.busy)) / sum
+}
+
+func (g *group) request(measure bool) {
+	for i := range g.running {
+		kept := g.running[i][:0]
+		for _, e := range g.running[i] {
+			if e > g.now {
+				kept = append(kept, e)
+			}
+		}
+		g.running[i] = kept
+		g.averages[i].Set(g.now, len(kept))
+	}
+	owner := 0
+	for x := g.r.Float64(); owner < len(g.shares)-1 && x >= g.shares[owner]; owner++ {
+		x -= g.shares[owner]
+	}
+	at := owner
+	peers := append(append([]admission.Load{}, g.reports[:owner]...), g.reports[owner+1:]...)
+	if i := g.balances[owner].PickRequest(g.now, g.load(owner), peers, g.r); i >= 0 {
+		at = int(peers[i].Target) - 1
+		if q := (&admission.Queue[int]{}); !q.Welcomes("", g.load(at), g.load(owner)) {
+			g.balances[owner].Refused(g.now, peers[i].Target)
+			g.refused++
+			at = owner
+		}
+	}
+	g.requested++
+	d := time.Duration(g.r.ExpFloat64() * float64(usual))
+	if len(g.running[at]) < 8 {
+		g.running[at] = append(g.running[at], g.now+d)
+		if measure {
+			g.busy[at] += d.Seconds()
+		}
+	}
+}
+
+// Guards against a group that stays unequal when its agents own unequal flows,
+// and against one peer with wrong reports that gets or keeps away the others' work.
+func TestBalanceConverges(t *testing.T) {
+	liar := func(f float64) func(l admission.Load) admission.Load {
+		return func(l admission.Load) admission.Load {
+			if l.Target == 3 {
+				l.Busy *= f
+				l.Running = int(float64(l.Running) * f)
+			}
+
+			return l
+		}
+	}
+	tests := map[string]struct {
+		report func(l admission.Load) admission.Load
+		bound  float64
+	}{
+		"right reports": {
+			report: liar(1),
+			bound:  1.1,
+		},
+		"one at a tenth": {
+			report: liar(0.1),
+			bound:  1.2,
+		},
+		"one tenfold": {
+			report: liar(10),
+			bound:  1.2,
+		},
+	}
+	for name, o := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGroup(1, []float64{0.25, 0.2, 0.15, 0.15, 0.1, 0.1, 0.05}, o.report)
+			v := g.run(0.7*7*7/usual.Seconds(), 2*time.Minute)
+			t.Logf("highest over mean %.3f, refused %d of %d, busy %.0f", v, g.refused, g.requested, g.busy)
+			is.True(v <= o.bound)
+		})
+	}
+}
+
+// Guards against work or flows given to a draining peer, and kept by a draining target.
+func TestBalanceAvoidsDraining(t *testing.T) {
+	is := is.New(t)
+	b := &admission.Balance{}
+	r := rand.New(rand.NewPCG(1, 1))
+	own := admission.Load{
+		Target:   1,
+		Slots:    2,
+		Limit:    2,
+		Flows:    100,
+		Draining: true,
+	}
+	peers := []admission.Load{
+		{
+			Target:   2,
+			Slots:    2,
+			Limit:    2,
+			Draining: true,
+		},
+		{
+			Target: 3,
+			Slots:  2,
+			Limit:  2,
+		},
+	}
+	for range 100 {
+		is.Equal(b.PickRequest(0, own, peers, r), 1)
+		is.Equal(b.PickFlow(own, peers, r), 1)
+	}
+	is.Equal(b.PickRequest(0, own, peers[:1], r), -1)
+	is.Equal(b.PickFlow(own, nil, r), -1)
+}
+
+// Guards against a returning target that attracts flows at the size of its slots
+// while it is cold.
+func TestPickFlowFollowsLimit(t *testing.T) {
+	is := is.New(t)
+	b := &admission.Balance{}
+	r := rand.New(rand.NewPCG(1, 1))
+	own := admission.Load{
+		Slots: 7,
+		Limit: 7,
+		Flows: 100,
+	}
+	cold := admission.Load{
+		Target: 2,
+		Slots:  7,
+		Limit:  1,
+		Flows:  20,
+	}
+	is.Equal(b.PickFlow(own, []admission.Load{cold}, r), -1)
+	cold.Limit = 7
+	is.Equal(b.PickFlow(own, []admission.Load{cold}, r), 0)
+}
+
+// Guards against retries above 10% of the first attempts of a tenant.
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	b := &admission.RetryBudget{}
+	is.True(!b.Allow("a"))
+	retries := 0
+	for range 1000 {
+		b.First("a")
+		if b.Allow("a") {
+			retries++
+		}
+	}
+	is.True(retries >= 99 && retries <= 100)
+	is.True(!b.Allow("b"))
+	for range 1000 {
+		b.First("b")
+	}
+	burst := 0
+	for b.Allow("b") {
+		burst++
+	}
+	is.Equal(burst, 5)
+}
--- a/core/admission/load.go
+++ b/core/admission/load.go
@@ -28,3 +28,9 @@
 func (l Load) busy() float64 {
 	return max(0, min(l.Busy, l.capacity()))
 }
+
+// welcomes reports whether a slot is free or next to free. Queue.Welcomes accepts
+// offers and Balance judges the own target by the same rule.
+func (l Load) welcomes() bool {
+	return l.Running+l.Waiting <= l.Limit
+}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -182,12 +182,12 @@
 // a slot is free or next to free, or the owner's queue is longer and the tenant
 // has nothing waiting here.
 func (q *Queue[T]) Welcomes(tenant string, own, owner Load) bool {
-	if own.Running+q.length <= own.Limit {
+	if own.welcomes() {
 		return true
 	}
 	t, ok := q.tenants[tenant]
 
-	return owner.Waiting*own.Limit > q.length*owner.Limit && (!ok || len(t.waiting) == 0)
+	return owner.Waiting*own.Limit > own.Waiting*owner.Limit && (!ok || len(t.waiting) == 0)
 }
 
 // Leads reports whether no other tenant has more requests waiting. Its requests
--- a/ibisfold-standin/experiment/agent.go
+++ b/ibisfold-standin/experiment/agent.go
@@ -25,9 +25,11 @@
 	attempt  int
 	hops     int
 	// delay is the extra way of the answer through the agents that moved it.
-	delay   time.Duration
-	started time.Duration
-	boot    uint64
+	delay time.Duration
+	// received is when the first agent got the attempt.
+	received time.Duration
+	started  time.Duration
+	boot     uint64
 }
 
 // agent is the process beside a target, with the decisions of core/admission.
@@ -146,7 +148,7 @@
 	o := agents[i]
 	d := a.sim.between(a, o)
 	q.hops++
-	a.sim.moves++
+	a.sim.offers++
 	report := a.reported()
 	a.sim.after(d, func() {
 		if carries(a.sim.fault, a.index) {
--- a/ibisfold-standin/experiment/imbalance.go
+++ b/ibisfold-standin/experiment/imbalance.go
@@ -29,7 +29,7 @@
 	}
 	r := &Result{
 		Name:   "imbalance",
-		Header: []string{"Site", "Arrivals", "Policy", "BusyMean", "BusyP99", "FlowsMean", "FlowsP99", "WaitP99Ms", "LatencyP99Ms", "Goodput", "MovesPerRequest"},
+		Header: []string{"Site", "Arrivals", "Policy", "BusyMean", "BusyP99", "FlowsMean", "FlowsP99", "WaitP99Ms", "LatencyP99Ms", "Goodput", "OffersPerRequest"},
 		XLabel: "highest over mean of busy slots in 10 s",
 		YLabel: "share of windows (hire-desk, Poisson)",
 	}
@@ -49,7 +49,7 @@
 			sum.latency.Merge(t.latency)
 			sum.offered += t.offered
 			sum.good += t.good
-			moves += s.moves
+			moves += s.offers
 			requests += len(s.trace.arrivals)
 		}
 		arrivals := "Poisson"
--- a/ibisfold-standin/experiment/overload.go
+++ b/ibisfold-standin/experiment/overload.go
@@ -31,7 +31,7 @@
 	}
 	r := &Result{
 		Name:   "overload",
-		Header: []string{"Site", "Load", "Policy", "WaitP99Ms", "LatencyP99Ms", "GoodputOfOffered", "GoodputOfCapacity", "RecoverySeconds"},
+		Header: []string{"Site", "Load", "Policy", "QueueP99Ms", "WaitP99Ms", "LatencyP99Ms", "GoodputOfOffered", "GoodputOfCapacity", "RecoverySeconds", "OffersPerRequest"},
 		XLabel: "seconds (hire-desk, 200% load from 30 to 70 s)",
 		YLabel: "good answers per second over capacity",
 	}
@@ -59,8 +59,8 @@
 		finished := float64(t.finished) / (overloadTo - overloadFrom).Seconds() / j.site.capacity()
 
 		return func() {
-			r.add(j.site.Name, j.load, j.policy.Name(), milliseconds(t.waits, 99), milliseconds(t.latency, 99),
-				share(t.good, t.offered), finished, s.stats.recovery(overloadTo, overloadEnd-2*deadline))
+			r.add(j.site.Name, j.load, j.policy.Name(), milliseconds(t.queues, 99), milliseconds(t.waits, 99), milliseconds(t.latency, 99),
+				share(t.good, t.offered), finished, s.stats.recovery(overloadTo, overloadEnd-2*deadline), share(s.offers, len(s.trace.arrivals)))
 			if j.site.Name == "hire-desk" && j.load == 2 {
 				r.Lines = append(r.Lines, s.stats.line(j.policy.Name(), j.site.capacity(), overloadEnd))
 			}
--- a/ibisfold-standin/experiment/reports.go
+++ b/ibisfold-standin/experiment/reports.go
@@ -34,7 +34,7 @@
 	sites := Sites()
 	r := &Result{
 		Name:   "reports",
-		Header: []string{"Site", "Reports", "BusyMean", "BusyP99", "FlowsMean", "FlowsP99", "WaitP99Ms", "Goodput", "MovesPerRequest"},
+		Header: []string{"Site", "Reports", "BusyMean", "BusyP99", "FlowsMean", "FlowsP99", "WaitP99Ms", "Goodput", "OffersPerRequest"},
 	}
 	rows := each(len(sites)*len(faults), func(i int) func() {
 		site := sites[i/len(faults)]
@@ -51,7 +51,7 @@
 
 		return func() {
 			r.add(site.Name, name, mean(busy), quantile(busy, 0.99), mean(flows), quantile(flows, 0.99),
-				milliseconds(t.waits, 99), share(t.good, t.offered), share(s.moves, len(s.trace.arrivals)))
+				milliseconds(t.waits, 99), share(t.good, t.offered), share(s.offers, len(s.trace.arrivals)))
 		}
 	})
 	for _, add := range rows {
--- a/ibisfold-standin/experiment/retries.go
+++ b/ibisfold-standin/experiment/retries.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// retries compares callers with the retry budget and without after a burst of
-// twice the capacity, with and without a target that restarts in the burst.
+// retries compares callers with the retry budget and without in and after a burst
+// of twice the capacity.
 func retries(seed uint64) *Result {
 	sites := Sites()
 	r := &Result{
 		Name:   "retries",
-		Header: []string{"Site", "Retries", "AttemptsPerRequest", "GoodputInBurst", "GoodputOfCapacity", "LatencyP99Ms", "RecoverySeconds"},
+		Header: []string{"Site", "Budget", "AttemptsPerRequestInBurst", "GoodputInBurst", "GoodputOfCapacity", "LatencyP99Ms", "RecoverySeconds"},
 		XLabel: "seconds (hire-desk, 200% load from 30 to 40 s)",
 		YLabel: "attempts per second over capacity",
 	}
@@ -35,13 +35,13 @@
 		}
 		s := run(site, Ours{}, nil, o, w.generate(site, seed), w.end(), seed)
 		t := s.stats.total(30*time.Second, 40*time.Second)
-		name := "budget"
+		name := "10%"
 		if o.noBudget {
-			name = "up to 5 attempts"
+			name = "none"
 		}
 
 		return func() {
-			r.add(site.Name, name, share(s.stats.attempts, len(s.trace.arrivals)), share(t.good, t.offered),
+			r.add(site.Name, name, share(t.attempts, t.offered), share(t.good, t.offered),
 				float64(t.finished)/10/site.capacity(), milliseconds(t.latency, 99),
 				s.stats.recovery(40*time.Second, w.end()-2*deadline))
 			if site.Name == "hire-desk" {
--- a/ibisfold-standin/experiment/simulation.go
+++ b/ibisfold-standin/experiment/simulation.go
@@ -12,14 +12,19 @@
 // entries is the number of load balancer processes.
 const entries = 4
 
-// maxAttempts is how often a caller tries one request.
-const maxAttempts = 5
+const (
+	// maxAttempts is how often a caller with a retry budget tries one request.
+	maxAttempts = 5
+	// stormAttempts and stormPause are the same for callers without a budget.
+	stormAttempts = 50
+	stormPause    = 10 * time.Millisecond
+)
 
 // options are the variants of a run.
 type options struct {
 	// noLimit passes requests up to the slots, whether the target is cold or not.
 	noLimit bool
-	// noBudget lets callers retry every refused request up to maxAttempts.
+	// noBudget lets callers retry every refused request until its deadline.
 	noBudget bool
 	// cold starts with cold targets and limiters; otherwise both are warm.
 	cold bool
@@ -39,7 +44,7 @@
 	agents  []*agent
 	entries [entries]entry
 	budget  admission.RetryBudget
-	moves   int
+	offers  int
 	stats   *stats
 	next    int
 	opened  int
@@ -228,6 +233,7 @@
 			s.stats.refused(v.at)
 			return
 		}
+		q.received = s.now
 		s.placeRequest(f).receive(q)
 	})
 }
@@ -244,10 +250,12 @@
 func (s *simulation) refuse(q *request, wait time.Duration) {
 	back := s.site.ClientDelay + q.delay
 	pause := wait/2 + time.Duration(s.random.Int64N(int64(wait)+int64(time.Millisecond)))
+	most := maxAttempts
 	if s.options.noBudget {
-		pause = time.Millisecond
+		pause = stormPause
+		most = stormAttempts
 	}
-	retry := q.attempt < maxAttempts && s.now+back+pause < q.deadline
+	retry := q.attempt < most && s.now+back+pause < q.deadline
 	if retry && (s.options.noBudget || s.budget.Allow(tenantName(q.tenant))) {
 		s.after(back+pause, func() {
 			s.send(q.arrival, q.attempt+1)
--- a/ibisfold-standin/experiment/stats.go
+++ b/ibisfold-standin/experiment/stats.go
@@ -22,8 +22,11 @@
 	refused  int
 	failed   int
 	finished int
-	waits    *hdrhistogram.Histogram
-	latency  *hdrhistogram.Histogram
+	// waits counts from the intended arrival until the target started, queues from
+	// the arrival of the answered attempt.
+	waits   *hdrhistogram.Histogram
+	queues  *hdrhistogram.Histogram
+	latency *hdrhistogram.Histogram
 }
 
 type tenantStats struct {
@@ -79,9 +82,11 @@
 	c := s.second(q.arrival.at)
 	if c.waits == nil {
 		c.waits = newHistogram()
+		c.queues = newHistogram()
 		c.latency = newHistogram()
 	}
 	_ = c.waits.RecordValue((q.started - q.arrival.at).Microseconds())
+	_ = c.queues.RecordValue((q.started - q.received).Microseconds())
 	_ = c.latency.RecordValue(latency.Microseconds())
 	_ = s.tenant(q.tenant).latency.RecordValue(latency.Microseconds())
 	if latency <= deadline {
@@ -95,10 +100,12 @@
 func (s *stats) total(from, to time.Duration) second {
 	t := second{
 		waits:   newHistogram(),
+		queues:  newHistogram(),
 		latency: newHistogram(),
 	}
 	for i := int(from / time.Second); i < min(len(s.seconds), int(to/time.Second)); i++ {
 		c := s.seconds[i]
+		t.attempts += c.attempts
 		t.offered += c.offered
 		t.good += c.good
 		t.refused += c.refused
@@ -106,6 +113,7 @@
 		t.finished += c.finished
 		if c.waits != nil {
 			t.waits.Merge(c.waits)
+			t.queues.Merge(c.queues)
 			t.latency.Merge(c.latency)
 		}
 	}
--- a/ibisfold-standin/experiment/zone.go
+++ b/ibisfold-standin/experiment/zone.go
@@ -61,7 +61,7 @@
 				flowsBack = first(flowsBack, spread(s.flowMeters()), s.now, zoneBack, zoneEnd)
 			})
 		})
-		t := s.stats.total(zoneOut, zoneEnd-deadline)
+		t := s.stats.total(zoneOut-deadline, zoneEnd-deadline)
 		beyond, _, _ := s.falls()
 
 		return func() {
