--- /dev/null
+++ b/proof/caller_test.go
@@ -0,0 +1,237 @@
+package proof_test
+
+import (
+	"bytes"
+	"net/netip"
+	"time"
+
+	"ibisfold.example/core/packet"
+	"ibisfold.example/core/ticket"
+)
+
+const (
+	firstRetry = 200 * time.Millisecond
+	lastRetry  = 2 * time.Second
+	// requestTime is the deadline that callers ask for.
+	requestTime = 10 * time.Second
+	clientDelay = time.Millisecond
+)
+
+// caller holds one flow and has at most one request open.
+type caller struct {
+	w       *world
+	addr    netip.AddrPort
+	service string
+	address netip.AddrPort
+	flow    uint64
+	token   packet.Token
+	state   callerState
+	// opened is when the flow was established first.
+	opened time.Duration
+	// number is the last request's number; pending is true until it has ended.
+	number     uint64
+	pending    bool
+	sent       time.Duration
+	idempotent bool
+	parts      map[uint32][]byte
+	// answers counts whole answers.
+	answers int
+	// serial ends the retries of earlier packets.
+	serial uint64
+	// retryAt is when a refused caller may come back.
+	retryAt time.Duration
+}
+
+type callerState int
+
+const (
+	callerOpening callerState = iota
+	callerOpen
+	callerReset
+	callerClosed
+)
+
+func (w *world) addCaller(service string, address netip.AddrPort) *caller {
+	i := len(w.callers) + 1
+	c := &caller{
+		w:       w,
+		addr:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, byte(i >> 8), byte(i)}), 9),
+		service: service,
+		address: address,
+		flow:    w.rand.Uint64() | 1,
+	}
+	w.callers = append(w.callers, c)
+	c.open()
+
+	return c
+}
+
+func (w *world) callerAt(a netip.AddrPort) *caller {
+	ip := a.Addr().As4()
+	i := int(ip[2])<<8 | int(ip[3])
+	if i < 1 || i > len(w.callers) {
+		return nil
+	}
+
+	return w.callers[i-1]
+}
+
+func (c *caller) open() {
+	c.state = callerOpening
+	c.repeat(packet.Packet{
+		Kind: packet.Open,
+	}, func() bool {
+		return c.state == callerOpening
+	})
+}
+
+// request sends one request if the flow is open and idle.
+func (c *caller) request(idempotent bool) {
+	if c.state != callerOpen || c.pending || c.w.now < c.retryAt {
+		return
+	}
+	c.number++
+	c.pending = true
+	c.idempotent = idempotent
+	c.sent = c.w.now
+	c.parts = map[uint32][]byte{}
+	number := c.number
+	k := work{
+		service:    ticket.ID(c.service),
+		flow:       c.flow,
+		number:     number,
+		idempotent: idempotent,
+	}
+	c.repeat(packet.Packet{
+		Kind:       packet.Request,
+		Request:    number,
+		Idempotent: idempotent,
+		Payload:    k.encode(),
+	}, func() bool {
+		return c.pending && c.number == number && c.state == callerOpen
+	})
+}
+
+func (c *caller) close() {
+	if c.state != callerOpen || c.pending {
+		return
+	}
+	c.state = callerClosed
+	p := packet.Packet{
+		Kind: packet.Close,
+	}
+	c.transmit(p, 0)
+}
+
+// repeat sends p with growing delays while wanted says so.
+func (c *caller) repeat(p packet.Packet, wanted func() bool) {
+	c.serial++
+	serial := c.serial
+	var send func(attempt uint32, d time.Duration)
+	send = func(attempt uint32, d time.Duration) {
+		if c.serial != serial || !wanted() {
+			return
+		}
+		if p.Kind == packet.Request && c.w.now-c.sent > requestTime+lastRetry {
+			c.pending = false
+
+			return
+		}
+		c.transmit(p, attempt)
+		c.w.after(d, func() {
+			send(attempt+1, min(2*d, lastRetry))
+		})
+	}
+	send(0, firstRetry)
+}
+
+// transmit sends one copy through an entry that the fabric picks at random.
+// The fabric may pick one that is dead.
+func (c *caller) transmit(p packet.Packet, attempt uint32) {
+	p.Service = c.address
+	p.Flow = c.flow
+	p.Token = c.token
+	p.Attempt = attempt
+	p.Tenant = []byte("shop")
+	if p.Kind == packet.Request {
+		p.Deadline = max(time.Millisecond, requestTime-(c.w.now-c.sent))
+	}
+	if len(c.w.entries) == 0 {
+		return
+	}
+	e := c.w.entries[c.w.rand.IntN(len(c.w.entries))]
+	c.w.carry(clientDelay, func() {
+		c.w.deliver(e.addr, callerMessage{
+			from:   c,
+			packet: p,
+		})
+	})
+}
+
+func (c *caller) handle(p packet.Packet) {
+	c.w.note('c', c.flow, uint64(p.Kind), p.Request, uint64(p.Status))
+	if p.Flow != c.flow {
+		c.w.oracle.fail("answer", "caller got a packet of another flow")
+
+		return
+	}
+	switch p.Kind {
+	case packet.Opened:
+		if c.state == callerOpening {
+			c.state = callerOpen
+			c.token = p.Token
+			c.opened = c.w.now
+			c.w.oracle.opened(c)
+		}
+	case packet.Moved:
+		if c.state == callerOpen && !p.Token.IsZero() {
+			c.token = p.Token
+		}
+	case packet.Answer:
+		c.answer(p)
+	case packet.Refused:
+		c.refused(p)
+	case packet.Reset:
+		c.reset(p)
+	}
+}
+
+func (c *caller) answer(p packet.Packet) {
+	if c.state == callerOpen && !p.Token.IsZero() {
+		c.token = p.Token
+	}
+	if !c.pending || p.Request != c.number {
+		return
+	}
+	c.parts[p.Part] = bytes.Clone(p.Payload)
+	if len(c.parts) < int(p.Parts) {
+		return
+	}
+	c.pending = false
+	c.answers++
+	c.w.oracle.answered(c, c.number, c.parts, p.Parts)
+}
+
+func (c *caller) refused(p packet.Packet) {
+	if c.state == callerOpening {
+		return
+	}
+	if !c.pending || p.Request != c.number {
+		return
+	}
+	c.pending = false
+	c.retryAt = c.w.now + p.RetryAfter
+	c.w.oracle.refused(c, c.number, p.Status)
+}
+
+func (c *caller) reset(p packet.Packet) {
+	if c.state != callerOpen {
+		return
+	}
+	c.state = callerReset
+	if c.pending {
+		c.pending = false
+		c.w.oracle.refused(c, c.number, p.Status)
+	}
+	c.w.oracle.reset(c)
+}
--- /dev/null
+++ b/proof/config_test.go
@@ -0,0 +1,118 @@
+package proof_test
+
+import (
+	"slices"
+	"time"
+
+	"ibisfold.example/core/mesh"
+)
+
+const configDelay = 2 * time.Millisecond
+
+// configService is the platform's read-only configuration service and its list
+// of VMs.
+type configService struct {
+	texts [][]byte
+	down  bool
+	// staleAt is above 0 while the service shows only that many tickets.
+	staleAt int
+	// truncated cuts the newest value in half.
+	truncated bool
+	// calls counts reads; a waiting watch counts as one.
+	calls   uint64
+	waiters []waiter
+	// listed is the lagging list of VMs; nil means that it is up to date.
+	listed []mesh.Node
+}
+
+type waiter struct {
+	process     *process
+	incarnation uint64
+	answer      func()
+}
+
+// read answers a process with all the tickets that the service shows.
+func (w *world) read(p *process, wait time.Duration, post func(mesh.Message)) {
+	c := &w.config
+	c.calls++
+	incarnation := p.incarnation
+	reply := func() {
+		w.after(configDelay, func() {
+			if p.alive && p.incarnation == incarnation {
+				post(w.configAnswer(p))
+			}
+		})
+	}
+	if wait == 0 || c.down {
+		reply()
+
+		return
+	}
+	done := false
+	once := func() {
+		if !done {
+			done = true
+			reply()
+		}
+	}
+	c.waiters = append(c.waiters, waiter{
+		process:     p,
+		incarnation: incarnation,
+		answer:      once,
+	})
+	w.after(wait, once)
+}
+
+func (w *world) configAnswer(p *process) mesh.Message {
+	c := &w.config
+	if c.down || w.net.cut[p.zone] || w.net.oneWay[p.zone] {
+		return mesh.ConfigFailed{}
+	}
+	texts := slices.Clone(c.texts)
+	if c.staleAt > 0 && c.staleAt < len(texts) {
+		texts = texts[:c.staleAt]
+	}
+	if c.truncated && len(texts) > 0 {
+		last := texts[len(texts)-1]
+		texts[len(texts)-1] = last[:len(last)/2]
+	}
+
+	return mesh.ConfigRead{
+		Texts: texts,
+	}
+}
+
+// publish stores a ticket and wakes the watches.
+func (w *world) publish(text []byte) {
+	c := &w.config
+	c.texts = append(c.texts, text)
+	w.wakeWatches()
+}
+
+func (w *world) wakeWatches() {
+	waiters := w.config.waiters
+	w.config.waiters = nil
+	for _, a := range waiters {
+		a.answer()
+	}
+}
+
+// vms lists the live processes, or what the lagging list shows.
+func (w *world) vms() []mesh.Node {
+	if w.config.listed != nil {
+		return w.config.listed
+	}
+	nodes := []mesh.Node{}
+	for _, n := range w.entries {
+		if n.alive {
+			nodes = append(nodes, n.node())
+		}
+	}
+	for _, n := range w.agents {
+		if n.alive {
+			nodes = append(nodes, n.node())
+		}
+	}
+
+	return nodes
+}
--- /dev/null
+++ b/proof/faults_test.go
@@ -0,0 +1,192 @@
+package proof_test
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"ibisfold.example/core/agent"
+	"ibisfold.example/core/mesh"
+	"ibisfold.example/core/packet"
+)
+
+// waitStep separates the parts of a step.
+const waitStep = 2 * time.Second
+
+var agentStop = agent.Stop{}
+
+// fault is something that goes wrong. Its effects on network and platform end
+// with site.heal.
+type fault struct {
+	name string
+	run  func(s *site)
+	// lasts is the time until heal; zero means defaultFault.
+	lasts time.Duration
+}
+
+const defaultFault = 6 * time.Second
+
+// unplanned marks that requests may end without an answer.
+func (s *site) unplanned() {
+	s.oracle.planned = false
+}
+
+// lose marks a target whose flows may end.
+func (s *site) lose(n *agentNode) {
+	s.unplanned()
+	s.oracle.lost[n.name] = true
+}
+
+func (s *site) pauseEntry(i int, d time.Duration) {
+	s.unplanned()
+	n := s.entries[i]
+	s.pause(&n.process, n, d)
+}
+
+func (s *site) pauseAgent(i int, d time.Duration) {
+	s.unplanned()
+	n := s.agents[i]
+	s.pause(&n.process, n, d)
+}
+
+func (s *site) killAgent(i int) {
+	n := s.agents[i]
+	s.lose(n)
+	n.kill()
+	s.after(waitStep, n.start)
+}
+
+func (s *site) killEntry(i int) {
+	n := s.entries[i]
+	n.kill()
+	s.after(waitStep, n.start)
+}
+
+// stopTarget ends a target's process and starts it again, cold.
+func (s *site) stopTarget(i int) {
+	n := s.agents[i]
+	s.lose(n)
+	n.target.alive = false
+	s.after(waitStep, n.target.start)
+}
+
+// coldTarget restarts a target within no time, which nobody announces.
+func (s *site) coldTarget(i int) {
+	s.lose(s.agents[i])
+	s.agents[i].target.start()
+}
+
+func (s *site) hang(i int) {
+	n := s.agents[i]
+	s.lose(n)
+	n.target.hung = true
+	s.after(4*time.Second, func() {
+		n.target.hung = false
+	})
+}
+
+func (s *site) cutPair(from, to *process) {
+	s.unplanned()
+	s.net.pairs[[2]netip.AddrPort{from.addr, to.addr}] = true
+	s.net.pairs[[2]netip.AddrPort{to.addr, from.addr}] = true
+}
+
+func (s *site) lossy(loss, duplicate float64, jitter time.Duration) {
+	s.unplanned()
+	s.net.loss = loss
+	s.net.duplicate = duplicate
+	s.net.jitter = jitter
+}
+
+func (s *site) addNewEntry() {
+	i := len(s.entries)
+	n := s.addEntry("entry-new", zoneNames[i%len(zoneNames)], processAddress(1, i+1))
+	n.start()
+}
+
+func faults() []fault {
+	f := []fault{
+		{name: "none", run: func(*site) {}},
+		{name: "entry dies", run: func(s *site) { s.killEntry(0) }},
+		{name: "two entries die", run: func(s *site) { s.killEntry(0); s.killEntry(1) }},
+		{name: "entry joins", run: func(s *site) { s.addNewEntry() }},
+		{name: "entry pauses 1 s", run: func(s *site) { s.pauseEntry(0, 1100*time.Millisecond) }},
+		{name: "entry pauses 10 s", run: func(s *site) { s.pauseEntry(0, 10*time.Second) }, lasts: 12 * time.Second},
+		{name: "entry pauses 5 min", run: func(s *site) { s.pauseEntry(0, 5*time.Minute) }, lasts: 305 * time.Second},
+		{name: "agent dies", run: func(s *site) { s.killAgent(0) }},
+		{name: "agent dies twice", run: func(s *site) {
+			s.killAgent(0)
+			s.after(2*waitStep, func() { s.killAgent(0) })
+		}},
+		{name: "agent pauses 1 s", run: func(s *site) { s.pauseAgent(0, 1100*time.Millisecond) }},
+		{name: "agent pauses 10 s", run: func(s *site) { s.pauseAgent(1, 10*time.Second) }, lasts: 12 * time.Second},
+		{name: "agent pauses 5 min", run: func(s *site) { s.pauseAgent(1, 5*time.Minute) }, lasts: 305 * time.Second},
+		{name: "target dies", run: func(s *site) { s.stopTarget(0) }},
+		{name: "target goes cold", run: func(s *site) { s.coldTarget(0) }},
+		{name: "target goes cold twice", run: func(s *site) {
+			s.coldTarget(0)
+			s.after(time.Second, func() { s.coldTarget(0) })
+		}},
+		{name: "target hangs", run: func(s *site) { s.hang(0) }},
+		{name: "configuration down", run: func(s *site) { s.config.down = true }},
+		{name: "configuration stale", run: func(s *site) { s.config.staleAt = len(s.config.texts) }},
+		{name: "configuration rolled back", run: func(s *site) { s.config.staleAt = 1; s.wakeWatches() }},
+		{name: "value truncated", run: func(s *site) { s.config.truncated = true; s.wakeWatches() }},
+		{name: "configuration down, entry joins", run: func(s *site) { s.config.down = true; s.addNewEntry() }},
+		{name: "dead VM listed", run: func(s *site) { s.config.listed = s.vms(); s.killEntry(0) }},
+		{name: "live VM missing", run: func(s *site) {
+			s.config.listed = slices.DeleteFunc(s.vms(), func(n mesh.Node) bool {
+				return n.Addr == s.entries[0].addr
+			})
+		}},
+		{name: "zone cut off", run: func(s *site) { s.unplanned(); s.net.cut[zoneNames[1]] = true }},
+		{name: "two zones cut off", run: func(s *site) {
+			s.unplanned()
+			s.net.cut[zoneNames[1]] = true
+			s.net.cut[zoneNames[2]] = true
+		}},
+		{name: "one-way loss of a zone", run: func(s *site) { s.unplanned(); s.net.oneWay[zoneNames[1]] = true }},
+		{name: "pair cut off", run: func(s *site) { s.cutPair(&s.agents[0].process, &s.agents[1].process) }},
+		{name: "entry and agent cut off", run: func(s *site) { s.cutPair(&s.entries[0].process, &s.agents[0].process) }},
+		{name: "1% loss", run: func(s *site) { s.lossy(0.01, 0, 0) }},
+		{name: "10% loss", run: func(s *site) { s.lossy(0.1, 0, 0) }},
+		{name: "30% loss", run: func(s *site) { s.lossy(0.3, 0, 0) }},
+		{name: "duplicates", run: func(s *site) { s.lossy(0, 0.3, 0) }},
+		{name: "jitter 200 ms", run: func(s *site) { s.lossy(0, 0, 200*time.Millisecond) }},
+		{name: "loss, duplicates and jitter", run: func(s *site) { s.lossy(0.1, 0.1, 200*time.Millisecond) }},
+		{name: "entry pauses 10 s, zone cut off", run: func(s *site) {
+			s.pauseEntry(0, 10*time.Second)
+			s.net.cut[zoneNames[1]] = true
+		}, lasts: 12 * time.Second},
+		{name: "agent dies, 10% loss", run: func(s *site) { s.killAgent(0); s.lossy(0.1, 0, 0) }},
+	}
+	kinds := []packet.TunnelKind{
+		packet.ToAgent, packet.ToEntry, packet.ToOwner, packet.Offer, packet.OfferAnswer,
+		packet.OfferCancel, packet.Handover, packet.HandoverAck, packet.HandoverDone, packet.Heartbeat,
+	}
+	for _, how := range []string{"lost", "late", "twice"} {
+		for _, k := range kinds {
+			f = append(f, tamperFault(tamper{
+				kind: k,
+				how:  how,
+			}, k.String()))
+		}
+		f = append(f, tamperFault(tamper{
+			wire: true,
+			how:  how,
+		}, "mesh"))
+	}
+
+	return f
+}
+
+func tamperFault(t tamper, kind string) fault {
+	return fault{
+		name: kind + " " + t.how,
+		run: func(s *site) {
+			s.unplanned()
+			t.left = 10
+			s.net.tamper = t
+		},
+	}
+}
--- /dev/null
+++ b/proof/matrix_test.go
@@ -0,0 +1,190 @@
+package proof_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+var (
+	seedFlag  = flag.Uint64("seed", 1, "seed of the random numbers")
+	stepsFlag = flag.Uint64("steps", 20_000, "steps of the fuzzer")
+	tableFlag = flag.Bool("table", false, "print the whole table of the matrix")
+	lastLine  string
+)
+
+// TestMain prints the closing line of the matrix or the fuzzer last.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	code := m.Run()
+	if lastLine != "" {
+		fmt.Println(lastLine)
+	}
+	os.Exit(code)
+}
+
+// phase is when a fault comes relative to its step.
+type phase struct {
+	name  string
+	delay time.Duration
+}
+
+var phases = []phase{
+	{"before", -time.Second},
+	{"during", 30 * time.Millisecond},
+	{"after", 2500 * time.Millisecond},
+}
+
+type cell struct {
+	step  step
+	fault fault
+	phase phase
+}
+
+func (c cell) String() string {
+	return fmt.Sprintf("%s / %s / %s", c.step.name, c.fault.name, c.phase.name)
+}
+
+// runCell runs one fault at one step and returns the site for inspection.
+func runCell(c cell, seed uint64, b protection) *site {
+	s := newSite(seed, b)
+	s.openFlows(12)
+	s.run(warmTime)
+	start := s.now
+	if c.phase.delay < 0 {
+		c.fault.run(s)
+		s.run(-c.phase.delay)
+	} else {
+		s.after(c.phase.delay, func() {
+			c.fault.run(s)
+		})
+	}
+	c.step.run(s)
+	s.run(max(0, start+max(c.fault.lasts, defaultFault)-s.now))
+	s.heal()
+	s.run(10 * time.Second)
+	s.probe()
+
+	return s
+}
+
+func cells() []cell {
+	list := []cell{}
+	for _, t := range steps {
+		for _, f := range faults() {
+			for _, p := range phases {
+				if f.name == "none" && p.name != "before" {
+					continue
+				}
+				list = append(list, cell{
+					step:  t,
+					fault: f,
+					phase: p,
+				})
+			}
+		}
+	}
+
+	return list
+}
+
+type result struct {
+	cell     cell
+	failures map[string]int
+	first    string
+	steps    uint64
+}
+
+func runCells(list []cell, seed uint64, b protection, workers int) []result {
+	results := make([]result, len(list))
+	next := make(chan int)
+	g := sync.WaitGroup{}
+	for range workers {
+		g.Go(func() {
+			for i := range next {
+				s := runCell(list[i], seed, b)
+				results[i] = result{
+					cell:     list[i],
+					failures: s.oracle.failures,
+					first:    s.oracle.first,
+					steps:    s.steps,
+				}
+			}
+		})
+	}
+	for i := range list {
+		next <- i
+	}
+	close(next)
+	g.Wait()
+
+	return results
+}
+
+// TestMatrix guards every invariant against every fault at every step.
+func TestMatrix(t *testing.T) {
+	if testing.Short() {
+		t.Skip("long")
+	}
+	results := runCells(cells(), *seedFlag, breakNothing, 8)
+	failed := 0
+	steps := uint64(0)
+	for _, r := range results {
+		steps += r.steps
+		if len(r.failures) > 0 {
+			failed++
+			t.Errorf("%s: %s: %s", r.cell, counts(r.failures), r.first)
+		}
+	}
+	if *tableFlag {
+		printTable(results)
+	}
+	lastLine = fmt.Sprintf("Cells=%d Failed=%d", len(results), failed)
+	t.Logf("%d inputs of cores", steps)
+}
+
+func counts(m map[string]int) string {
+	s := []string{}
+	for k, v := range m {
+		s = append(s, fmt.Sprintf("%s=%d", k, v))
+	}
+	sort.Strings(s)
+
+	return strings.Join(s, " ")
+}
+
+// printTable prints fault by step the counts of violations of each invariant,
+// summed over the phases; a dot stands for none.
+func printTable(results []result) {
+	sums := map[[2]string]map[string]int{}
+	for _, r := range results {
+		k := [2]string{r.cell.fault.name, r.cell.step.name}
+		if sums[k] == nil {
+			sums[k] = map[string]int{}
+		}
+		for n, v := range r.failures {
+			sums[k][n] += v
+		}
+	}
+	fmt.Printf("%-32s", "fault")
+	for _, s := range steps {
+		fmt.Printf(" %-13s", s.name)
+	}
+	fmt.Println()
+	for _, f := range faults() {
+		fmt.Printf("%-32s", f.name)
+		for _, s := range steps {
+			text := counts(sums[[2]string{f.name, s.name}])
+			if text == "" {
+				text = "."
+			}
+			fmt.Printf(" %-13s", text)
+		}
+		fmt.Println()
+	}
+}
--- /dev/null
+++ b/proof/network_test.go
@@ -0,0 +1,126 @@
+package proof_test
+
+import (
+	"net/netip"
+	"time"
+
+	"ibisfold.example/core/packet"
+)
+
+// network is the fabric between processes, callers and the platform.
+type network struct {
+	delay  time.Duration
+	jitter time.Duration
+	// loss and duplicate are probabilities for each message.
+	loss      float64
+	duplicate float64
+	// cut zones reach nothing outside; cutPairs and oneWay drop single paths.
+	cut    map[string]bool
+	oneWay map[string]bool
+	pairs  map[[2]netip.AddrPort]bool
+	// tamper changes the messages of one kind between processes.
+	tamper tamper
+}
+
+// tamper drops, doubles or delays messages of one kind.
+type tamper struct {
+	kind packet.TunnelKind
+	// wire selects all messages of the mesh instead of a kind.
+	wire bool
+	how  string
+	// left is the number of messages still to change.
+	left int
+}
+
+func (t *tamper) matches(m any) bool {
+	if t.left == 0 {
+		return false
+	}
+	switch m := m.(type) {
+	case meshMessage:
+		return t.wire
+	case tunnelMessage:
+		return !t.wire && m.header.Kind == t.kind
+	default:
+		return false
+	}
+}
+
+func (n *network) reset() {
+	*n = network{
+		delay:  5 * time.Millisecond,
+		cut:    map[string]bool{},
+		oneWay: map[string]bool{},
+		pairs:  map[[2]netip.AddrPort]bool{},
+	}
+}
+
+// parted reports whether some processes can't reach each other.
+func (n *network) parted() bool {
+	return len(n.cut) > 0 || len(n.oneWay) > 0 || len(n.pairs) > 0
+}
+
+// isolated reports whether a fault keeps some nodes from hearing of tickets.
+func (w *world) isolated() bool {
+	c := &w.config
+
+	return w.net.parted() || c.down || c.staleAt > 0 || c.truncated
+}
+
+// blocked reports whether a message can't pass. One-way loss drops what leaves
+// a zone but not what enters it.
+func (n *network) blocked(from, to *process) bool {
+	if from.zone != to.zone && (n.cut[from.zone] || n.cut[to.zone] || n.oneWay[from.zone]) {
+		return true
+	}
+
+	return n.pairs[[2]netip.AddrPort{from.addr, to.addr}]
+}
+
+// send carries a message between two processes.
+func (w *world) send(from *process, to netip.AddrPort, m any) {
+	n, ok := w.byAddress[to]
+	if !ok || w.net.blocked(from, n.base()) {
+		return
+	}
+	d := time.Millisecond
+	if from.zone != n.base().zone {
+		d = w.net.delay
+	}
+	deliver := func() {
+		w.deliver(to, m)
+	}
+	if !w.net.tamper.matches(m) {
+		w.carry(d, deliver)
+
+		return
+	}
+	w.net.tamper.left--
+	switch w.net.tamper.how {
+	case "lost":
+	case "late":
+		w.after(d+time.Second, deliver)
+	case "twice":
+		w.after(d, deliver)
+		w.after(d+300*time.Millisecond, deliver)
+	}
+}
+
+// carry runs f after the delay, or not at all, or twice.
+func (w *world) carry(d time.Duration, f func()) {
+	if w.net.loss > 0 && w.rand.Float64() < w.net.loss {
+		return
+	}
+	w.after(d+w.jitter(), f)
+	if w.net.duplicate > 0 && w.rand.Float64() < w.net.duplicate {
+		w.after(d+w.jitter(), f)
+	}
+}
+
+func (w *world) jitter() time.Duration {
+	if w.net.jitter == 0 {
+		return 0
+	}
+
+	return time.Duration(w.rand.Int64N(int64(w.net.jitter)))
+}
--- /dev/null
+++ b/proof/oracle_test.go
@@ -0,0 +1,308 @@
+package proof_test
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"ibisfold.example/core/packet"
+	"ibisfold.example/core/ticket"
+)
+
+const (
+	// zoneOutTime, drainTime and inForceTime are the bounds of the design page
+	// at today's size.
+	zoneOutTime = 3 * time.Second
+	drainTime   = 3 * time.Second
+	inForceTime = 5 * time.Second
+)
+
+// oracle knows tickets, flows and requests, and nothing of how the system works.
+type oracle struct {
+	w *world
+	// failures counts violations by invariant; first describes the first one.
+	failures map[string]int
+	first    string
+	// history is the operators' intent over time.
+	history []intent
+	runs    map[work]int
+	notRun  map[work]bool
+	flows   map[uint64]*flowRecord
+	// planned is false once a fault may end requests without an answer.
+	planned bool
+	// lost names targets whose VM, agent or process failed without plan.
+	lost map[string]bool
+	// touched is when the last fault ended: bounds count from then on.
+	touched time.Duration
+	highest map[uint64]uint64
+	resets  int
+	unknown int
+	givenUp int
+}
+
+// intent is what operators asked for from a time on.
+type intent struct {
+	at    time.Duration
+	state ticket.State
+}
+
+type flowRecord struct {
+	caller  *caller
+	opened  time.Duration
+	targets map[string]bool
+}
+
+func newOracle(w *world) *oracle {
+	return &oracle{
+		w:        w,
+		failures: map[string]int{},
+		runs:     map[work]int{},
+		notRun:   map[work]bool{},
+		flows:    map[uint64]*flowRecord{},
+		planned:  true,
+		lost:     map[string]bool{},
+		highest:  map[uint64]uint64{},
+	}
+}
+
+func (o *oracle) fail(invariant, format string, args ...any) {
+	o.failures[invariant]++
+	if o.first == "" {
+		o.first = fmt.Sprintf("%v %s: %s", o.w.now, invariant, fmt.Sprintf(format, args...))
+	}
+}
+
+func (o *oracle) failed() int {
+	n := 0
+	for _, v := range o.failures {
+		n += v
+	}
+
+	return n
+}
+
+// published notes a ticket of the operators.
+func (o *oracle) published(t *ticket.Ticket) {
+	next := intent{
+		at: o.w.now,
+	}
+	for _, h := range o.history {
+		next.at = max(next.at, h.at)
+	}
+	if n := len(o.history); n > 0 {
+		for _, v := range o.history[n-1].state.Versions() {
+			next.state.Merge(o.history[n-1].state.Held(v))
+		}
+	}
+	next.state.Merge(t)
+	o.history = append(o.history, next)
+}
+
+func (o *oracle) latest() *ticket.State {
+	return &o.history[len(o.history)-1].state
+}
+
+// held reports whether ok held for the state at any time since from.
+func (o *oracle) held(from time.Duration, ok func(s *ticket.State) bool) bool {
+	for i := range o.history {
+		h := &o.history[i]
+		last := i == len(o.history)-1
+		if (last || o.history[i+1].at >= from) && ok(&h.state) {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (o *oracle) opened(c *caller) {
+	o.flows[c.flow] = &flowRecord{
+		caller:  c,
+		opened:  o.w.now,
+		targets: map[string]bool{},
+	}
+}
+
+// ran checks a request that reached a target.
+func (o *oracle) ran(t *target, k work) {
+	o.w.note('r', k.flow, k.number)
+	o.runs[k]++
+	name := t.agent.name
+	if o.runs[k] > 1 && !k.idempotent {
+		o.fail("once", "request %d of flow %x ran %d times, last at %s", k.number, k.flow, o.runs[k], name)
+	}
+	if o.notRun[k] {
+		o.fail("not run", "request %d of flow %x ran after it was refused as not run", k.number, k.flow)
+	}
+	f := o.flows[k.flow]
+	if f == nil {
+		o.fail("service", "request of a flow that was never opened")
+
+		return
+	}
+	f.targets[name] = true
+	o.checkService(name, k, f)
+	o.checkZone(name)
+	o.checkDrain(name)
+}
+
+// checkService allows the service that the target had at any time since the
+// flow was opened, and some time before: the flow may be bound to it.
+func (o *oracle) checkService(name string, k work, f *flowRecord) {
+	ok := o.held(max(0, f.opened-inForceTime), func(s *ticket.State) bool {
+		t, found := s.Targets[name]
+
+		return found && !t.Removed && ticket.ID(t.Value.Service) == k.service
+	})
+	if !ok {
+		o.fail("service", "target %s got a request of a service that it never had", name)
+	}
+}
+
+func (o *oracle) checkZone(name string) {
+	since := o.bound(zoneOutTime)
+	ok := o.held(since, func(s *ticket.State) bool {
+		t, found := s.Targets[name]
+		if !found || t.Removed {
+			return true
+		}
+		z, found := s.Zones[t.Value.Zone]
+
+		return found && z.Value.InService
+	})
+	if !ok {
+		o.fail("zone out", "target %s got a request %v after its zone was taken out", name, zoneOutTime)
+	}
+}
+
+func (o *oracle) checkDrain(name string) {
+	since := o.bound(drainTime)
+	ok := o.held(since, func(s *ticket.State) bool {
+		t, found := s.Targets[name]
+
+		return found && !t.Removed && t.Value.State != ticket.Draining
+	})
+	if !ok && o.hasPeer(name) {
+		o.fail("drain", "target %s got a request %v after it started to drain", name, drainTime)
+	}
+}
+
+// hasPeer reports whether another target can take the work of a leaving one.
+func (o *oracle) hasPeer(name string) bool {
+	s := o.latest()
+	own := s.Targets[name]
+	for n, t := range s.Targets {
+		if n == name || t.Removed || t.Value.State == ticket.Draining || t.Value.Service != own.Value.Service {
+			continue
+		}
+		if s.Zones[t.Value.Zone].Value.InService && !o.lost[n] {
+			return true
+		}
+	}
+
+	return false
+}
+
+// bound returns the time whose intent may still be acted on. Nodes that can't
+// hear of a ticket go on with what they have, and from the end of such a fault
+// the bound counts anew. Loss, delay and pauses give no extra time.
+func (o *oracle) bound(d time.Duration) time.Duration {
+	if o.w.isolated() || o.w.now-o.touched < d {
+		return 0
+	}
+
+	return o.w.now - d
+}
+
+func (o *oracle) overrun(t *target) {
+	o.fail("cold", "target %s runs %d requests and bears %d", t.agent.name, t.running, t.bears())
+}
+
+func (o *oracle) answered(c *caller, number uint64, parts map[uint32][]byte, count uint32) {
+	k := work{
+		service:    ticket.ID(c.service),
+		flow:       c.flow,
+		number:     number,
+		idempotent: c.idempotent,
+	}
+	for i := range count {
+		want := append([]byte{byte(i)}, k.encode()...)
+		if !bytes.Equal(parts[i], want) {
+			o.fail("answer", "flow %x got part %d of another answer", c.flow, i)
+		}
+	}
+	if o.runs[k] == 0 {
+		o.fail("answer", "flow %x got an answer to a request that did not run", c.flow)
+	}
+}
+
+func (o *oracle) refused(c *caller, number uint64, s packet.Status) {
+	k := work{
+		service:    ticket.ID(c.service),
+		flow:       c.flow,
+		number:     number,
+		idempotent: c.idempotent,
+	}
+	switch s {
+	case packet.StatusNotRun:
+		o.notRun[k] = true
+		if o.runs[k] > 0 {
+			o.fail("not run", "request %d of flow %x was refused as not run and ran", number, c.flow)
+		}
+	case packet.StatusOutcomeUnknown:
+		o.unknown++
+		if o.planned {
+			o.fail("graceful", "request %d of flow %x has an unknown outcome without a fault", number, c.flow)
+		}
+	}
+}
+
+// reset checks that a flow only ends with its zone or with a lost target.
+func (o *oracle) reset(c *caller) {
+	o.resets++
+	name := o.w.targetName(c.token.Target)
+	if o.zoneWasOut(name, c.opened) {
+		o.givenUp++
+
+		return
+	}
+	if !o.lost[name] {
+		o.fail("flow", "flow %x of %s at %s was reset", c.flow, c.service, name)
+	}
+}
+
+// zoneWasOut reports whether the target's zone was out at any time since from.
+func (o *oracle) zoneWasOut(name string, from time.Duration) bool {
+	return o.held(from, func(s *ticket.State) bool {
+		t, found := s.Targets[name]
+		if !found || t.Removed {
+			return false
+		}
+		z, found := s.Zones[t.Value.Zone]
+
+		return found && !z.Removed && !z.Value.InService
+	})
+}
+
+// checkNodes verifies that configuration is in force and never reverts.
+func (o *oracle) checkNodes() {
+	if len(o.history) == 0 {
+		return
+	}
+	settled := !o.w.isolated()
+	for _, c := range o.w.controls() {
+		if !c.alive {
+			continue
+		}
+		n := c.core.State().Highest()
+		if n < o.highest[c.incarnation] {
+			o.fail("revert", "%s went from ticket %d to %d", c.name, o.highest[c.incarnation], n)
+		}
+		o.highest[c.incarnation] = n
+		last := &o.history[len(o.history)-1]
+		waited := o.w.now - max(last.at, c.since, o.touched)
+		if settled && !c.paused && waited > inForceTime && c.core.State().Digest() != last.state.Digest() {
+			o.fail("in force", "%s has ticket %d of %d after %v", c.name, n, last.state.Highest(), waited)
+		}
+	}
+}
--- /dev/null
+++ b/proof/steps_test.go
@@ -0,0 +1,104 @@
+package proof_test
+
+import (
+	"strings"
+
+	"ibisfold.example/core/ticket"
+)
+
+// step is a planned change that operators make.
+type step struct {
+	name string
+	run  func(s *site)
+}
+
+var steps = []step{
+	{"none", func(*site) {}},
+	{"drain", func(s *site) { s.drain(0) }},
+	{"undrain", func(s *site) { s.drain(0); s.run(waitStep); s.undrain(0) }},
+	{"replace", func(s *site) { s.replace(1) }},
+	{"retarget", func(s *site) { s.retarget(0, 1) }},
+	{"zone out", func(s *site) { s.zone(1, false) }},
+	{"zone back", func(s *site) { s.zone(1, false); s.run(waitStep); s.zone(1, true) }},
+	{"complete", func(s *site) { s.complete() }},
+	{"five tickets", func(s *site) {
+		s.drain(0)
+		s.replace(1)
+		s.zone(2, false)
+		s.undrain(0)
+		s.zone(2, true)
+	}},
+	{"roll entries", func(s *site) { s.rollEntries() }},
+	{"stop agent", func(s *site) { s.stopAgent(0) }},
+}
+
+func (s *site) setTarget(i int, change func(t *ticket.Target), reason string) {
+	change(&s.plan.targets[i])
+	s.submit(reason, func(b *strings.Builder) {
+		writeTargets(b, s.plan.targets[i:i+1])
+	})
+}
+
+func (s *site) drain(i int) {
+	s.setTarget(i, func(t *ticket.Target) {
+		t.State = ticket.Draining
+	}, "drain")
+}
+
+func (s *site) undrain(i int) {
+	s.setTarget(i, func(t *ticket.Target) {
+		t.State = ticket.InService
+	}, "end drain")
+}
+
+// replace adds a target in place of target i, which drains.
+func (s *site) replace(i int) {
+	old := &s.plan.targets[i]
+	old.State = ticket.Draining
+	n := s.addTarget(old.Service, old.Zone)
+	n.start()
+	last := len(s.plan.targets) - 1
+	s.submit("replace", func(b *strings.Builder) {
+		writeTargets(b, []ticket.Target{s.plan.targets[i], s.plan.targets[last]})
+	})
+}
+
+func (s *site) retarget(i, service int) {
+	s.setTarget(i, func(t *ticket.Target) {
+		t.Service = s.plan.services[service].Name
+	}, "move")
+}
+
+func (s *site) zone(i int, inService bool) {
+	z := &s.plan.zones[i]
+	z.InService = inService
+	s.submit("zone", func(b *strings.Builder) {
+		writeZones(b, []ticket.Zone{*z})
+	})
+}
+
+func (s *site) complete() {
+	s.submit("complete", func(b *strings.Builder) {
+		b.WriteString("Complete: true\n")
+		writeZones(b, s.plan.zones)
+		writeServices(b, s.plan.services)
+		writeTargets(b, s.plan.targets)
+	})
+}
+
+// rollEntries replaces all entries, one after the other.
+func (s *site) rollEntries() {
+	for _, n := range s.entries {
+		n.kill()
+		s.run(waitStep)
+		n.start()
+		s.run(waitStep)
+	}
+}
+
+// stopAgent starts a graceful shutdown after a drain.
+func (s *site) stopAgent(i int) {
+	s.drain(i)
+	s.run(waitStep)
+	s.agents[i].update(agentStop)
+}
--- /dev/null
+++ b/proof/target_test.go
@@ -0,0 +1,145 @@
+package proof_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"time"
+
+	"ibisfold.example/core/agent"
+	"ibisfold.example/core/packet"
+)
+
+// coldTime is how long a target bears only one request at a time.
+const coldTime = 3 * time.Second
+
+// target runs requests in slots, starts cold and falls over when it gets more
+// than it bears.
+type target struct {
+	w     *world
+	agent *agentNode
+	slots int
+	alive bool
+	// boot changes with each start, also with a cold start without warning.
+	boot    uint64
+	coldEnd time.Duration
+	running int
+	// hung targets take requests and never answer.
+	hung bool
+	// service is the mean time to run one request.
+	service time.Duration
+}
+
+func newTarget(w *world, n *agentNode, slots int) *target {
+	t := &target{
+		w:       w,
+		agent:   n,
+		slots:   slots,
+		service: 50 * time.Millisecond,
+	}
+	t.start()
+
+	return t
+}
+
+func (t *target) start() {
+	t.alive = true
+	t.boot = t.w.nextStart()
+	t.running = 0
+	t.coldEnd = t.w.now + coldTime
+}
+
+// bears returns the number of requests that the target can run now.
+func (t *target) bears() int {
+	if t.w.now < t.coldEnd {
+		return 1
+	}
+
+	return t.slots
+}
+
+func (t *target) handle(p packet.Packet) {
+	if !t.alive {
+		t.agent.update(agent.TargetUnreachable{})
+
+		return
+	}
+	switch p.Kind {
+	case packet.Hello:
+		t.reply(packet.Packet{
+			Kind: packet.HelloAck,
+		})
+	case packet.Request:
+		t.request(p)
+	}
+}
+
+// request runs a request. The payload names the service that the caller asked
+// and the caller's own number of the request.
+func (t *target) request(p packet.Packet) {
+	t.w.oracle.ran(t, decodeWork(p.Payload))
+	if t.hung {
+		return
+	}
+	t.running++
+	if t.running > t.bears() {
+		t.w.oracle.overrun(t)
+	}
+	boot := t.boot
+	d := t.service/2 + time.Duration(t.w.rand.Int64N(int64(t.service)))
+	t.w.after(d, func() {
+		if t.boot != boot || !t.alive {
+			return
+		}
+		t.running--
+		const parts = 2
+		for i := range uint32(parts) {
+			t.reply(packet.Packet{
+				Kind:    packet.Answer,
+				Flow:    p.Flow,
+				Request: p.Request,
+				Part:    i,
+				Parts:   parts,
+				Payload: append([]byte{byte(i)}, p.Payload...),
+			})
+		}
+	})
+}
+
+func (t *target) reply(p packet.Packet) {
+	p.Boot = t.boot
+	p.Running = uint32(t.running)
+	p.Payload = bytes.Clone(p.Payload)
+	t.w.after(100*time.Microsecond, func() {
+		t.agent.update(agent.FromTarget{
+			Packet: p,
+		})
+	})
+}
+
+// work is what a request's payload says: flow and number as the caller knows them.
+type work struct {
+	service    uint64
+	flow       uint64
+	number     uint64
+	idempotent bool
+}
+
+func (k work) encode() []byte {
+	b := binary.BigEndian.AppendUint64(nil, k.service)
+	b = binary.BigEndian.AppendUint64(b, k.flow)
+	b = binary.BigEndian.AppendUint64(b, k.number)
+	if k.idempotent {
+		return append(b, 1)
+	}
+
+	return append(b, 0)
+}
+
+func decodeWork(b []byte) work {
+	return work{
+		service:    binary.BigEndian.Uint64(b),
+		flow:       binary.BigEndian.Uint64(b[8:]),
+		number:     binary.BigEndian.Uint64(b[16:]),
+		idempotent: b[24] == 1,
+	}
+}
--- /dev/null
+++ b/proof/world_test.go
@@ -0,0 +1,221 @@
+package proof_test
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"hash"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"ibisfold.example/core/keyring"
+)
+
+// world runs decision cores on a virtual clock. All randomness comes from one
+// seeded source and events of the same time run in the order of their creation,
+// so a seed always gives the same trace.
+type world struct {
+	now    time.Duration
+	rand   *rand.Rand
+	keys   *keyring.Keyring
+	events eventHeap
+	serial uint64
+	// steps counts the inputs that decision cores handled.
+	steps uint64
+	trace hash.Hash64
+
+	net     network
+	config  configService
+	broken  protection
+	oracle  *oracle
+	targetName func(id uint64) string
+	entries []*entryNode
+	agents  []*agentNode
+	// byAddress finds the process that listens at an address.
+	byAddress map[netip.AddrPort]node
+	callers   []*caller
+	starts    uint64
+}
+
+// protection names a safeguard that a test breaks to prove that the checks
+// can fail.
+type protection int
+
+const (
+	breakNothing protection = iota
+	breakFencing
+	breakMerge
+	breakPause
+	breakChain
+	breakAtMostOnce
+)
+
+// node is a process of the system.
+type node interface {
+	base() *process
+	handle(m any)
+}
+
+// process is what all nodes share: its place and whether it runs.
+type process struct {
+	name   string
+	addr   netip.AddrPort
+	zone   string
+	alive  bool
+	paused bool
+	// incarnation ends the timers of earlier starts.
+	incarnation uint64
+	// backlog holds what arrived during a pause, as a socket buffer does.
+	backlog []any
+	// since is the time from which the process has run without fault and
+	// reached others; configuration has to be in force some time after it.
+	since time.Duration
+}
+
+func (p *process) base() *process { return p }
+
+type event struct {
+	at     time.Duration
+	serial uint64
+	run    func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int      { return len(h) }
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+
+	return h[i].serial < h[j].serial
+}
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+
+	return e
+}
+
+func newWorld(seed uint64, b protection) *world {
+	keys, err := keyring.New([]keyring.Key{
+		{
+			ID:     1,
+			Secret: "00112233445566778899aabbccddeeff",
+		},
+	})
+	if err != nil {
+		panic(err)
+	}
+	w := &world{
+		rand:      rand.New(rand.NewPCG(seed, 1)),
+		keys:      keys,
+		trace:     fnv.New64a(),
+		broken:    b,
+		byAddress: map[netip.AddrPort]node{},
+	}
+	w.oracle = newOracle(w)
+	w.net.reset()
+
+	return w
+}
+
+// after runs f at a later time.
+func (w *world) after(d time.Duration, f func()) {
+	w.serial++
+	heap.Push(&w.events, event{
+		at:     w.now + d,
+		serial: w.serial,
+		run:    f,
+	})
+}
+
+// run lets d of virtual time pass.
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	for len(w.events) > 0 && w.events[0].at <= end {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+// note adds an observation to the trace.
+func (w *world) note(kind byte, values ...uint64) {
+	var b [8]byte
+
+	w.trace.Write([]byte{kind})
+	binary.BigEndian.PutUint64(b[:], uint64(w.now))
+	w.trace.Write(b[:])
+	for _, v := range values {
+		binary.BigEndian.PutUint64(b[:], v)
+		w.trace.Write(b[:])
+	}
+}
+
+// every runs f at each interval while the node's incarnation lives.
+func (w *world) every(p *process, interval time.Duration, f func()) {
+	incarnation := p.incarnation
+	w.after(interval, func() {
+		if !p.alive || p.incarnation != incarnation {
+			return
+		}
+		if !p.paused {
+			f()
+		}
+		w.every(p, interval, f)
+	})
+}
+
+// deliver hands a message to the node at an address, now.
+func (w *world) deliver(to netip.AddrPort, m any) {
+	n, ok := w.byAddress[to]
+	if !ok || !n.base().alive {
+		return
+	}
+	p := n.base()
+	if p.paused {
+		const socketBuffer = 256
+		if len(p.backlog) < socketBuffer {
+			p.backlog = append(p.backlog, m)
+		}
+
+		return
+	}
+	w.steps++
+	n.handle(m)
+}
+
+// pause stops a process for d; it then reads its socket before its timers run.
+func (w *world) pause(p *process, n node, d time.Duration) {
+	if !p.alive || p.paused {
+		return
+	}
+	incarnation := p.incarnation
+	p.paused = true
+	w.after(d, func() {
+		if !p.alive || p.incarnation != incarnation {
+			return
+		}
+		p.paused = false
+		p.since = w.now
+		backlog := p.backlog
+		p.backlog = nil
+		for _, m := range backlog {
+			w.steps++
+			n.handle(m)
+		}
+	})
+}
+
+// nextStart returns the incarnation of a new start.
+func (w *world) nextStart() uint64 {
+	w.starts++
+
+	return w.starts
+}
