--- a/proof/nodes_test.go
+++ b/proof/nodes_test.go
@@ -10,6 +10,7 @@
 	"ibisfold.example/core/entry"
 	"ibisfold.example/core/mesh"
 	"ibisfold.example/core/packet"
+	"ibisfold.example/core/ticket"
 )
 
 // meshMessage, tunnelMessage and callerMessage are what the network carries to
@@ -213,7 +214,11 @@
 	target *target
 	agent  *agent.Core
 	view   *agent.View
-	digest uint64
+	digest ticket.Digest
+	// former lists the services whose groups the core still needs.
+	former []uint64
+	// rebuild is set when former changed.
+	rebuild bool
 	// stopped is set when a graceful shutdown is complete.
 	stopped bool
 	renamed uint64
@@ -241,7 +246,8 @@
 
 func (n *agentNode) start() {
 	n.stopped = false
-	n.digest = 0
+	n.digest = ticket.Digest{}
+	n.former = nil
 	n.view = &agent.View{}
 	n.boot(n.w.seeds())
 	n.agent = agent.New(agent.Options{
@@ -262,9 +268,10 @@
 		return
 	}
 	v := *n.view
-	if d := n.core.State().Digest(); d.Hash != n.digest || d.Highest != v.Ticket {
-		n.digest = d.Hash
-		v = *agent.BuildView(n.core.State(), n.name)
+	if d := n.core.State().Digest(); d != n.digest || n.rebuild {
+		n.digest = d
+		n.rebuild = false
+		v = *agent.BuildView(n.core.State(), n.name, n.former...)
 	}
 	v.ConfirmedUntil = n.core.ConfirmedUntil()
 	if n.w.broken == breakPause && v.ConfirmedUntil > 0 {
@@ -343,6 +350,10 @@
 			Target:      c.Target,
 			Incarnation: c.Incarnation,
 		})
+	case agent.WatchServices:
+		n.former = c.Services
+		n.rebuild = true
+		n.w.after(time.Millisecond, n.publish)
 	case agent.Stopped:
 		n.stopped = true
 		n.alive = false
--- a/proof/target_test.go
+++ b/proof/target_test.go
@@ -97,6 +97,7 @@
 				Kind:    packet.Answer,
 				Flow:    p.Flow,
 				Request: p.Request,
+				Attempt: p.Attempt,
 				Part:    i,
 				Parts:   parts,
 				Payload: append([]byte{byte(i)}, p.Payload...),
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -25,13 +25,13 @@
 	steps uint64
 	trace hash.Hash64
 
-	net     network
-	config  configService
-	broken  protection
-	oracle  *oracle
+	net        network
+	config     configService
+	broken     protection
+	oracle     *oracle
 	targetName func(id uint64) string
-	entries []*entryNode
-	agents  []*agentNode
+	entries    []*entryNode
+	agents     []*agentNode
 	// byAddress finds the process that listens at an address.
 	byAddress map[netip.AddrPort]node
 	callers   []*caller
