--- a/core/agent/drain.go
+++ b/core/agent/drain.go
@@ -10,6 +10,10 @@
 // takes. It is below the 3 s after which a leaving target gets no new work.
 const drainGrace = 2 * time.Second
 
+// offersQuiet is how long no offer must have arrived before a shutdown ends. It
+// is three times the longest time after which an offer is repeated.
+const offersQuiet = 3 * (offerDelayMax + offerDelayMax/4)
+
 // drainState is the progress of a drain or a graceful shutdown.
 type drainState struct {
 	// since is when the target began to leave.
@@ -20,6 +24,8 @@
 	stopping  bool
 	stopUntil time.Duration
 	formerAt  time.Duration
+	// offeredAt is when the last offer of a peer arrived, copies included.
+	offeredAt time.Duration
 }
 
 // changeDrain notes the begin and the end of a drain.
@@ -52,12 +58,13 @@
 
 // advanceDrain hands over flows that are to leave this agent.
 func (c *Core) advanceDrain() {
-	c.repeatMoved()
+	c.repeatAnnouncements()
 	c.dropFormer()
 	if c.inService() && !c.leaving() && len(c.former) == 0 {
 		return
 	}
 
+	c.promoteUnused()
 	started := 0
 	for f := c.flows.live.first; f != nil && started < handoversPerTick && len(c.handovers) < handoversMax; f = f.next {
 		if f.state != active || f.open != nil || !c.leaves(f) {
@@ -70,6 +77,23 @@
 	}
 }
 
+// promoteUnused makes flows that their callers have not used in time leave like
+// others: a caller may open a flow long before its first request. At a shutdown
+// without peers they end, because nobody is known to need them.
+func (c *Core) promoteUnused() {
+	for f := c.flows.half.first; f != nil && f.used+halfOpenTime <= c.now; {
+		next := f.next
+		switch {
+		case !c.leaves(f):
+		case c.flowPeer(f) != nil:
+			c.flows.promote(f)
+		case c.drain.stopping:
+			c.expire(f)
+		}
+		f = next
+	}
+}
+
 // leaves reports whether a flow is to be handed over.
 func (c *Core) leaves(f *flow) bool {
 	return c.leaving() || !c.view.Known || f.key.service != c.view.Service
@@ -101,7 +125,7 @@
 	if !d.stopping || d.stopped {
 		return
 	}
-	if c.now < d.stopUntil && (c.flows.len() > 0 || c.progress.len > 0 || c.forwards.open > 0) {
+	if c.now < d.stopUntil && !c.finished() {
 		return
 	}
 
@@ -110,6 +134,13 @@
 	c.emit(Stopped{})
 }
 
+// finished reports whether nobody needs this agent any more. Answers to offers
+// have no acknowledgement, so their owners get time to ask again.
+func (c *Core) finished() bool {
+	return c.flows.len() == 0 && c.progress.len == 0 && c.forwards.open == 0 &&
+		c.now-c.drain.offeredAt >= offersQuiet
+}
+
 // giveUpAll ends everything. Requests that were not passed on did not run; the
 // others may have.
 func (c *Core) giveUpAll(flows *uint64) {
@@ -124,14 +155,10 @@
 }
 
 func (c *Core) giveUp(r *request) {
-	s := packet.StatusOutcomeUnknown
-	switch r.state {
-	case received:
-		s = packet.StatusNotRun
-	case offeredToPeer:
+	if r.state == offeredToPeer {
 		c.cancelOffer(r)
 	}
-	c.finish(r, c.refusal(s, retryAfterOut))
+	c.refuse(r, retryAfterOut)
 }
 
 // giveUpFlows resets a list of flows. Copies that a peer still owns are only
--- a/core/agent/fence.go
+++ b/core/agent/fence.go
@@ -53,6 +53,7 @@
 	h := &m.Header
 	switch h.Kind {
 	case packet.ToAgent:
+		c.entries.note(h.Entry)
 		c.toAgent(h, &m.Packet)
 	case packet.ToOwner:
 		c.toOwner(h, &m.Packet)
@@ -66,6 +67,8 @@
 		c.takeHandover(h, m.Body)
 	case packet.HandoverAck:
 		c.handoverAcked(h, m.Body)
+	case packet.HandoverCommit:
+		c.handoverCommitted(h, m.Body)
 	case packet.HandoverDone:
 		c.handoverDone(h, m.Body)
 	case packet.Heartbeat:
@@ -137,6 +140,14 @@
 		c.forward(w, h, p)
 		return
 	}
+	if p.Kind == packet.Close {
+		c.replyTo(h, packet.Packet{
+			Kind:    packet.Closed,
+			Service: p.Service,
+			Flow:    p.Flow,
+		})
+		return
+	}
 	c.reset(h, p)
 }
 
@@ -161,7 +172,9 @@
 	case packet.Cancel:
 		c.cancel(f, p)
 	case packet.KeepAlive:
-		c.keepAlive(f, h, p)
+		c.reply(f, packet.Packet{
+			Kind: packet.KeepAlive,
+		})
 	case packet.Close:
 		c.close(f)
 	default:
@@ -169,15 +182,6 @@
 	}
 }
 
-// keepAlive renews an outdated token; a current one needs no reply.
-func (c *Core) keepAlive(f *flow, h *packet.Tunnel, p *packet.Packet) {
-	if h.Kind == packet.ToOwner || p.Token.Key != c.options.Keys.Signer() {
-		c.reply(f, packet.Packet{
-			Kind: packet.Moved,
-		})
-	}
-}
-
 // close ends a flow at its caller's wish.
 func (c *Core) close(f *flow) {
 	c.dropRequests(f)
--- a/ibisfold-standin/callers/request.go
+++ b/ibisfold-standin/callers/request.go
@@ -60,8 +60,7 @@
 
 func (f *flow) noteSilence() {
 	f.mu.Lock()
-	f.silent++
-	over := f.silent >= silentAfter
+	over := time.Since(f.heard) > silentTime
 	f.mu.Unlock()
 
 	if over {
@@ -112,7 +111,7 @@
 	limit := time.NewTimer(time.Until(end))
 	defer limit.Stop()
 	for attempt := uint32(0); ; attempt++ {
-		f.ask(request, attempt, a, end)
+		f.sendRequest(request, attempt, a, end)
 		repeat := time.NewTimer(repeatAfter(attempt))
 		o, over := f.await(ctx, c, repeat.C, limit.C, parts)
 		repeat.Stop()
@@ -123,7 +122,7 @@
 	}
 }
 
-func (f *flow) ask(request uint64, attempt uint32, a Arrival, end time.Time) {
+func (f *flow) sendRequest(request uint64, attempt uint32, a Arrival, end time.Time) {
 	ask := echo.Ask{
 		Service: f.service(),
 		Parts:   a.Parts,
--- a/ibisfold-standin/demo/play.go
+++ b/ibisfold-standin/demo/play.go
@@ -54,12 +54,14 @@
 	load, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	done := make(chan struct{})
+	r.result.loadFrom = time.Since(r.start)
 	go func() {
 		r.callers.Run(load)
 		close(done)
 	}()
 	r.steps(ctx)
 
+	r.result.loadTo = time.Since(r.start)
 	stopLoad()
 	<-done
 	stopOpen()
@@ -159,7 +161,7 @@
 	last := time.Duration(0)
 	for _, v := range r.site.agents {
 		if v.process.Zone == zone {
-			last = max(last, r.targets[v.name].Counters().LastRequest)
+			last = max(last, r.targets[v.name].Counters().LastPacket)
 		}
 	}
 
