--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -22,6 +22,8 @@
 	relearnBatches = 16
 	// improvement is the factor under which a batch counts as faster service.
 	improvement = 0.95
+	// setback is the factor above which a batch counts as another cold start.
+	setback = 1.4
 )
 
 // Limiter holds the number of requests that a target may have in progress. It
@@ -41,7 +43,9 @@
 	boot uint64
 	// usual survives a cold start: it describes the warm target.
 	usual usualTime
-	alarm slowAlarm
+	// suggested is true while usual is what Suggest gave.
+	suggested bool
+	alarm     slowAlarm
 	// plateau learns the usual time of a cold target whose service gets no faster.
 	plateau plateau
 	// ignoreBefore excludes answers to requests that were started before the
@@ -60,8 +64,12 @@
 }
 
 // Usual returns the learned mean service time of the warm target; zero means
-// that it is not known yet.
+// that it is not known yet. What others suggested is not passed on.
 func (l *Limiter) Usual() time.Duration {
+	if l.suggested {
+		return 0
+	}
+
 	return l.usual.mean()
 }
 
@@ -82,6 +90,7 @@
 		l.slow = true
 	}
 	if !l.Cold() {
+		l.suggested = false
 		l.usual.learn(took)
 		return
 	}
@@ -136,6 +145,7 @@
 
 	if l.grown == 0 && l.plateau.reached(mean, l.patience()) {
 		l.usual = l.plateau.usual
+		l.suggested = false
 		l.grow()
 		return
 	}
@@ -151,7 +161,7 @@
 
 // patience is how many batches without faster service make a new usual time.
 func (l *Limiter) patience() int {
-	if l.usual.known() {
+	if l.usual.known() && !l.suggested {
 		return relearnBatches
 	}
 
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -40,9 +40,10 @@
 	Seeds []netip.AddrPort
 	// Seed makes the core's random choices repeatable.
 	Seed uint64
-	// Parse replaces ticket.Parse, so that simulations of many nodes share
-	// parsed tickets; nil means ticket.Parse.
-	Parse func(text []byte) (*ticket.Ticket, error)
+	// Parse and Compress replace ticket.Parse and Compress, so that
+	// simulations of many nodes share the results; nil means these.
+	Parse    func(text []byte) (*ticket.Ticket, error)
+	Compress func(text []byte) []byte
 }
 
 // Wire is a message between two cores. Its types are in wire.go.
--- a/core/mesh/wire.go
+++ b/core/mesh/wire.go
@@ -20,6 +20,12 @@
 	MaxRumours = 16
 	// MaxParts is the number of ranges in one summary.
 	MaxParts = 24
+	// MaxPending is the number of tickets that are fetched in chunks at a time.
+	MaxPending = 4
+	// MaxHaveBytes is the length of the set of all chunks of the largest ticket.
+	MaxHaveBytes = (MaxBodyBytes/ChunkBytes + 7) / 8
+	// MaxIndexes is the number of chunks in one request.
+	MaxIndexes = 8
 	// MaxItems is the number of versions in one list.
 	MaxItems = 16
 	// MaxBodyBytes is the largest compressed ticket.
@@ -43,6 +49,13 @@
 	// Nonce is random; the answer repeats it.
 	Nonce  uint64
 	Status Status
+	// Room is the number of bytes that the sender's budget has left for
+	// transfers; what it is sent unasked stays below that.
+	Room uint32
+	// Sparse asks for more peers, because the sender knows few.
+	Sparse bool
+	// Pending are the tickets that the sender is fetching in chunks.
+	Pending []ticket.Version
 }
 
 // DigestAck answers a Digest. Parts is empty if the digests are equal.
@@ -50,6 +63,9 @@
 	Nonce  uint64
 	Status Status
 	Parts  []Part
+	// Has are those of the other side's Pending that the sender can serve,
+	// at least in part.
+	Has []ticket.Version
 }
 
 // Beat is a sign of life of a reader, passed on by the nodes of its zone.
@@ -75,6 +91,8 @@
 // Summary continues the search for differences.
 type Summary struct {
 	Parts []Part
+	// Room is the sender's if it opened the exchange; see Digest.
+	Room uint32
 }
 
 // Fetch asks for tickets: small ones come as Body, others as Announce.
@@ -89,6 +107,9 @@
 	Size uint32
 	// Urgent tells that the ticket takes a zone out of service.
 	Urgent bool
+	// Have is the set of chunks that the sender holds, one bit each; it is
+	// empty if it holds all.
+	Have []byte
 }
 
 // Body carries a whole compressed ticket.
@@ -97,10 +118,10 @@
 	Data    []byte
 }
 
-// ChunkRequest asks for one chunk of a ticket.
+// ChunkRequest asks for chunks of a ticket.
 type ChunkRequest struct {
 	Version ticket.Version
-	Index   uint32
+	Indexes []uint32
 }
 
 // Chunk carries one chunk of a compressed ticket.
@@ -110,15 +131,20 @@
 	// Size is the compressed length of the whole ticket in bytes.
 	Size uint32
 	Data []byte
+	// Have is as in Announce; it is left out for tickets of many chunks.
+	Have []byte
 }
 
-// ChunkRefused tells that the sender can't serve a chunk.
+// ChunkRefused tells that the sender can't serve chunks.
 type ChunkRefused struct {
 	Version ticket.Version
-	Index   uint32
-	// Gone means that the sender no longer holds the ticket; otherwise its
-	// byte budget is used up for the moment.
+	Indexes []uint32
+	// Gone means that the sender neither holds nor fetches the ticket.
 	Gone bool
+	// Busy means that its byte budget is used up for now.
+	Busy bool
+	// Have is as in Announce.
+	Have []byte
 }
 
 // Rumour is a suspicion of a target's agent, or its refutation. The rumour
--- a/core/peer/encode.go
+++ b/core/peer/encode.go
@@ -21,27 +21,34 @@
 	wireRumours
 )
 
+// fieldHave is the field of the messages that carry a set of chunks.
+const fieldHave protowire.Number = 5
+
 // AppendWire appends the encoded message to b, without authentication.
 func AppendWire(b []byte, m mesh.Wire) []byte {
 	switch m := m.(type) {
 	case mesh.Digest:
-		return appendMessage(b, wireDigest, encodeExchange(m.Nonce, m.Status, nil))
+		v := appendVarint(encodeExchange(m.Nonce, m.Status, nil), 4, uint64(m.Room))
+		v = appendVarint(v, 5, protowire.EncodeBool(m.Sparse))
+		v = appendVersions(v, 6, m.Pending)
+
+		return appendMessage(b, wireDigest, v)
 	case mesh.DigestAck:
-		return appendMessage(b, wireDigestAck, encodeExchange(m.Nonce, m.Status, m.Parts))
+		return appendMessage(b, wireDigestAck, appendVersions(encodeExchange(m.Nonce, m.Status, m.Parts), 6, m.Has))
 	case mesh.Summary:
-		return appendMessage(b, wireSummary, appendParts(nil, m.Parts))
+		return appendMessage(b, wireSummary, appendVarint(appendParts(nil, m.Parts), 4, uint64(m.Room)))
 	case mesh.Fetch:
 		return appendMessage(b, wireFetch, appendVersions(nil, 1, m.Versions))
 	case mesh.Announce:
-		return appendMessage(b, wireAnnounce, encodeTicket(m.Version, uint64(m.Size), m.Urgent, nil))
+		return appendMessage(b, wireAnnounce, appendBytes(encodeTicket(m.Version, uint64(m.Size), m.Urgent, nil), fieldHave, m.Have))
 	case mesh.Body:
 		return appendMessage(b, wireBody, encodeTicket(m.Version, 0, false, m.Data))
 	case mesh.ChunkRequest:
-		return appendMessage(b, wireChunkRequest, encodeTicket(m.Version, uint64(m.Index), false, nil))
+		return appendMessage(b, wireChunkRequest, encodeTicket(m.Version, 0, false, encodeIndexes(m.Indexes)))
 	case mesh.Chunk:
 		return appendMessage(b, wireChunk, encodeChunk(m))
 	case mesh.ChunkRefused:
-		return appendMessage(b, wireChunkRefused, encodeTicket(m.Version, uint64(m.Index), m.Gone, nil))
+		return appendMessage(b, wireChunkRefused, encodeRefused(m))
 	case mesh.Rumours:
 		return appendMessage(b, wireRumours, appendRumours(nil, 1, m.Items))
 	default:
@@ -124,12 +131,29 @@
 	return appendBytes(b, 4, data)
 }
 
+func encodeIndexes(indexes []uint32) []byte {
+	b := []byte{}
+	for _, i := range indexes {
+		b = protowire.AppendVarint(b, uint64(i))
+	}
+
+	return b
+}
+
 func encodeChunk(m mesh.Chunk) []byte {
 	b := appendMessage(nil, 1, encodeVersion(m.Version))
 	b = appendVarint(b, 2, uint64(m.Index))
 	b = appendVarint(b, 3, uint64(m.Size))
 
-	return appendBytes(b, 4, m.Data)
+	b = appendBytes(b, 4, m.Data)
+
+	return appendBytes(b, fieldHave, m.Have)
+}
+
+func encodeRefused(m mesh.ChunkRefused) []byte {
+	b := encodeTicket(m.Version, protowire.EncodeBool(m.Busy), m.Gone, encodeIndexes(m.Indexes))
+
+	return appendBytes(b, fieldHave, m.Have)
 }
 
 func appendRumours(b []byte, n protowire.Number, items []mesh.Rumour) []byte {
