proof: add the stateful fuzzer and correct the virtual world

Cause: the world's watch of the configuration service had no index, so a ticket published between two watches was only seen at the next poll. The platform's blocking queries return at once when the index has changed.

--- a/proof/network_test.go
+++ b/proof/network_test.go
@@ -1,6 +1,7 @@
 package proof_test
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -80,6 +81,10 @@
 // send carries a message between two processes.
 func (w *world) send(from *process, to netip.AddrPort, m any) {
 	n, ok := w.byAddress[to]
+	if t, tunnel := m.(tunnelMessage); tunnel && w.verbose {
+		fmt.Printf("%12v t %s to %v: %s %s flow %x request %d status %d\n",
+			w.now, from.name, to, t.header.Kind, t.packet.Kind, t.packet.Flow, t.packet.Request, t.packet.Status)
+	}
 	if !ok || w.net.blocked(from, n.base()) {
 		return
 	}
--- a/proof/nodes_test.go
+++ b/proof/nodes_test.go
@@ -57,6 +57,7 @@
 	c.alive = true
 	c.paused = false
 	c.backlog = nil
+	c.index = 0
 	c.incarnation = c.w.nextStart()
 	c.since = c.w.now
 	c.core = mesh.New(mesh.Options{
@@ -244,7 +245,11 @@
 	return n
 }
 
+// start does nothing on a VM that was replaced by another at its address.
 func (n *agentNode) start() {
+	if n.w.byAddress[n.addr] != node(n) {
+		return
+	}
 	n.stopped = false
 	n.digest = ticket.Digest{}
 	n.former = nil
--- /dev/null
+++ b/proof/operators_test.go
@@ -0,0 +1,208 @@
+package proof_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"ibisfold.example/core/ticket"
+)
+
+// The operators of the fuzzer keep one rule: each service keeps a target that
+// is in service, in a zone in service and neither lost nor hidden from them.
+
+// serves reports whether target i takes new work in the operators' plan.
+func (s *site) serves(i int) bool {
+	t := &s.plan.targets[i]
+	if t.State == ticket.Draining || s.gone[t.Name] || s.oracle.lost[t.Name] {
+		return false
+	}
+	for _, z := range s.plan.zones {
+		if z.Name == t.Zone {
+			return z.InService
+		}
+	}
+
+	return false
+}
+
+// spared reports whether each service has a target left outside without.
+func (s *site) spared(without func(t *ticket.Target) bool) bool {
+	left := map[string]int{}
+	for i := range s.plan.targets {
+		if t := &s.plan.targets[i]; s.serves(i) && !without(t) {
+			left[t.Service]++
+		}
+	}
+	for _, v := range s.plan.services {
+		if left[v.Name] == 0 {
+			return false
+		}
+	}
+
+	return true
+}
+
+// mayLeave reports whether target i can leave its service.
+func (s *site) mayLeave(i int) bool {
+	name := s.plan.targets[i].Name
+
+	return s.serves(i) && s.spared(func(t *ticket.Target) bool {
+		return t.Name == name
+	})
+}
+
+func (s *site) target(a int) int { return a % len(s.plan.targets) }
+
+func (s *site) drainAny(a int) {
+	if i := s.target(a); s.mayLeave(i) {
+		s.drain(i)
+	}
+}
+
+func (s *site) undrainAny(a int) {
+	i := s.target(a)
+	if t := &s.plan.targets[i]; t.State == ticket.Draining && !s.gone[t.Name] && s.agents[i].alive {
+		s.undrain(i)
+	}
+}
+
+func (s *site) replaceAny(a int) {
+	const most = 20
+	if i := s.target(a); s.mayLeave(i) && len(s.agents) < most {
+		s.replace(i)
+	}
+}
+
+func (s *site) retargetAny(a int) {
+	if i := s.target(a); s.mayLeave(i) {
+		s.retarget(i, a%len(s.plan.services))
+	}
+}
+
+// zoneAny takes a zone out, or back if one is out.
+func (s *site) zoneAny(a int) {
+	for i := range s.plan.zones {
+		if !s.plan.zones[i].InService {
+			s.zone(i, true)
+			return
+		}
+	}
+	i := a % len(s.plan.zones)
+	if s.spared(func(t *ticket.Target) bool { return t.Zone == s.plan.zones[i].Name }) {
+		s.zone(i, false)
+	}
+}
+
+// removeAny removes a target that has drained and stopped.
+func (s *site) removeAny(a int) {
+	i := s.target(a)
+	name := s.plan.targets[i].Name
+	if !s.agents[i].stopped || s.agents[i].alive || s.gone[name] {
+		return
+	}
+	s.gone[name] = true
+	s.submit("remove", func(b *strings.Builder) {
+		fmt.Fprintf(b, "Removed: [{Target: %s}]\n", name)
+	})
+}
+
+// twins publishes two tickets with one number that drain different targets.
+func (s *site) twins(a int) {
+	i, k := s.target(a), s.target(a+1)
+	if !s.mayLeave(i) {
+		return
+	}
+	s.drain(i)
+	s.plan.number--
+	s.setTarget(k, func(t *ticket.Target) {
+		t.Connections++
+	}, "twin")
+	// Operators see which ticket of a number is in force.
+	s.undrainAny(i)
+}
+
+// conflict publishes two tickets with one number for one object. Operators go
+// on from the one that is in force.
+func (s *site) conflict(a int) {
+	i := s.target(a)
+	if !s.mayLeave(i) {
+		return
+	}
+	s.drain(i)
+	s.plan.number--
+	s.undrain(i)
+	if t, ok := s.oracle.latest().Targets[s.plan.targets[i].Name]; ok {
+		s.plan.targets[i] = t.Value
+	}
+}
+
+// late publishes the next ticket only after the one that follows it.
+func (s *site) late(a int) {
+	first, second := s.target(a), s.target(a+1)
+	s.plan.number++
+	s.setTarget(second, func(t *ticket.Target) { t.Connections++ }, "early")
+	after := s.plan.number
+	s.run(time.Duration(a%3) * time.Second)
+	s.plan.number = after - 2
+	s.setTarget(first, func(t *ticket.Target) { t.Connections++ }, "late")
+	s.plan.number = max(s.plan.number, after)
+}
+
+func (s *site) gap(a int) {
+	s.plan.number += uint64(1 + a%100)
+	s.drainAny(a)
+}
+
+// restartEntry is a planned restart: the fabric hears of it, callers don't.
+func (s *site) restartEntry(a int) {
+	n := s.entries[a%len(s.entries)]
+	n.kill()
+	s.after(waitStep, n.start)
+}
+
+// restartAgent is a planned restart: drain, stop, start, end of drain.
+func (s *site) restartAgent(a int) {
+	i := s.target(a)
+	n := s.agents[i]
+	if !n.alive || n.paused || !s.mayLeave(i) {
+		return
+	}
+	s.drain(i)
+	s.after(waitStep, func() {
+		if n.alive {
+			n.update(agentStop)
+		}
+	})
+}
+
+// startStopped starts an agent again after a planned stop.
+func (s *site) startStopped(a int) {
+	i := s.target(a)
+	n := s.agents[i]
+	if !n.alive && n.stopped && !s.gone[n.name] {
+		n.start()
+		s.undrainAny(i)
+	}
+}
+
+// replaceVM replaces a VM without warning: the address goes to another target.
+func (s *site) replaceVM(a int) {
+	const most = 20
+	i := s.target(a)
+	old := s.plan.targets[i]
+	if !s.mayLeave(i) || len(s.agents) >= most {
+		return
+	}
+	s.lose(s.agents[i])
+	s.agents[i].kill()
+	s.agents[i].target.alive = false
+	s.gone[old.Name] = true
+	n := s.addTargetAt(s.plan.services[a%len(s.plan.services)].Name, old.Zone, old.Agent)
+	n.start()
+	last := len(s.plan.targets) - 1
+	s.submit("replace VM", func(b *strings.Builder) {
+		writeTargets(b, s.plan.targets[last:])
+		fmt.Fprintf(b, "Removed: [{Target: %s}]\n", old.Name)
+	})
+}
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"encoding/binary"
+	"fmt"
 	"hash"
 	"hash/fnv"
 	"math/rand/v2"
@@ -24,6 +25,8 @@
 	// steps counts the inputs that decision cores handled.
 	steps uint64
 	trace hash.Hash64
+	// verbose prints the trace.
+	verbose bool
 
 	net        network
 	config     configService
@@ -66,6 +69,8 @@
 	paused bool
 	// incarnation ends the timers of earlier starts.
 	incarnation uint64
+	// index is that of the last read of the configuration service.
+	index uint64
 	// backlog holds what arrived during a pause, as a socket buffer does.
 	backlog []any
 	// since is the time from which the process has run without fault and
@@ -149,6 +154,9 @@
 func (w *world) note(kind byte, values ...uint64) {
 	var b [8]byte
 
+	if w.verbose {
+		fmt.Printf("%12v %c %x\n", w.now, kind, values)
+	}
 	w.trace.Write([]byte{kind})
 	binary.BigEndian.PutUint64(b[:], uint64(w.now))
 	w.trace.Write(b[:])
