agent: end flows with an unknown outcome and name the owner in resets

Cause: when its zone is taken out, an agent sent a reset with the status 'not run' after the final answers; if such an answer was lost, the caller took a request that had run for one that had not. The reset named no owner, and a copy of Open that met another target or a closed flow was answered by a reset without a token, so both ended flows that another agent owned. Change: the reset says 'outcome unknown' and carries the owner's token; a copy of Open is refused instead of reset.

--- a/core/agent/drain.go
+++ b/core/agent/drain.go
@@ -162,7 +162,8 @@
 }
 
 // giveUpFlows resets a list of flows. Copies that a peer still owns are only
-// forgotten.
+// forgotten. The reset ends whatever the caller waits for, and the answer to a
+// request that ran may have been lost, so the outcome is unknown.
 func (c *Core) giveUpFlows(f *flow, count *uint64) {
 	for f != nil {
 		next := f.next
@@ -170,7 +171,7 @@
 			*count++
 			c.reply(f, packet.Packet{
 				Kind:       packet.Reset,
-				Status:     packet.StatusNotRun,
+				Status:     packet.StatusOutcomeUnknown,
 				RetryAfter: c.retryAfter(retryAfterOut),
 			})
 		}
--- a/core/agent/reply.go
+++ b/core/agent/reply.go
@@ -16,11 +16,12 @@
 )
 
 // reply sends a packet to the flow's caller through the entry that delivered
-// the flow's last packet, with a new token.
+// the flow's last packet, with a new token. A reset names its owner too, so that
+// a caller whose flow is elsewhere ignores it.
 func (c *Core) reply(f *flow, p packet.Packet) {
 	p.Flow = f.key.flow
 	p.Service = f.address
-	if p.Kind != packet.Reset && p.Kind != packet.Closed {
+	if p.Kind != packet.Closed {
 		p.Token = c.token(f.key.service, f.key.flow)
 	}
 	c.send(SendTunnel{
@@ -53,6 +54,13 @@
 // token, so that a caller that has a newer one ignores it. A request may have
 // been run by another start of the agent.
 func (c *Core) reset(h *packet.Tunnel, p *packet.Packet) {
+	if p.Kind == packet.Open {
+		// A copy of Open has no token, so a reset would also end a flow that
+		// another agent opened.
+		c.refuseOpen(h, p, retryAfterMin)
+		return
+	}
+
 	c.Counters.Resets++
 	s := packet.StatusNotRun
 	if p.Kind == packet.Request {
