entry: keep flows of suspected agents alive

Cause: after six attempts an entry reset a flow whose agent was suspected, although the agent only paused or was cut off. Change: the request is answered as 'outcome unknown' with RetryAfter; a reset is sent only if the target is not in the state or a later start of its agent is known.

--- a/core/entry/route.go
+++ b/core/entry/route.go
@@ -11,10 +11,10 @@
 const (
 	// retryAfter tells callers when to come back to a service without targets.
 	retryAfter = time.Second
-	// resetAttempt is the attempt from which a flow of a suspected agent gets a
-	// reset. Suspicion is a hint, so several attempts through other entries
-	// have to fail first.
-	resetAttempt = 6
+	// downAttempt is the attempt from which a request to a suspected agent is
+	// answered here. Suspicion is a hint, so several attempts through other
+	// entries have to fail first.
+	downAttempt = 6
 )
 
 // Action says what to do with a caller's packet.
@@ -160,8 +160,10 @@
 	if _, out := n.zonesOut[p.Token.Zone]; out {
 		return reset(ReasonZoneOut)
 	}
-	if p.Attempt >= resetAttempt && n.suspects[p.Token.Target] == p.Token.Incarnation {
-		return reset(ReasonAgentDown)
+	if p.Attempt >= downAttempt && p.Kind == packet.Request {
+		if d := n.agentDown(&p.Token); d.Reason != ReasonNone {
+			return d
+		}
 	}
 
 	return Decision{
@@ -173,6 +175,27 @@
 	}
 }
 
+// agentDown decides for a flow whose agent is suspected. A paused agent or one
+// behind a partition comes back with its flows, so a flow ends only if the target
+// is no longer in the state or if a later start of its agent is known.
+func (n *Snapshot) agentDown(t *packet.Token) Decision {
+	suspect, ok := n.suspects[t.Target]
+	if !ok || suspect < t.Incarnation {
+		return Decision{}
+	}
+	if _, known := n.targets[t.Target]; !known || suspect > t.Incarnation {
+		return reset(ReasonAgentDown)
+	}
+
+	return Decision{
+		Action:     Reply,
+		Reason:     ReasonAgentDown,
+		Kind:       packet.Refused,
+		Status:     packet.StatusOutcomeUnknown,
+		RetryAfter: retryAfter,
+	}
+}
+
 // reset ends a flow. An earlier copy of a request may have run.
 func reset(r Reason) Decision {
 	return Decision{
--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -182,22 +182,43 @@
 	is.Equal(len(seen), 3)
 }
 
-// Guards against a reset on suspicion alone.
-func TestResetOfSuspectNeedsAttempts(t *testing.T) {
-	is := is.New(t)
-	n := entry.Build(site(1, 3, 1), map[uint64]uint64{8: 5}).Renew(second)
-	p := &packet.Packet{
-		Kind: packet.Request,
-		Token: packet.Token{
-			Target:      8,
-			Incarnation: 5,
-		},
+// Guards against flows that are reset on suspicion alone, although their agent
+// only pauses or is cut off, and against flows that hang on an agent that is gone.
+func TestRequestToSuspectedAgent(t *testing.T) {
+	known := ticket.ID("target-1")
+	for _, c := range []struct {
+		name    string
+		target  uint64
+		suspect uint64
+		attempt uint32
+		action  entry.Action
+		kind    packet.Kind
+	}{
+		{"early attempt", known, 5, 5, entry.Forward, 0},
+		{"suspected start", known, 5, 6, entry.Reply, packet.Refused},
+		{"later start", known, 6, 6, entry.Reply, packet.Reset},
+		{"earlier start", known, 4, 6, entry.Forward, 0},
+		{"target removed", 8, 5, 6, entry.Reply, packet.Reset},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			n := entry.Build(site(1, 3, 1), map[uint64]uint64{c.target: c.suspect}).Renew(second)
+			d := entry.Decide(n, 0, &packet.Packet{
+				Kind:    packet.Request,
+				Attempt: c.attempt,
+				Token: packet.Token{
+					Target:      c.target,
+					Incarnation: 5,
+				},
+			})
+			is.Equal(d.Action, c.action)
+			is.Equal(d.Kind, c.kind)
+			if c.action == entry.Reply {
+				is.Equal(d.Reason, entry.ReasonAgentDown)
+				is.Equal(d.Status, packet.StatusOutcomeUnknown)
+			}
+		})
 	}
-	is.Equal(entry.Decide(n, 0, p).Action, entry.Forward)
-	p.Attempt = 6
-	is.Equal(entry.Decide(n, 0, p).Reason, entry.ReasonAgentDown)
-	p.Token.Incarnation = 6
-	is.Equal(entry.Decide(n, 0, p).Action, entry.Forward)
 }
 
 // BenchmarkDecide measures the decision for one packet apart from the MAC.
--- a/core/entry/snapshot.go
+++ b/core/entry/snapshot.go
@@ -22,6 +22,8 @@
 
 	tables   addressIndex
 	zonesOut map[uint64]struct{}
+	// targets holds the identities of all targets in the state.
+	targets map[uint64]struct{}
 	// suspects maps a target to the incarnation of its agent that is silent.
 	suspects map[uint64]uint64
 }
@@ -33,6 +35,7 @@
 		Ticket:   s.Highest(),
 		Digest:   s.Digest(),
 		zonesOut: zonesOut(s),
+		targets:  targets(s),
 		suspects: suspects,
 	}
 	groups := groupTargets(s, suspects)
@@ -91,6 +94,17 @@
 	return m
 }
 
+func targets(s *ticket.State) map[uint64]struct{} {
+	m := make(map[uint64]struct{}, len(s.Targets))
+	for name, o := range s.Targets {
+		if !o.Removed {
+			m[ticket.ID(name)] = struct{}{}
+		}
+	}
+
+	return m
+}
+
 // groupTargets lists the targets that may get new flows, by service.
 func groupTargets(s *ticket.State, suspects map[uint64]uint64) map[string][]candidate {
 	m := map[string][]candidate{}
