Serve the flows of a removed target until they are handed over

A ticket that removes a target left the agent without a zone, so new tokens named zone 0 and a zone that went out at the same time was not noticed. The own zone is now kept as last known. Also documents the use of Attempt and Boot between agents and targets.

--- a/core/agent/change.go
+++ b/core/agent/change.go
@@ -16,12 +16,15 @@
 	was := c.confirmed()
 	c.view = v
 	c.limiter.Slots = v.Slots
+	if v.Known {
+		c.zone = v.Zone
+	}
 	c.changeGroups(old)
 	c.changeDrain()
 	if old != nil && old.Known && !old.ZoneInService && v.ZoneInService {
 		c.limiter.Failed(c.now)
 	}
-	if v.Known && !v.ZoneInService {
+	if v.zoneOut(c.zone) || v.Known && !v.ZoneInService {
 		c.giveUpAll(&c.Counters.FlowsGivenUp)
 	}
 	if !c.confirmed() {
--- a/core/agent/core.go
+++ b/core/agent/core.go
@@ -22,6 +22,8 @@
 	out    []Command
 
 	view *View
+	// zone is the own zone as last known; it outlives the target's removal.
+	zone uint64
 	// group is the current service's group, former the groups of services that
 	// the own target has left while flows remain.
 	group  *group
@@ -197,12 +199,10 @@
 	t := packet.Token{
 		Agent:       c.options.Self,
 		Service:     service,
+		Zone:        c.zone,
 		Target:      c.target,
 		Incarnation: c.options.Incarnation,
 	}
-	if c.view != nil {
-		t.Zone = c.view.Zone
-	}
 	t.Sign(c.options.Keys, flow)
 
 	return t
--- a/core/agent/drain_test.go
+++ b/core/agent/drain_test.go
@@ -247,3 +247,25 @@
 		is.Equal(w.total(packet.StatusOK), 3000)
 	}
 }
+
+// Guards against flows that are broken when a ticket removes their target
+// without a drain, and against work that the removed target still gets.
+func TestTargetRemoved(t *testing.T) {
+	for seed := range uint64(5) {
+		is := is.New(t)
+		w := newWorld(t, seed, 3)
+		w.run(2 * time.Second)
+		w.lossy(0.1)
+		w.load(30, 100, 1)
+		w.run(2 * time.Second)
+		w.ticket("Ticket: 2\nRemoved:\n  - Target: t0")
+		w.run(time.Second)
+		w.agents[0].target.got = 0
+		w.run(2 * time.Minute)
+		w.check(t)
+		is.Equal(w.agents[0].target.got, 0)
+		is.Equal(w.resets(), 0)
+		is.Equal(w.agents[0].core.Load().Flows, 0)
+		is.True(w.total(packet.StatusOK) >= 2970)
+	}
+}
--- a/core/agent/flowbody.go
+++ b/core/agent/flowbody.go
@@ -76,7 +76,7 @@
 	b := appendFixed(nil, flowNumber, f.key.flow)
 	b = appendVarint(b, flowEpoch, uint64(f.epoch))
 	b = appendFixed(b, flowOwner, c.target)
-	b = appendFixed(b, flowZone, c.view.Zone)
+	b = appendFixed(b, flowZone, c.zone)
 	b = appendAddress(b, flowEntry, f.entry)
 	b = appendAddress(b, flowCaller, f.caller)
 	b = appendAddress(b, flowAddress, f.address)
--- a/core/agent/limits_test.go
+++ b/core/agent/limits_test.go
@@ -223,3 +223,43 @@
 	out = c.Update(0, m)
 	is.Equal(out[0].(SendTunnel).Packet.Kind, packet.Refused)
 }
+
+// Guards against too much load on a target that restarted: what was passed
+// since the restart may run, and only HelloAck tells how much that is.
+func TestNoPassBeforeHelloAck(t *testing.T) {
+	is := is.New(t)
+	c := benchCore(t, 10, 2)
+	token := openFlow(c, 0, 1)
+	ask := func(n uint64) []Command {
+		return c.Update(0, fromEntry(packet.Packet{
+			Kind:    packet.Request,
+			Flow:    1,
+			Request: n,
+			Token:   token,
+		}))
+	}
+	tell := func(p packet.Packet) []Command {
+		p.Boot = 10
+		return c.Update(0, FromTarget{
+			Packet: p,
+		})
+	}
+	ask(1)
+	tell(packet.Packet{
+		Kind: packet.Answer,
+		Flow: 2,
+	})
+	is.Equal(len(ask(2)), 0)
+	is.Equal(c.Counters.Passed, uint64(1))
+	tell(packet.Packet{
+		Kind:    packet.HelloAck,
+		Running: 1,
+	})
+	is.Equal(c.Counters.Passed, uint64(1))
+	tell(packet.Packet{
+		Kind:    packet.Answer,
+		Flow:    1,
+		Request: 1,
+	})
+	is.Equal(c.Counters.Passed, uint64(2))
+}
--- a/core/packet/packet.go
+++ b/core/packet/packet.go
@@ -139,6 +139,7 @@
 	// Request increases with each request of a flow and is never reused.
 	Request uint64
 	// Attempt counts the caller's repetitions of this packet, from 0.
+	// Towards targets it is the number of the pass; answers should repeat it.
 	Attempt uint32
 	// Idempotent marks a request that may run more than once.
 	Idempotent bool
@@ -150,6 +151,7 @@
 	// RetryAfter is the time after which the caller may come back, in steps of 1 ms.
 	RetryAfter time.Duration
 	// Boot identifies one start of a target; a new value means a cold start.
+	// Between agents it is the number of an offer.
 	Boot uint64
 	// Running is the number of requests that a target is running.
 	Running uint32
