Ask a target for its boot identity before it gets several requests at once

Change: a target not heard for 5 ms gets one request until it answers Hello; an answer that shows a restart does not count as a report of running requests.

--- a/core/agent/place.go
+++ b/core/agent/place.go
@@ -72,7 +72,7 @@
 	if c.queue.Len() == 0 || !c.confirmed() || !c.targetOpen() || !c.backend.ready(c.now) {
 		return
 	}
-	for c.running() < c.limiter.Allow() {
+	for c.running() < c.allowed() {
 		r, ok := c.queue.Pop(c.now)
 		if !ok {
 			return
@@ -81,6 +81,22 @@
 	}
 }
 
+// allowed is the number of requests that the target may have in progress. A
+// target that was not heard just now may have restarted: it gets at most one
+// request until it has shown its boot identity, which takes a local round trip.
+func (c *Core) allowed() int {
+	n := c.limiter.Allow()
+	b := &c.backend
+	if n <= 1 || c.now-b.heard <= bootFresh {
+		return n
+	}
+	if c.now-b.helloAt >= bootFresh {
+		c.hello()
+	}
+
+	return 1
+}
+
 // pass passes a request to the target. From here on it may have run.
 func (c *Core) pass(r *request) {
 	b := &c.backend
--- a/core/agent/target.go
+++ b/core/agent/target.go
@@ -15,6 +15,8 @@
 	// targetSilence is how long a target may be silent before it gets no more
 	// requests.
 	targetSilence = 3 * time.Second
+	// bootFresh is how long a packet of the target vouches for its boot identity.
+	bootFresh = 5 * time.Millisecond
 	// abandonedTime bounds how long a request without an answer keeps its slot,
 	// because a target's report of running requests may be wrong.
 	abandonedTime = time.Minute
@@ -143,6 +145,7 @@
 }
 
 func (c *Core) fromTarget(p *packet.Packet) {
+	before := c.backend.boot
 	if !c.seeBoot(p.Boot) {
 		c.Counters.LateAnswers++
 		return
@@ -151,7 +154,11 @@
 	c.backend.heard = c.now
 	switch p.Kind {
 	case packet.HelloAck:
-		c.helloAcked(p)
+		// The count of an answer that shows a restart misses what was passed
+		// behind the Hello; the next one has it.
+		if before == 0 || before == c.backend.boot {
+			c.helloAcked(p)
+		}
 	case packet.Answer:
 		c.targetAnswered(p)
 	case packet.Shed:
