--- a/core/agent/handover_test.go
+++ b/core/agent/handover_test.go
@@ -209,3 +209,41 @@
 	beat(c, 4*time.Second, 5)
 	is.Equal(c.group.peers[0].incarnation, uint64(6))
 }
+
+// Guards against a previous owner that repeats an outdated token for ever,
+// because the flow moved on before its caller used that token.
+func TestPreviousOwnerIsToldAfterTheFlowMovedOn(t *testing.T) {
+	is := is.New(t)
+	c, _, sent := handing(t)
+	acknowledge(c, 0, 5, 1)
+	c.forwards = newForwardTable()
+	c.drain = drainState{}
+	c.view.Draining = false
+	body, err := decodeFlow(sent.Body)
+	is.NoErr(err)
+	body.epoch = 2
+	c.adopt(flowKey{
+		service: ticket.ID("s"),
+		flow:    1,
+	}, body, remote{
+		agent:       agentAddr(2),
+		target:      ticket.ID("t2"),
+		incarnation: 8,
+	})
+	c.flows.live.first.state = active
+	c.startHandover(c.flows.live.first, c.group.peers[0])
+	acknowledge(c, 0, 5, 3)
+	out := c.Update(0, fromEntry(packet.Packet{
+		Kind:  packet.KeepAlive,
+		Flow:  1,
+		Token: c.token(ticket.ID("s"), 1),
+	}))
+	is.Equal(len(out), 2)
+	done := out[0].(SendTunnel)
+	is.Equal(done.Header.Kind, packet.HandoverDone)
+	is.Equal(done.To, agentAddr(2))
+	a, err := decodeAck(done.Body)
+	is.NoErr(err)
+	is.Equal(a.epoch, uint32(2))
+	is.Equal(out[1].(SendTunnel).Header.Kind, packet.ToOwner)
+}
