--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SITE ?= eisweinruf
 COMMON := ibisfold.example
 
-.PHONY: all build test lint format tidy demo matrix fuzz bench experiment capacity
+.PHONY: all build test lint format tidy demo matrix fuzz bench bench-process experiment capacity
 
 all: lint test build
 
@@ -29,6 +29,19 @@
 tidy:
 	@for m in $(MODULES) tools; do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
 
+# Runs a site on loopback with real processes.
+demo: build
+	bin/ibisfold-standin demo --site $(SITE) --seed $(SEED) --examples examples --bin bin
+
+# Measures packets a second through an entry against a bare relay.
+bench-process: build
+	bin/ibisfold-standin load --pps --bin bin
 # Compares the admission and balance decisions with other policies; writes docs/experiments.
 experiment:
 	go run ./ibisfold-standin/experiment/cmd --seed $(SEED) --out docs/experiments
+
+# Measures ticket spread, idle cost, recovery and memory of the control plane on
+# the virtual network; writes docs/capacity. 4440 nodes take about 8 GB and 30 minutes.
+SIZES ?= 10,40,160,740
+capacity:
+	IBISFOLD_CAPACITY=$(SIZES) go test ./proof -run Capacity -v -count 1 -timeout 2h
--- a/core/admission/flow.go
+++ b/core/admission/flow.go
@@ -5,7 +5,7 @@
 // PickFlow returns the index of the peer that should own a new flow, or -1 for
 // the own target. Only flows above the group's mean are passed on, to a peer in
 // proportion to its room, so that agents with equally old reports do not all
-// choose the same peer.
+// choose the same peer. A draining target passes on every flow if it has a peer.
 func (b *Balance) PickFlow(own Load, peers []Load, r *rand.Rand) int {
 	ratios := make([]float64, len(peers))
 	for i, p := range peers {
@@ -16,6 +16,22 @@
 	if !own.Draining && mine <= level {
 		return -1
 	}
+	if i := choose(rooms(peers, ratios, level, 0), r); i >= 0 || !own.Draining {
+		return i
+	}
+
+	return lowest(peers, ratios)
+}
+
+// lowest returns the index of the peer with the lowest ratio that does not
+// drain, or -1.
+func lowest(peers []Load, ratios []float64) int {
+	best := -1
+	for i, p := range peers {
+		if !p.Draining && (best < 0 || ratios[i] < ratios[best]) {
+			best = i
+		}
+	}
 
-	return choose(rooms(peers, ratios, level, 0), r)
+	return best
 }
--- /dev/null
+++ b/core/mesh/size.go
@@ -0,0 +1,150 @@
+package mesh
+
+import (
+	"math/bits"
+	"net/netip"
+
+	"ibisfold.example/core/ticket"
+)
+
+// Sizes on the wire in bytes. They are close upper bounds of what package peer
+// encodes, because the core must account for bytes without the codec.
+const (
+	// headerBytes is IPv4, UDP, first byte, key identifier, MAC, the sender's
+	// IPv4 address, kind and length.
+	headerBytes = 20 + 8 + 10 + 7 + 3
+	fixedBytes  = 9
+)
+
+// varintBytes is the length of a tag and a varint; zero is left out.
+func varintBytes(v uint64) int {
+	if v == 0 {
+		return 0
+	}
+
+	return 1 + (bits.Len64(v)+6)/7
+}
+
+func addrBytes(a netip.AddrPort) int {
+	switch {
+	case !a.IsValid():
+		return 0
+	case a.Addr().Is4():
+		return 8
+	default:
+		return 20
+	}
+}
+
+func nodeBytes(n Node) int {
+	return 6 + addrBytes(n.Addr) + len(n.Zone) + fixedBytes
+}
+
+func versionBytes(v ticket.Version) int {
+	n := 2 + varintBytes(v.Number)
+	if v.Hash != 0 {
+		n += fixedBytes
+	}
+
+	return n
+}
+
+// indexesBytes is the length of a packed list of varints.
+func indexesBytes(indexes []uint32) int {
+	n := 2
+	for _, i := range indexes {
+		n += max(1, varintBytes(uint64(i))-1)
+	}
+
+	return n
+}
+
+func versionsBytes(versions []ticket.Version) int {
+	n := 0
+	for _, v := range versions {
+		n += versionBytes(v)
+	}
+
+	return n
+}
+
+func (s Status) bytes() int {
+	n := 4 + nodeBytes(s.Self) + varintBytes(s.State.Floor) + varintBytes(s.State.Highest) + fixedBytes + 2
+	for _, v := range s.Sample {
+		n += nodeBytes(v)
+	}
+	for _, v := range s.Beats {
+		n += 2 + addrBytes(v.Addr) + fixedBytes + varintBytes(v.Count)
+	}
+
+	return n + rumoursBytes(s.Rumours)
+}
+
+func rumoursBytes(rumours []Rumour) int {
+	n := 0
+	for _, r := range rumours {
+		n += 2 + 2*fixedBytes + varintBytes(uint64(r.Change)) + varintBytes(uint64(r.Age))
+	}
+
+	return n
+}
+
+func partsBytes(parts []Part) int {
+	n := 0
+	for _, p := range parts {
+		n += p.bytes()
+	}
+
+	return n
+}
+
+func (p Part) bytes() int {
+	n := 3 + versionBytes(p.From) + versionBytes(p.To) + varintBytes(uint64(p.Count)) + fixedBytes + 2
+
+	return n + versionsBytes(p.Items)
+}
+
+// Bytes returns the length of the message with all headers.
+func (m Digest) Bytes() int {
+	return headerBytes + fixedBytes + m.Status.bytes() + varintBytes(uint64(m.Room)) + 2 + versionsBytes(m.Pending)
+}
+
+// Bytes returns the length of the message with all headers.
+func (m DigestAck) Bytes() int {
+	return headerBytes + fixedBytes + m.Status.bytes() + partsBytes(m.Parts) + versionsBytes(m.Has)
+}
+
+// Bytes returns the length of the message with all headers.
+func (m Summary) Bytes() int {
+	return headerBytes + partsBytes(m.Parts) + varintBytes(uint64(m.Room))
+}
+
+// Bytes returns the length of the message with all headers.
+func (m Fetch) Bytes() int { return headerBytes + versionsBytes(m.Versions) }
+
+// Bytes returns the length of the message with all headers.
+func (m Announce) Bytes() int {
+	return headerBytes + versionBytes(m.Version) + varintBytes(uint64(m.Size)) + 4 + len(m.Have)
+}
+
+// Bytes returns the length of the message with all headers.
+func (m Body) Bytes() int { return headerBytes + versionBytes(m.Version) + 3 + len(m.Data) }
+
+// Bytes returns the length of the message with all headers.
+func (m ChunkRequest) Bytes() int {
+	return headerBytes + versionBytes(m.Version) + indexesBytes(m.Indexes)
+}
+
+// Bytes returns the length of the message with all headers.
+func (m Chunk) Bytes() int {
+	return headerBytes + versionBytes(m.Version) + varintBytes(uint64(m.Index)) +
+		varintBytes(uint64(m.Size)) + 5 + len(m.Data) + len(m.Have)
+}
+
+// Bytes returns the length of the message with all headers.
+func (m ChunkRefused) Bytes() int {
+	return headerBytes + versionBytes(m.Version) + indexesBytes(m.Indexes) + 6 + len(m.Have)
+}
+
+// Bytes returns the length of the message with all headers.
+func (m Rumours) Bytes() int { return headerBytes + rumoursBytes(m.Items) }
--- /dev/null
+++ b/core/mesh/sync.go
@@ -0,0 +1,174 @@
+package mesh
+
+import (
+	"net/netip"
+	"slices"
+
+	"ibisfold.example/core/ticket"
+)
+
+const (
+	// maxUrged bounds the tickets that one exchange makes a node send unasked.
+	maxUrged = 8
+)
+
+// onParts compares a summary with the own state: it asks for what is missing,
+// sends what the other lacks and describes differing ranges more closely. It
+// reports whether nothing is missing but tickets whose transfer may take long.
+func (c *Core) onParts(from netip.AddrPort, parts []Part, room int) bool {
+	if len(parts) > MaxParts {
+		c.counters.InvalidWire++
+
+		return false
+	}
+
+	x := c.indexed()
+	want := []ticket.Version{}
+	give := []ticket.Version{}
+	reply := []Part{}
+	for _, p := range parts {
+		if !x.differs(p) {
+			continue
+		}
+		if p.List {
+			want = c.missing(want, p)
+			give = x.surplus(give, p)
+
+			continue
+		}
+		reply = x.describe(reply, p.From, p.To)
+	}
+
+	c.request(from, want)
+	for _, v := range give {
+		room -= c.offer(from, v, room)
+	}
+	if reply = fit(reply); len(reply) > 0 {
+		c.send(classBulk, from, Summary{
+			Parts: reply,
+			Room:  uint32(c.budget.room()),
+		})
+
+		return false
+	}
+
+	return len(parts) > 0 && c.canWait(want)
+}
+
+// canWait reports whether all missing tickets are large ones on their way that
+// take no zone out of service.
+func (c *Core) canWait(want []ticket.Version) bool {
+	for _, v := range want {
+		if t := c.transfer(v); t == nil || t.urgent {
+			return false
+		}
+	}
+
+	return true
+}
+
+// missing appends the listed versions that the core lacks.
+func (c *Core) missing(want []ticket.Version, p Part) []ticket.Version {
+	if len(p.Items) > MaxItems {
+		c.counters.InvalidWire++
+
+		return want
+	}
+	for _, v := range p.Items {
+		if c.wants(v) {
+			want = append(want, v)
+		}
+	}
+
+	return want
+}
+
+// surplus appends the own versions of p's range that p doesn't list, the newest first.
+func (x *index) surplus(give []ticket.Version, p Part) []ticket.Version {
+	lo, hi := x.bounds(p.From, p.To)
+	for i := hi - 1; i >= lo; i-- {
+		if !slices.Contains(p.Items, x.versions[i]) {
+			give = append(give, x.versions[i])
+		}
+	}
+
+	return give
+}
+
+// fit cuts parts to what a datagram holds. The next exchange finds the rest.
+func fit(parts []Part) []Part {
+	n := 0
+	for i, p := range parts {
+		n += p.bytes()
+		if n > maxSummaryBytes || i >= MaxParts {
+			return parts[:i]
+		}
+	}
+
+	return parts
+}
+
+// summary describes the whole state.
+func (c *Core) summary() []Part {
+	return fit(c.indexed().describe(nil, ticket.Version{}, ticket.Version{}))
+}
+
+// urge sends the newest zone-out tickets at once to a node whose highest
+// number is lower, whatever its budget.
+func (c *Core) urge(to netip.AddrPort, highest uint64) {
+	x := c.indexed()
+	for i := len(x.versions) - 1; i >= 0 && len(x.versions)-i <= maxUrged; i-- {
+		if x.versions[i].Number <= highest {
+			return
+		}
+		c.offer(to, x.versions[i], 0)
+	}
+}
+
+// offer sends a held ticket, or announces it if it is large, unless it is
+// longer than room. Zone-out tickets are always sent. It returns the length.
+func (c *Core) offer(to netip.AddrPort, v ticket.Version, room int) int {
+	b := c.store.body(v)
+	if b == nil {
+		return 0
+	}
+
+	m, k := c.message(v, b), classBulk
+	if urgent(c.state.Held(v)) {
+		k = classSmall
+	} else if m.Bytes() > room {
+		return 0
+	}
+	if !c.send(k, to, m) {
+		return 0
+	}
+
+	return m.Bytes()
+}
+
+// message returns the ticket's Body, or its Announce if it is large.
+func (c *Core) message(v ticket.Version, body []byte) Wire {
+	if len(body) <= MaxPushBytes {
+		return Body{
+			Version: v,
+			Data:    body,
+		}
+	}
+
+	return Announce{
+		Version: v,
+		Size:    uint32(len(body)),
+		Urgent:  urgent(c.state.Held(v)),
+	}
+}
+
+func (c *Core) onFetch(from netip.AddrPort, m Fetch) {
+	if len(m.Versions) > MaxItems {
+		c.counters.InvalidWire++
+
+		return
+	}
+	for _, v := range m.Versions {
+		c.offer(from, v, BudgetBurst)
+	}
+}
--- a/core/ticket/ticket.go
+++ b/core/ticket/ticket.go
@@ -7,14 +7,16 @@
 	"encoding/binary"
 	"hash/fnv"
 	"net/netip"
+	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/juju/errors"
+
+	"ibisfold.example/core/document"
 )
 
 // MaxBytes is the largest ticket, in bytes: the configuration service holds
 // values up to 1 MB.
-const MaxBytes = 1_000_000
+const MaxBytes = document.MaxBytes
 
 // Sentinel errors of this package.
 const (
@@ -53,85 +55,66 @@
 
 // Zone is an availability zone.
 type Zone struct {
-	Name string
+	Name string `yaml:"Name"`
 	// InService is false for a zone that operators have taken out.
-	InService bool
+	InService bool `yaml:"InService"`
 }
 
 // Service is what callers reach at its addresses.
 type Service struct {
-	Name string
+	Name string `yaml:"Name"`
 	// Tenant owns the service.
-	Tenant string
+	Tenant string `yaml:"Tenant"`
 	// Addresses are unique over all services in force; at a clash the service
 	// with the higher version keeps the address.
-	Addresses []netip.AddrPort
+	Addresses []netip.AddrPort `yaml:"Addresses"`
+	// ServiceTime is about how long a warm target takes for a request. Agents
+	// that know no better tell a cold target from a warm one by it; zero means
+	// that they have to learn it.
+	ServiceTime time.Duration `yaml:"ServiceTime,omitempty"`
 }
 
 // Target serves one service from one zone, with an agent beside it.
 type Target struct {
-	Name string
+	Name string `yaml:"Name"`
 	// Service and Zone name objects; the target gets no traffic until both exist.
-	Service string
-	Zone    string
+	Service string `yaml:"Service"`
+	Zone    string `yaml:"Zone"`
 	// Agent is the address of the agent beside the target.
-	Agent netip.AddrPort
+	Agent netip.AddrPort `yaml:"Agent"`
 	// Slots is the number of requests that the target runs at a time, from 1.
-	Slots int
+	Slots int `yaml:"Slots"`
 	// Connections is the number of flows that the target holds, from 1.
-	Connections int
+	Connections int `yaml:"Connections"`
 	// State is empty for InService.
-	State TargetState `yaml:",omitempty"`
+	State TargetState `yaml:"State,omitempty"`
 }
 
 // Removal names one object that a ticket removes. One field is set.
 type Removal struct {
-	Zone    string `yaml:",omitempty"`
-	Service string `yaml:",omitempty"`
-	Target  string `yaml:",omitempty"`
+	Zone    string `yaml:"Zone,omitempty"`
+	Service string `yaml:"Service,omitempty"`
+	Target  string `yaml:"Target,omitempty"`
 }
 
 // Ticket carries the whole new state of all objects that it touches.
 type Ticket struct {
 	// Number is unique and above 0.
 	Number uint64 `yaml:"Ticket"`
-	Reason string
+	Reason string `yaml:"Reason"`
 	// Complete tickets carry the whole state: what they do not list and has a
 	// lower number is removed.
-	Complete bool
-	Zones    []Zone
-	Services []Service
-	Targets  []Target
-	Removed  []Removal
+	Complete bool      `yaml:"Complete"`
+	Zones    []Zone    `yaml:"Zones"`
+	Services []Service `yaml:"Services"`
+	Targets  []Target  `yaml:"Targets"`
+	Removed  []Removal `yaml:"Removed"`
 
 	// Version and Text are set by Parse.
 	Version Version `yaml:"-"`
 	Text    []byte  `yaml:"-"`
 }
 
-// Parse reads and checks a ticket. Acceptance depends on the text alone, so
-// that all nodes agree on it. Errors: ErrInvalid, ErrTooLong.
-func Parse(text []byte) (*Ticket, error) {
-	if len(text) > MaxBytes {
-		return nil, ErrTooLong
-	}
-
-	t := &Ticket{}
-	if err := yaml.UnmarshalWithOptions(text, t, yaml.Strict()); err != nil {
-		return nil, errors.WithType(errors.Annotate(err, "ticket"), ErrInvalid)
-	}
-	if t.Number == 0 {
-		return nil, errors.WithType(errors.New("ticket number is zero"), ErrInvalid)
-	}
-	t.Version = Version{
-		Number: t.Number,
-		Hash:   textHash(text),
-	}
-	t.Text = text
-
-	return t, nil
-}
-
 func textHash(text []byte) uint64 {
 	sum := sha256.Sum256(text)
 
--- /dev/null
+++ b/ibisfold-standin/callers/flow.go
@@ -0,0 +1,348 @@
+package callers
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"ibisfold.example/core/packet"
+	"ibisfold.example/core/ticket"
+)
+
+const (
+	// firstRepeat is the time until the first retransmission; it doubles with
+	// each one up to lastRepeat.
+	firstRepeat = 250 * time.Millisecond
+	lastRepeat  = 2 * time.Second
+	// keepAlive is the time between two KeepAlive packets.
+	keepAlive = 10 * time.Second
+	// closeTime is how long a flow asks for Closed before it counts as silent.
+	closeTime = 5 * time.Second
+	// silentTime is how long a flow may hear nothing while requests go without
+	// answer before it counts as silent. It is above the pauses of 10 s that a
+	// process may make.
+	silentTime = 15 * time.Second
+)
+
+// flow is one flow of a caller.
+type flow struct {
+	id     uint64
+	load   *Load
+	stats  *Stats
+	zones  *Zones
+	socket *socket
+
+	mu    sync.Mutex
+	token packet.Token
+	// adopted is the time at which token was adopted.
+	adopted time.Time
+	// began is the time at which the flow was opened.
+	began   time.Time
+	open    bool
+	closing bool
+	next    uint64
+	// heard is the time of the last packet.
+	heard   time.Time
+	waiting map[uint64]chan packet.Packet
+
+	// answer receives Opened and Refused of Open.
+	answer chan packet.Packet
+	// ended is closed when the flow is over.
+	ended chan struct{}
+	once  sync.Once
+}
+
+func newFlow(id uint64, l *Load, o *Options, st *Stats, s *socket) *flow {
+	f := &flow{
+		id:      id,
+		load:    l,
+		stats:   st,
+		zones:   o.Zones,
+		socket:  s,
+		waiting: map[uint64]chan packet.Packet{},
+		answer:  make(chan packet.Packet, 4),
+		ended:   make(chan struct{}),
+	}
+	s.add(f.id, f)
+
+	return f
+}
+
+// repeatAfter is the time until the next retransmission, with jitter.
+func repeatAfter(attempt uint32) time.Duration {
+	d := min(lastRepeat, firstRepeat<<min(attempt, 8))
+
+	return d/2 + rand.N(d)
+}
+
+func (f *flow) packet(k packet.Kind) packet.Packet {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return packet.Packet{
+		Kind:    k,
+		Service: f.load.Address,
+		Flow:    f.id,
+		Token:   f.token,
+		Tenant:  []byte(f.load.Tenant),
+	}
+}
+
+// connect sends Open until the flow is open. It returns false when ctx is done
+// or when the flow was reset before it was open.
+func (f *flow) connect(ctx context.Context) bool {
+	for attempt := uint32(0); ; attempt++ {
+		p := f.packet(packet.Open)
+		p.Attempt = attempt
+		f.socket.send(&p)
+
+		wait := time.NewTimer(repeatAfter(attempt))
+		select {
+		case <-ctx.Done():
+			return false
+		case <-f.ended:
+			return false
+		case a := <-f.answer:
+			if a.Kind == packet.Opened {
+				return true
+			}
+			if !sleep(ctx, max(leastRetry, a.RetryAfter)) {
+				return false
+			}
+		case <-wait.C:
+		}
+		wait.Stop()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d/2 + rand.N(d+time.Millisecond))
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// keep sends KeepAlive until the flow ends.
+func (f *flow) keep(ctx context.Context) {
+	t := time.NewTicker(keepAlive/2 + rand.N(keepAlive))
+	defer t.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.ended:
+			return
+		case <-t.C:
+			p := f.packet(packet.KeepAlive)
+			f.socket.send(&p)
+		}
+	}
+}
+
+// close sends Close until the flow is closed.
+func (f *flow) close() {
+	f.mu.Lock()
+	open := f.open
+	f.closing = true
+	f.mu.Unlock()
+	if !open || !f.isOpen() {
+		f.end(causeNone, 0)
+		return
+	}
+
+	limit := time.NewTimer(closeTime)
+	defer limit.Stop()
+	for attempt := uint32(0); ; attempt++ {
+		p := f.packet(packet.Close)
+		p.Attempt = attempt
+		f.socket.send(&p)
+		wait := time.NewTimer(repeatAfter(attempt))
+		select {
+		case <-f.ended:
+			return
+		case <-limit.C:
+			f.endSilent()
+			return
+		case <-wait.C:
+		}
+	}
+}
+
+func (f *flow) receive(p *packet.Packet) {
+	switch p.Kind {
+	case packet.Opened:
+		f.opened(p)
+	case packet.Closed:
+		f.closed()
+	case packet.Reset:
+		f.reset(p)
+	case packet.KeepAlive:
+		f.adopt(p)
+	case packet.Moved:
+		f.adopt(p)
+		f.confirm()
+	case packet.Answer, packet.Refused:
+		f.adopt(p)
+		f.deliver(p)
+	}
+}
+
+// opened adopts the first Opened only: a repeated Open may have reached
+// another agent, whose flow is left alone.
+func (f *flow) opened(p *packet.Packet) {
+	f.mu.Lock()
+	first := !f.open
+	if first {
+		f.open = true
+		f.token = p.Token
+		f.began = time.Now()
+		f.adopted = f.began
+		f.heard = f.began
+	}
+	f.mu.Unlock()
+
+	if first {
+		f.stats.count(func(c *Counts) { c.Flows++ })
+		f.tell(p)
+	}
+}
+
+func (f *flow) tell(p *packet.Packet) {
+	select {
+	case f.answer <- *p:
+	default:
+	}
+}
+
+func (f *flow) closed() {
+	f.mu.Lock()
+	closing := f.closing
+	f.mu.Unlock()
+
+	if closing {
+		f.end(causeNone, 0)
+	}
+}
+
+func (f *flow) adopt(p *packet.Packet) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.heard = time.Now()
+	if p.Token.IsZero() || !f.open || p.Token == f.token {
+		return
+	}
+	if p.Token.Agent != f.token.Agent {
+		f.stats.count(func(c *Counts) { c.Moved++ })
+	}
+	f.token = p.Token
+	f.adopted = time.Now()
+}
+
+// confirm uses a new token at once, so that the flow's previous owner need not
+// wait for the next request.
+func (f *flow) confirm() {
+	p := f.packet(packet.KeepAlive)
+	f.socket.send(&p)
+}
+
+func (f *flow) deliver(p *packet.Packet) {
+	f.mu.Lock()
+	c := f.waiting[p.Request]
+	open := f.open
+	f.mu.Unlock()
+
+	switch {
+	case c != nil:
+		select {
+		case c <- *p:
+		default:
+		}
+	case p.Request == 0 && p.Kind == packet.Refused && !open:
+		f.tell(p)
+	}
+}
+
+func sameOwner(a, b *packet.Token) bool {
+	return a.Agent == b.Agent && a.Target == b.Target && a.Incarnation == b.Incarnation
+}
+
+// reset ends the flow unless the packet is about another owner: one that handed
+// the flow over, or one that a repeated Open reached.
+func (f *flow) reset(p *packet.Packet) {
+	f.mu.Lock()
+	c := f.waiting[p.Request]
+	other := !p.Token.IsZero() && !sameOwner(&p.Token, &f.token)
+	open := f.open
+	f.mu.Unlock()
+
+	if c != nil && p.Request != 0 {
+		select {
+		case c <- *p:
+		default:
+		}
+	}
+	if other {
+		return
+	}
+	if !open {
+		f.end(causeNone, 0)
+		return
+	}
+	f.end(causeReset, p.Request)
+}
+
+func (f *flow) endSilent() {
+	f.end(causeSilent, 0)
+}
+
+// Causes of the end of a flow.
+const (
+	causeNone   = ""
+	causeReset  = "reset"
+	causeSilent = "silent"
+)
+
+// end ends the flow once. A flow that ends for a cause is given up if its zone
+// was taken out, and broken otherwise.
+func (f *flow) end(cause string, request uint64) {
+	f.once.Do(func() {
+		if cause != causeNone {
+			f.countEnd(cause, request)
+		}
+		close(f.ended)
+		f.socket.remove(f.id)
+	})
+}
+
+func (f *flow) countEnd(cause string, request uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.zones.wasOut(f.token.Zone, f.adopted) {
+		f.stats.count(func(c *Counts) { c.GivenUp++ })
+		return
+	}
+	f.stats.fault(Fault{
+		At:      time.Now(),
+		Flow:    f.id,
+		Cause:   cause,
+		Agent:   f.token.Agent,
+		Zone:    f.token.Zone,
+		Opened:  f.began,
+		Adopted: f.adopted,
+		Request: request,
+	})
+}
+
+// service is the identity that answers must carry.
+func (f *flow) service() uint64 {
+	return ticket.ID(f.load.Service)
+}
