--- a/proof/target_test.go
+++ b/proof/target_test.go
@@ -108,6 +108,9 @@
 
 func (t *target) reply(p packet.Packet) {
 	p.Boot = t.boot
+	if t.w.broken == breakAdmission {
+		p.Boot = 1
+	}
 	p.Running = uint32(t.running)
 	p.Payload = bytes.Clone(p.Payload)
 	t.w.after(100*time.Microsecond, func() {
