--- a/proof/nodes_test.go
+++ b/proof/nodes_test.go
@@ -312,15 +312,7 @@
 func (n *agentNode) tunnel(m tunnelMessage) {
 	switch {
 	case n.w.broken == breakFencing:
-		m.header.Service = n.view.Service
-		m.header.Target = n.view.Target
-		m.header.Incarnation = n.incarnation
-		if t := &m.packet.Token; !t.IsZero() {
-			t.Service = n.view.Service
-			t.Target = n.view.Target
-			t.Incarnation = n.incarnation
-			t.Sign(n.w.keys, m.packet.Flow)
-		}
+		n.unfence(&m)
 	case n.w.broken == breakChain && m.header.Kind == packet.ToOwner:
 		return
 	case n.w.broken == breakAtMostOnce && m.packet.Kind == packet.Request:
@@ -334,6 +326,25 @@
 	})
 }
 
+// unfence makes a message of callers or peers name this target and start.
+func (n *agentNode) unfence(m *tunnelMessage) {
+	switch m.header.Kind {
+	case packet.ToAgent, packet.ToOwner:
+		if t := &m.packet.Token; !t.IsZero() {
+			t.Service = n.view.Service
+			t.Target = n.view.Target
+			t.Incarnation = n.incarnation
+			t.Sign(n.w.keys, m.packet.Flow)
+		}
+	case packet.Offer, packet.Handover:
+	default:
+		return
+	}
+	m.header.Service = n.view.Service
+	m.header.Target = n.view.Target
+	m.header.Incarnation = n.incarnation
+}
+
 func (n *agentNode) update(m agent.Message) {
 	if n.paused || !n.alive {
 		return
