--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,11 @@
 demo: build
 	bin/ibisfold-standin demo --site $(SITE) --seed $(SEED) --examples examples --bin bin
 
+# Go benchmarks of the decisions, readable by benchstat, and the throughput of a process.
+bench: build
+	go test ./core/... ./proof -run XXX -bench . -benchmem
+	bin/ibisfold-standin load --pps --bin bin
+
 # Measures packets a second through an entry against a bare relay.
 bench-process: build
 	bin/ibisfold-standin load --pps --bin bin
--- a/core/entry/address.go
+++ b/core/entry/address.go
@@ -12,12 +12,15 @@
 	slots []addressSlot
 }
 
+// addressSlot has the table itself, because following a pointer to it cost
+// another cache miss a packet.
 type addressSlot struct {
 	address netip.AddrPort
-	table   *table
+	used    bool
+	table   table
 }
 
-func newAddressIndex(m map[netip.AddrPort]*table) addressIndex {
+func newAddressIndex(m map[netip.AddrPort]table) addressIndex {
 	size := 2
 	for size < 2*len(m) {
 		size *= 2
@@ -27,11 +30,12 @@
 	}
 	for a, t := range m {
 		i := x.start(a)
-		for x.slots[i].table != nil {
+		for x.slots[i].used {
 			i = x.next(i)
 		}
 		x.slots[i] = addressSlot{
 			address: a,
+			used:    true,
 			table:   t,
 		}
 	}
@@ -41,9 +45,12 @@
 
 // find returns the table of an address or nil.
 func (x *addressIndex) find(a netip.AddrPort) *table {
-	for i := x.start(a); x.slots[i].table != nil; i = x.next(i) {
+	if len(x.slots) == 0 {
+		return nil
+	}
+	for i := x.start(a); x.slots[i].used; i = x.next(i) {
 		if x.slots[i].address == a {
-			return x.slots[i].table
+			return &x.slots[i].table
 		}
 	}
 
--- a/core/entry/snapshot.go
+++ b/core/entry/snapshot.go
@@ -39,29 +39,37 @@
 		suspects: suspects,
 	}
 	groups := groupTargets(s, suspects)
-	owners := map[netip.AddrPort]ticket.Version{}
-	tables := map[netip.AddrPort]*table{}
+	tables := map[netip.AddrPort]table{}
+	for a, owner := range addressOwners(s) {
+		tables[a] = newTable(s.Services[owner].Value, groups[owner])
+	}
+	n.tables = newAddressIndex(tables)
+
+	return n
+}
+
+// addressOwners finds the service of each address. At a clash the service with
+// the higher version keeps it, and the name decides within one ticket.
+func addressOwners(s *ticket.State) map[netip.AddrPort]string {
+	owners := map[netip.AddrPort]string{}
 	for name, o := range s.Services {
 		if o.Removed {
 			continue
 		}
-		t := newTable(o.Value, groups[name])
 		for _, a := range o.Value.Addresses {
-			if v, ok := owners[a]; ok && !beats(o.Version, name, v, tables[a].name) {
-				continue
+			other, ok := owners[a]
+			if !ok || beats(s, name, other) {
+				owners[a] = name
 			}
-			owners[a] = o.Version
-			tables[a] = t
 		}
 	}
-	n.tables = newAddressIndex(tables)
 
-	return n
+	return owners
 }
 
-// beats orders two services that claim one address: the higher version keeps
-// it, and the name decides between two services of the same ticket.
-func beats(v ticket.Version, name string, than ticket.Version, other string) bool {
+func beats(s *ticket.State, name, other string) bool {
+	v := s.Services[name].Version
+	than := s.Services[other].Version
 	if v != than {
 		return than.Less(v)
 	}
@@ -119,9 +127,11 @@
 		id := ticket.ID(name)
 		_, suspect := suspects[id]
 		m[t.Service] = append(m[t.Service], candidate{
-			agent:   t.Agent,
-			target:  id,
-			slots:   int32(t.Slots),
+			choice: choice{
+				agent:  t.Agent,
+				target: id,
+			},
+			slots:   t.Slots,
 			suspect: suspect,
 		})
 	}
