Trust only the second HelloAck of a restarted target; age held requests

The test of target restarts failed once the limiter stayed cold for longer: a request passed between Hello and HelloAck across a restart was running but not counted, so a cold target got a second one. The first HelloAck of a new boot identity is no longer counted. The slower growth also made requests wait longer, so a leaving busy flow seldom became idle within a pause of 1 s; the pause is now 2 s, and held requests lose the time from their deadline.

--- a/core/agent/core.go
+++ b/core/agent/core.go
@@ -83,7 +83,7 @@
 	c.closed.limit(closedTime, closedMax)
 	c.passedOn.limit(halfOpenTime, passedOnMax)
 	c.adoptions.limit(o.IdleTimeout, adoptionsMax)
-	c.busyFlows.limit(2*pauseTime, handoversMax)
+	c.busyFlows.limit(pauseTime, handoversMax)
 
 	return c
 }
--- a/core/agent/handover.go
+++ b/core/agent/handover.go
@@ -27,7 +27,7 @@
 	// are held until those in progress have ended; pauseTime bounds the hold. A
 	// flow whose caller always has a request in progress would never leave.
 	pauseAfter = time.Second
-	pauseTime  = time.Second
+	pauseTime  = 2 * time.Second
 )
 
 // remote names one start of a peer agent.
@@ -56,7 +56,7 @@
 	started  time.Duration
 	repeatAt time.Duration
 	delay    time.Duration
-	held     []FromTunnel
+	held     []heldPacket
 	// paused means that the flow still has requests in progress, so that
 	// nothing was sent yet.
 	paused bool
@@ -160,7 +160,7 @@
 func (c *Core) serveHeld(o *handover) {
 	o.flow.state = active
 	for i := range o.held {
-		m := &o.held[i]
+		m := o.held[i].aged(c.now)
 		if c.flows.get(o.flow.key) == nil {
 			return
 		}
@@ -192,7 +192,10 @@
 		Header: *h,
 		Packet: *p,
 	}
-	o.held = append(o.held, m.clone())
+	o.held = append(o.held, heldPacket{
+		message: m.clone(),
+		at:      c.now,
+	})
 }
 
 // handoverAcked commits or aborts a handover. Acknowledgements of other epochs
@@ -238,7 +241,7 @@
 	w.until = c.now + c.options.IdleTimeout
 	c.forwards.add(w)
 	for i := range o.held {
-		m := &o.held[i]
+		m := o.held[i].aged(c.now)
 		c.forward(w, &m.Header, &m.Packet)
 	}
 	c.announce(w)
--- a/core/agent/hold.go
+++ b/core/agent/hold.go
@@ -59,14 +59,20 @@
 	held := c.hold.packets
 	c.hold.packets = nil
 	for i := range held {
-		m := &held[i].message
-		if m.Packet.Deadline > 0 {
-			m.Packet.Deadline = max(time.Millisecond, m.Packet.Deadline-(c.now-held[i].at))
-		}
-		c.dispatch(m)
+		c.dispatch(held[i].aged(c.now))
 	}
 }
 
+// aged returns the message with what is left of its deadline.
+func (o *heldPacket) aged(now time.Duration) *FromTunnel {
+	m := &o.message
+	if m.Packet.Deadline > 0 {
+		m.Packet.Deadline = max(time.Millisecond, m.Packet.Deadline-(now-o.at))
+	}
+
+	return m
+}
+
 // expireHeld refuses packets that waited too long.
 func (c *Core) expireHeld() {
 	n := 0
--- a/core/agent/limits_test.go
+++ b/core/agent/limits_test.go
@@ -263,3 +263,36 @@
 	})
 	is.Equal(c.Counters.Passed, uint64(2))
 }
+
+// Guards against the first HelloAck of a restarted target: it may have been sent
+// before a request that was passed after its Hello arrived.
+func TestFirstHelloAckOfNewBoot(t *testing.T) {
+	is := is.New(t)
+	c := benchCore(t, 10, 2)
+	token := openFlow(c, 0, 1)
+	ack := func(running uint32) {
+		c.Update(0, FromTarget{
+			Packet: packet.Packet{
+				Kind:    packet.HelloAck,
+				Boot:    10,
+				Running: running,
+			},
+		})
+	}
+	ask := func(n uint64) {
+		c.Update(0, fromEntry(packet.Packet{
+			Kind:    packet.Request,
+			Flow:    1,
+			Request: n,
+			Token:   token,
+		}))
+	}
+	ask(1)
+	ack(0)
+	ask(2)
+	is.Equal(c.Counters.Passed, uint64(1))
+	ack(1)
+	is.Equal(c.Counters.Passed, uint64(1))
+	ack(0)
+	is.Equal(c.Counters.Passed, uint64(2))
+}
--- a/core/agent/target.go
+++ b/core/agent/target.go
@@ -143,6 +143,7 @@
 }
 
 func (c *Core) fromTarget(p *packet.Packet) {
+	known := c.backend.boot
 	if !c.seeBoot(p.Boot) {
 		c.Counters.LateAnswers++
 		return
@@ -151,6 +152,10 @@
 	c.backend.heard = c.now
 	switch p.Kind {
 	case packet.HelloAck:
+		if known != 0 && known != p.Boot {
+			// It may not count what was passed after its Hello; the next one does.
+			return
+		}
 		c.helloAcked(p)
 	case packet.Answer:
 		c.targetAnswered(p)
