--- a/core/agent/target.go
+++ b/core/agent/target.go
@@ -145,7 +145,7 @@
 }
 
 func (c *Core) fromTarget(p *packet.Packet) {
-	before := c.backend.boot
+	known := c.backend.boot
 	if !c.seeBoot(p.Boot) {
 		c.Counters.LateAnswers++
 		return
@@ -154,11 +154,11 @@
 	c.backend.heard = c.now
 	switch p.Kind {
 	case packet.HelloAck:
-		// The count of an answer that shows a restart misses what was passed
-		// behind the Hello; the next one has it.
-		if before == 0 || before == c.backend.boot {
-			c.helloAcked(p)
+		if known != 0 && known != p.Boot {
+			// It may not count what was passed after its Hello; the next one does.
+			return
 		}
+		c.helloAcked(p)
 	case packet.Answer:
 		c.targetAnswered(p)
 	case packet.Shed:
