--- a/ibisfold-standin/experiment/write.go
+++ b/ibisfold-standin/experiment/write.go
@@ -4,6 +4,7 @@
 	"encoding/csv"
 	"os"
 	"path/filepath"
+	"strconv"
 
 	"github.com/juju/errors"
 	"gonum.org/v1/plot"
@@ -15,8 +16,26 @@
 const (
 	plotWidth  = 8 * vg.Inch
 	plotHeight = 4.5 * vg.Inch
+	// legendShare is the room for the legend on the right of the curves.
+	legendShare = 0.35
 )
 
+// exactTicks labels the default ticks without rounding, because 1.05 must not
+// read as 1.1.
+type exactTicks struct{}
+
+// Ticks implements plot.Ticker.
+func (exactTicks) Ticks(low, high float64) []plot.Tick {
+	ticks := plot.DefaultTicks{}.Ticks(low, high)
+	for i, t := range ticks {
+		if t.Label != "" {
+			ticks[i].Label = strconv.FormatFloat(round(t.Value), 'f', -1, 64)
+		}
+	}
+
+	return ticks
+}
+
 // Write stores a result as CSV and, if it has lines, as a plot in dir.
 func (r *Result) Write(dir string) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
@@ -56,6 +75,8 @@
 	p.X.Label.Text = r.XLabel
 	p.Y.Label.Text = r.YLabel
 	p.Legend.Top = true
+	p.X.Tick.Marker = exactTicks{}
+	p.Y.Tick.Marker = exactTicks{}
 	p.Add(plotter.NewGrid())
 	for i, l := range r.Lines {
 		points := make(plotter.XYs, len(l.X))
@@ -73,5 +94,7 @@
 		p.Legend.Add(l.Name, line)
 	}
 
+	p.X.Max += legendShare * (p.X.Max - p.X.Min)
+
 	return errors.Trace(p.Save(plotWidth, plotHeight, path))
 }
