--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PROGRAMS := ibisfold ibisfold-agent ibisfold-entry ibisfold-standin
 MODULES := core $(PROGRAMS) proof
 SEED ?= 1
-STEPS ?= 20000
+STEPS ?= 1000000
 SITE ?= eisweinruf
 COMMON := ibisfold.example
 
@@ -40,6 +40,18 @@
 experiment:
 	go run ./ibisfold-standin/experiment/cmd --seed $(SEED) --out docs/experiments
 
+# Every fault at every step, on a virtual clock; at most 5 minutes.
+matrix:
+	@mkdir -p bin
+	@go test -c -o bin/proof.test ./proof
+	@bin/proof.test -test.run '^TestMatrix$$' -test.timeout 10m -seed $(SEED) -table
+
+# Random tickets, callers and faults against the oracle of the matrix.
+fuzz:
+	@mkdir -p bin
+	@go test -c -o bin/proof.test ./proof
+	@bin/proof.test -test.run '^TestFuzz$$' -test.timeout 60m -seed $(SEED) -steps $(STEPS)
+
 # Measures ticket spread, idle cost, recovery and memory of the control plane on
 # the virtual network; writes docs/capacity. 4440 nodes take about 8 GB and 30 minutes.
 SIZES ?= 10,40,160,740
