--- a/proof/oracle_test.go
+++ b/proof/oracle_test.go
@@ -26,9 +26,7 @@
 	// history is the operators' intent over time.
 	history []intent
 	runs    map[work]int
-	// ranAt is the target that got a request last.
-	ranAt  map[work]string
-	notRun map[work]bool
+	notRun  map[work]bool
 	// flows holds when each flow was opened.
 	flows map[uint64]time.Duration
 	// planned is false once a fault may end requests without an answer.
--- a/proof/steps_test.go
+++ b/proof/steps_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"ibisfold.example/core/ticket"
 )
@@ -31,6 +32,7 @@
 	}},
 	{"roll entries", func(s *site) { s.rollEntries() }},
 	{"stop agent", func(s *site) { s.stopAgent(0) }},
+	{"replace VM", func(s *site) { s.replaceVM(1); s.openSoon(12) }},
 }
 
 func (s *site) setTarget(i int, change func(t *ticket.Target), reason string) {
@@ -106,3 +108,12 @@
 	s.run(waitStep)
 	s.agents[i].update(agentStop)
 }
+
+// openSoon opens flows while the last ticket spreads.
+func (s *site) openSoon(count int) {
+	for i := range count {
+		s.after(time.Duration(i)*50*time.Millisecond, func() {
+			s.openAny(0)
+		})
+	}
+}
