--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SITE ?= eisweinruf
 COMMON := ibisfold.example
 
-.PHONY: all build test lint format tidy demo matrix fuzz bench bench-process experiment capacity
+.PHONY: all build test lint format tidy demo matrix fuzz bench bench-process experiment capacity capacity-process tables
 
 all: lint test build
 
@@ -62,3 +62,11 @@
 SIZES ?= 10,40,160,740
 capacity:
 	IBISFOLD_CAPACITY=$(SIZES) go test ./proof -run Capacity -v -count 1 -timeout 2h
+
+# Runs a site as real processes and writes what each of them used.
+capacity-process: build
+	bin/ibisfold-standin demo --site $(SITE) --seed $(SEED) --examples examples --bin bin --footprint docs/capacity/process-$(SITE).csv
+
+# Copies the measured CSV files into the pages that show them.
+tables:
+	go run ./tools/tables docs/CAPACITY.md
--- a/core/agent/drain.go
+++ b/core/agent/drain.go
@@ -40,7 +40,9 @@
 	}
 	d.began = true
 	d.since = c.now
-	c.sendHeartbeats()
+	if c.group != nil {
+		c.sendHeartbeats(c.group.peers)
+	}
 	c.replaceWaiting()
 }
 
--- a/core/agent/group.go
+++ b/core/agent/group.go
@@ -11,6 +11,30 @@
 	service uint64
 	// peers are sorted by Target.
 	peers []*peer
+	// next is the peer whose turn it is to get a heartbeat.
+	next int
+}
+
+// turn returns the peers that get a heartbeat now.
+func (g *group) turn() []*peer {
+	n := len(g.peers)
+	if n <= heartbeatsEach {
+		return g.peers
+	}
+	turn := make([]*peer, 0, heartbeatsEach)
+	for range heartbeatsEach {
+		g.next = (g.next + 1) % n
+		turn = append(turn, g.peers[g.next])
+	}
+
+	return turn
+}
+
+// patience is how long a peer may be silent: three of its turns.
+func (g *group) patience() time.Duration {
+	n := max(heartbeatsEach, len(g.peers))
+
+	return suspectAfter * time.Duration(n) / heartbeatsEach
 }
 
 // peer is another agent of a group.
--- /dev/null
+++ b/core/agent/group_test.go
@@ -0,0 +1,32 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against heartbeats that exceed the control budget in large groups, and
+// against peers that never get their turn or are suspected before it.
+func TestHeartbeatTurns(t *testing.T) {
+	for _, size := range []int{1, 3, 4, 6, 39} {
+		is := is.New(t)
+		g := &group{}
+		for range size {
+			g.peers = append(g.peers, &peer{})
+		}
+		last := map[*peer]time.Duration{}
+		now := time.Duration(0)
+		for range 100 {
+			now += heartbeatInterval
+			turn := g.turn()
+			is.True(len(turn) <= heartbeatsEach)
+			for _, q := range turn {
+				is.True(now-last[q] <= g.patience()/2)
+				last[q] = now
+			}
+		}
+		is.Equal(len(last), size)
+	}
+}
--- a/core/agent/heartbeat.go
+++ b/core/agent/heartbeat.go
@@ -9,7 +9,12 @@
 
 const (
 	heartbeatInterval = time.Second
-	// suspectAfter is how long a peer may be silent.
+	// heartbeatsEach is the number of peers that hear of this agent in an interval,
+	// in turn. A heartbeat has about 175 bytes, so four out and four in are 1.4 KB/s
+	// and leave 0.6 KB/s of the control budget of 2 KB/s to the mesh.
+	heartbeatsEach = 4
+	// suspectAfter is how long a peer may be silent in groups that fit in one
+	// interval; see group.patience.
 	suspectAfter = 3 * time.Second
 	// suspectRepeat is the time between reports of a peer that stays silent; the
 	// mesh forgets rumours after 10 minutes.
@@ -22,15 +27,15 @@
 		return
 	}
 	c.heartbeatAt = c.now + heartbeatInterval
-	c.sendHeartbeats()
+	c.sendHeartbeats(c.group.turn())
 }
 
-func (c *Core) sendHeartbeats() {
-	if c.group == nil || !c.confirmed() {
+func (c *Core) sendHeartbeats(peers []*peer) {
+	if !c.confirmed() {
 		return
 	}
 	body := AppendLoad(nil, c.Load())
-	for _, q := range c.group.peers {
+	for _, q := range peers {
 		c.send(SendTunnel{
 			To: q.Agent,
 			Header: packet.Tunnel{
@@ -100,7 +105,7 @@
 		return
 	}
 	for _, q := range c.group.peers {
-		if c.now-q.heard <= suspectAfter {
+		if c.now-q.heard <= c.group.patience() {
 			continue
 		}
 		if q.suspected && c.now-q.reported < suspectRepeat {
--- a/ibisfold-standin/demo/command.go
+++ b/ibisfold-standin/demo/command.go
@@ -38,6 +38,8 @@
 	Work time.Duration
 	// Flows is the number of flows for each slot.
 	Flows int
+	// Footprint is a CSV file for what each process used; empty for none.
+	Footprint string
 }
 
 // Command runs a site.
@@ -65,6 +67,7 @@
 	f.Float64Var(&c.options.Share, "share", 0.5, "part of all slots that the load uses")
 	f.DurationVar(&c.options.Limit, "limit", 50*time.Second, "longest time of the run")
 	f.DurationVar(&c.options.Work, "work", target.DefaultWork, "mean service time")
+	f.StringVar(&c.options.Footprint, "footprint", "", "CSV file for processor time, memory and control bytes of each process")
 	f.IntVar(&c.options.Flows, "flows", flowsPerSlot, "flows for each slot")
 }
 
--- a/ibisfold-standin/demo/measure.go
+++ b/ibisfold-standin/demo/measure.go
@@ -68,6 +68,23 @@
 	return 0, false
 }
 
+// parseMetrics reads the text format of metrics.
+func parseMetrics(r io.Reader) map[string]float64 {
+	m := map[string]float64{}
+	s := bufio.NewScanner(r)
+	for s.Scan() {
+		i := strings.LastIndexByte(s.Text(), ' ')
+		if i < 0 {
+			continue
+		}
+		if f, err := strconv.ParseFloat(s.Text()[i+1:], 64); err == nil {
+			m[s.Text()[:i]] = f
+		}
+	}
+
+	return m
+}
+
 // waitTicket waits until the ticket is in force at all processes that run, and
 // returns the longest time since published, or since a later start. It returns
 // the processes that do not have it when limit is over.
--- a/ibisfold-standin/demo/run.go
+++ b/ibisfold-standin/demo/run.go
@@ -90,6 +90,11 @@
 	if err := r.play(ctx); err != nil {
 		return err
 	}
+	if o.Footprint != "" {
+		if err := r.writeFootprints(ctx, o.Footprint); err != nil {
+			return err
+		}
+	}
 	r.endProcesses()
 	if err := r.report(); err != nil {
 		return err
