agent: refuse a copy of Open instead of resetting the flow

A copy of Open that reaches another target has no token, so its reset ended a flow that a third agent had opened. Change: the refusal is back, with named regression cells and worlds.

--- a/core/agent/reply.go
+++ b/core/agent/reply.go
@@ -54,6 +54,13 @@
 // token, so that a caller that has a newer one ignores it. A request may have
 // been run by another start of the agent.
 func (c *Core) reset(h *packet.Tunnel, p *packet.Packet) {
+	if p.Kind == packet.Open {
+		// A copy of Open has no token, so a reset would also end a flow that
+		// another agent opened.
+		c.refuseOpen(h, p, retryAfterMin)
+		return
+	}
+
 	c.Counters.Resets++
 	s := packet.StatusNotRun
 	if p.Kind == packet.Request {
--- /dev/null
+++ b/proof/regression_test.go
@@ -0,0 +1,52 @@
+package proof_test
+
+import "testing"
+
+// TestRegressions guards against the return of each fault that the matrix or
+// the fuzzer has found, in the shortest cell or world that showed it.
+func TestRegressions(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		cell  string
+		world uint64
+	}{
+		{
+			name: "entry resets flows of an agent that pauses",
+			cell: "drain / agent pauses 10 s / during",
+		},
+		{
+			name: "entry resets flows of a zone that is cut off",
+			cell: "none / entry pauses 10 s, zone cut off / before",
+		},
+		{
+			name: "reset of a zone taken out calls a request not run that ran",
+			cell: "zone out / 30% loss / before",
+		},
+		{
+			name:  "the same in the fuzzer",
+			world: 17633229008728782980,
+		},
+		{
+			name: "reset of a copy of Open ends the flow at another agent",
+			cell: "replace VM / none / before",
+		},
+		{
+			name:  "the same in the fuzzer",
+			world: 17633123455612474724,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if c.cell != "" {
+				s := runCell(cellNamed(t, c.cell), 1, breakNothing)
+				if len(s.oracle.failures) > 0 {
+					t.Errorf("%s: %s", counts(s.oracle.failures), s.oracle.first)
+				}
+
+				return
+			}
+			if v := runWorld(c.world, breakNothing); len(v.failures) > 0 {
+				t.Errorf("%s: %s", counts(v.failures), v.first)
+			}
+		})
+	}
+}
