Stop a process as a whole when one of its services fails

Cause: sockets were closed only at SIGTERM, so an entry whose HTTP address was taken hung in its reads; at SIGTERM the close raced with the cancellation and the entry could report a closed connection as a failure. Change: closing the sockets is a service of the kernel; services find the control plane by name.

--- a/core/control/plane.go
+++ b/core/control/plane.go
@@ -18,6 +18,9 @@
 	"ibisfold.example/core/udp"
 )
 
+// ServiceName is the name under which a process's Plane is registered.
+const ServiceName = "control"
+
 // Plane joins a mesh core to sockets, to the configuration service and to
 // metrics. Set the exported fields, then call Open; it implements kernel.Runner.
 type Plane struct {
--- a/ibisfold-agent/process.go
+++ b/ibisfold-agent/process.go
@@ -120,9 +120,12 @@
 		name    string
 		service any
 	}{
-		{"control", plane},
+		{control.ServiceName, plane},
 		{"rpc", plane.Server()},
-		{"traffic", newTraffic(p, core, plane)},
+		{"traffic", newTraffic(p, core)},
+		{"sockets", &udp.Closer{
+			Sockets: []*udp.Socket{p.processes, p.target},
+		}},
 		{"http", &web.Server{
 			Addr:    p.settings.HTTP,
 			Healthy: p.healthy,
@@ -171,10 +174,6 @@
 		p.stopping.Store(true)
 		p.log.Info("graceful shutdown started")
 	})
-	context.AfterFunc(ctx, func() {
-		_ = p.processes.Close()
-		_ = p.target.Close()
-	})
 	p.log.Info("agent started", "address", p.self, "target", p.settings.Name)
 	err := p.kernel.Run(ctx)
 	p.log.Info("agent stopped")
--- a/ibisfold-agent/traffic.go
+++ b/ibisfold-agent/traffic.go
@@ -11,6 +11,7 @@
 	"ibisfold.example/core/admission"
 	"ibisfold.example/core/agent"
 	"ibisfold.example/core/control"
+	"ibisfold.example/core/kernel"
 	"ibisfold.example/core/mesh"
 	"ibisfold.example/core/packet"
 	"ibisfold.example/core/udp"
@@ -34,11 +35,10 @@
 	histograms histograms
 }
 
-func newTraffic(p *process, c *agent.Core, plane *control.Plane) *traffic {
+func newTraffic(p *process, c *agent.Core) *traffic {
 	t := &traffic{
 		process:   p,
 		core:      c,
-		plane:     plane,
 		processes: p.processes.NewWriter(),
 		target:    p.target.NewWriter(),
 		invalid:   p.metrics.NewCounter(`ibisfold_tunnel_dropped_total{reason="invalid"}`),
@@ -58,6 +58,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
+	plane, err := kernel.Find[*control.Plane](&t.process.kernel, control.ServiceName)
+	if err != nil {
+		return err
+	}
+	t.plane = plane
 	fromProcesses := make(chan udp.Batch)
 	fromTarget := make(chan udp.Batch)
 	g := &errgroup.Group{}
--- a/ibisfold-entry/downstream.go
+++ b/ibisfold-entry/downstream.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"ibisfold.example/core/control"
+	"ibisfold.example/core/kernel"
 	"ibisfold.example/core/packet"
 )
 
@@ -14,11 +15,14 @@
 // passes on, and datagrams of the mesh.
 type downstream struct {
 	process *process
-	plane   *control.Plane
 }
 
 // Run serves until the socket is closed.
 func (d *downstream) Run(ctx context.Context) error {
+	plane, err := kernel.Find[*control.Plane](&d.process.kernel, control.ServiceName)
+	if err != nil {
+		return err
+	}
 	r := d.process.processes.NewReader()
 	w := d.process.callers.NewWriter()
 	returned := d.process.metrics.NewCounter("ibisfold_packets_returned_total")
@@ -35,7 +39,7 @@
 		for i := range n {
 			data, _ := r.Packet(i)
 			if !packet.IsTunnel(data) {
-				d.plane.Datagram(data)
+				plane.Datagram(data)
 
 				continue
 			}
--- a/ibisfold-entry/process.go
+++ b/ibisfold-entry/process.go
@@ -108,16 +108,18 @@
 	}
 	down := &downstream{
 		process: p,
-		plane:   plane,
 	}
 	services := []struct {
 		name    string
 		service any
 	}{
-		{"control", plane},
+		{control.ServiceName, plane},
 		{"rpc", plane.Server()},
 		{"upstream", up},
 		{"downstream", down},
+		{"sockets", &udp.Closer{
+			Sockets: []*udp.Socket{p.callers, p.processes},
+		}},
 		{"http", &web.Server{
 			Addr:    p.settings.HTTP,
 			Healthy: p.healthy,
@@ -166,7 +168,6 @@
 		p.awaitQuiet()
 		cancel()
 	}()
-	context.AfterFunc(ctx, p.closeSockets)
 	p.log.Info("entry started", "address", p.self, "zone", p.settings.Zone)
 	err := p.kernel.Run(ctx)
 	p.log.Info("entry stopped")
@@ -190,8 +191,3 @@
 		time.Sleep(poll)
 	}
 }
-
-func (p *process) closeSockets() {
-	_ = p.callers.Close()
-	_ = p.processes.Close()
-}
