proof: find each broken protection in a fixed cell or world

Change: breaking the fence now makes agents act on any target's packet; the step 'replace VM' opens flows while its ticket spreads; TestProtections has one cell or world for each of seven protections, and checks that it passes with the protection in place.

--- a/proof/actions_test.go
+++ b/proof/actions_test.go
@@ -36,7 +36,7 @@
 	{"restart entry", 2, (*site).restartEntry},
 	{"restart agent", 2, (*site).restartAgent},
 	{"start stopped", 2, (*site).startStopped},
-	{"replace VM", 1, (*site).replaceVM},
+	{"replace VM", 1, func(s *site, a int) { s.replaceVM(a, 0) }},
 	{"open", 4, (*site).openAny},
 	{"request", 4, (*site).requestAny},
 	{"close", 3, (*site).closeAny},
--- a/proof/nodes_test.go
+++ b/proof/nodes_test.go
@@ -328,11 +328,13 @@
 
 // unfence makes a message of callers or peers name this target and start.
 func (n *agentNode) unfence(m *tunnelMessage) {
+	service := ticket.ID(n.w.oracle.latest().Targets[n.name].Value.Service)
+	target := ticket.ID(n.name)
 	switch m.header.Kind {
 	case packet.ToAgent, packet.ToOwner:
 		if t := &m.packet.Token; !t.IsZero() {
-			t.Service = n.view.Service
-			t.Target = n.view.Target
+			t.Service = service
+			t.Target = target
 			t.Incarnation = n.incarnation
 			t.Sign(n.w.keys, m.packet.Flow)
 		}
@@ -340,8 +342,8 @@
 	default:
 		return
 	}
-	m.header.Service = n.view.Service
-	m.header.Target = n.view.Target
+	m.header.Service = service
+	m.header.Target = target
 	m.header.Incarnation = n.incarnation
 }
 
--- a/proof/operators_test.go
+++ b/proof/operators_test.go
@@ -187,7 +187,8 @@
 }
 
 // replaceVM replaces a VM without warning: the address goes to another target.
-func (s *site) replaceVM(a int) {
+// The ticket follows after lead.
+func (s *site) replaceVM(a int, lead time.Duration) {
 	const most = 20
 	i := s.target(a)
 	old := s.plan.targets[i]
@@ -200,6 +201,7 @@
 	s.gone[old.Name] = true
 	n := s.addTargetAt(s.plan.services[a%len(s.plan.services)].Name, old.Zone, old.Agent)
 	n.start()
+	s.run(lead)
 	last := len(s.plan.targets) - 1
 	s.submit("replace VM", func(b *strings.Builder) {
 		writeTargets(b, s.plan.targets[last:])
--- a/proof/protection_test.go
+++ b/proof/protection_test.go
@@ -1,6 +1,7 @@
 package proof_test
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -65,31 +66,49 @@
 }
 
 // TestProtections guards against checks that can't fail: each broken safeguard
-// must be found in a cell of the matrix and in a world of the fuzzer.
+// must be found in its cell of the matrix or its world of the fuzzer.
 func TestProtections(t *testing.T) {
 	for _, c := range []struct {
 		broken    protection
 		invariant string
 		cell      string
 		world     uint64
-	}{} {
+	}{
+		{breakFencing, "service", "replace VM / to_agent lost / before", 0},
+		{breakMerge, "drain", "five tickets / entry joins / before", 0},
+		{breakPause, "zone out", "zone out / entry pauses 10 s / before", 0},
+		{breakChain, "flow", "", 7010820382580633536},
+		{breakAtMostOnce, "once", "none / none / before", 17633222411659013714},
+		{breakAdmission, "cold", "replace VM / target goes cold twice / during", 17633241103356693301},
+		{breakZone, "zone out", "zone out / agent pauses 10 s / before", 17633219113124129081},
+	} {
 		t.Run(protectionNames[c.broken], func(t *testing.T) {
 			if c.cell != "" {
-				s := runCell(cellNamed(t, c.cell), 1, c.broken)
-				if s.oracle.failures[c.invariant] == 0 {
-					t.Errorf("cell %s does not find it: %s", c.cell, counts(s.oracle.failures))
+				if s := runCell(cellNamed(t, c.cell), 1, breakNothing); len(s.oracle.failures) > 0 {
+					t.Errorf("cell %s fails by itself: %s", c.cell, s.oracle.first)
 				}
-				t.Logf("cell: %d steps: %s", s.steps, s.oracle.first)
+				s := runCell(cellNamed(t, c.cell), 1, c.broken)
+				found(t, c.invariant, c.cell, s.steps, s.oracle.failures, s.oracle.first)
 			}
-			v := runWorld(c.world, c.broken)
-			if v.failures[c.invariant] == 0 {
-				t.Errorf("world %d does not find it: %s", c.world, counts(v.failures))
+			if c.world != 0 {
+				if v := runWorld(c.world, breakNothing); len(v.failures) > 0 {
+					t.Errorf("world %d fails by itself: %s", c.world, v.first)
+				}
+				v := runWorld(c.world, c.broken)
+				found(t, c.invariant, fmt.Sprint("world ", c.world), v.steps, v.failures, v.first)
 			}
-			t.Logf("world: %d steps: %s", v.steps, v.first)
 		})
 	}
 }
 
+func found(t *testing.T, invariant, where string, steps uint64, failures map[string]int, first string) {
+	t.Helper()
+	if failures[invariant] == 0 {
+		t.Errorf("%s does not find it: %s", where, counts(failures))
+	}
+	t.Logf("%s: %d steps: %s: %s", where, steps, counts(failures), first)
+}
+
 // TestFindProtections runs the matrix sample and the fuzzer with -broken, to
 // find cells and worlds for TestProtections.
 func TestFindProtections(t *testing.T) {
--- a/proof/steps_test.go
+++ b/proof/steps_test.go
@@ -32,7 +32,7 @@
 	}},
 	{"roll entries", func(s *site) { s.rollEntries() }},
 	{"stop agent", func(s *site) { s.stopAgent(0) }},
-	{"replace VM", func(s *site) { s.replaceVM(1); s.openSoon(12) }},
+	{"replace VM", func(s *site) { s.openSoon(40); s.replaceVM(1, openLead) }},
 }
 
 func (s *site) setTarget(i int, change func(t *ticket.Target), reason string) {
@@ -109,10 +109,13 @@
 	s.agents[i].update(agentStop)
 }
 
-// openSoon opens flows while the last ticket spreads.
+// openLead is the time from the start of a replaced VM to its ticket.
+const openLead = time.Second
+
+// openSoon opens flows one after the other while the next ticket spreads.
 func (s *site) openSoon(count int) {
 	for i := range count {
-		s.after(time.Duration(i)*50*time.Millisecond, func() {
+		s.after(openLead+time.Duration(i-10)*time.Millisecond, func() {
 			s.openAny(0)
 		})
 	}
