--- a/core/agent/target.go
+++ b/core/agent/target.go
@@ -15,6 +15,8 @@
 	// targetSilence is how long a target may be silent before it gets no more
 	// requests.
 	targetSilence = 3 * time.Second
+	// bootFresh is how long a packet of the target vouches for its boot identity.
+	bootFresh = 5 * time.Millisecond
 	// abandonedTime bounds how long a request without an answer keeps its slot,
 	// because a target's report of running requests may be wrong.
 	abandonedTime = time.Minute
@@ -143,6 +145,7 @@
 }
 
 func (c *Core) fromTarget(p *packet.Packet) {
+	known := c.backend.boot
 	if !c.seeBoot(p.Boot) {
 		c.Counters.LateAnswers++
 		return
@@ -151,6 +154,10 @@
 	c.backend.heard = c.now
 	switch p.Kind {
 	case packet.HelloAck:
+		if known != 0 && known != p.Boot {
+			// It may not count what was passed after its Hello; the next one does.
+			return
+		}
 		c.helloAcked(p)
 	case packet.Answer:
 		c.targetAnswered(p)
