Use the queue's and the balance's rules for offers in the agent

Change: offers and their answers carry the whole load; an offer is accepted if a slot is free or nearly free; requests of the tenant with the longest queue are not offered. The bound of 5 service times of waiting stays an option, because it refuses requests that could meet their deadline: with it the tests of drains lost half of their requests.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -9,9 +9,6 @@
 const (
 	// DefaultQueueMax is the number of waiting requests per tenant if Max is zero.
 	DefaultQueueMax = 64
-	// LongestWait is the estimated wait, in mean service times, above which a
-	// request is refused instead of queued; see docs/decisions/0012-longest-wait.md.
-	LongestWait = 5
 )
 
 // Queue holds waiting requests and serves them by deficit round robin over
@@ -22,6 +19,10 @@
 	// Max is the number of requests that may wait per tenant; zero means
 	// DefaultQueueMax.
 	Max int
+	// LongestWait is the estimated wait, in mean service times, above which a
+	// request is refused instead of queued; zero means that only its deadline
+	// counts. See docs/decisions/0012-longest-wait.md.
+	LongestWait int
 	// Cost is the share of service that a request uses; nil means 1 for each.
 	Cost func(v T) int
 
@@ -175,7 +176,7 @@
 func (q *Queue[T]) Refuse(tenant string, slots int, mean, remaining time.Duration) (time.Duration, bool) {
 	w := q.WaitOf(tenant, slots, mean)
 
-	return w, w+mean > remaining || w > LongestWait*mean
+	return w, w+mean > remaining || q.LongestWait > 0 && w > time.Duration(q.LongestWait)*mean
 }
 
 // Welcomes reports whether to accept a request of a tenant that a peer offers:
--- a/core/agent/core.go
+++ b/core/agent/core.go
@@ -79,6 +79,7 @@
 		forwards: newForwardTable(),
 	}
 	c.queue.Max = o.QueueMax
+	c.queue.LongestWait = o.LongestWait
 	c.answers.limit(o.CacheTime, o.CacheBytes)
 	c.closed.limit(closedTime, closedMax)
 	c.passedOn.limit(halfOpenTime, passedOnMax)
--- a/core/agent/offer.go
+++ b/core/agent/offer.go
@@ -67,6 +67,9 @@
 	if !c.prefersOwn(r) {
 		return c.picks.peers[leastBusy(loads)]
 	}
+	if c.queue.Len() > 0 && c.queue.Leads(r.tenant) {
+		return nil
+	}
 	i := c.balance.PickRequest(c.now, c.Load(), loads, c.rand)
 	if i < 0 {
 		return nil
@@ -122,6 +125,7 @@
 	p.Deadline = r.remaining(c.now)
 	p.Tenant = []byte(r.tenant)
 	p.Payload = r.payload
+	p.Load = AppendLoad(nil, c.Load())
 	c.sendToPeer(r, packet.Offer, p)
 }
 
@@ -244,10 +248,7 @@
 	}
 
 	r.offer.heard = c.now
-	if q := c.peerOf(r.offer.target); q != nil {
-		q.heard = c.now
-		q.load.Running = int(p.Running)
-	}
+	c.noteLoad(c.peerOf(r.offer.target), h, p)
 	switch {
 	case p.Kind == packet.KeepAlive:
 		// The peer still has the request in progress.
--- a/core/agent/offered.go
+++ b/core/agent/offered.go
@@ -112,17 +112,28 @@
 		return
 	}
 
-	c.noteRunning(p)
+	q := c.peerOf(p.Token.Target)
+	c.noteLoad(q, h, p)
 	c.originWindow(o).mark(o.key.number)
 	r := c.newOffered(o, h, p)
 	if !c.acceptsWork() || h.Service != c.view.Service || c.progress.len > inProgressMax {
 		c.finish(r, c.refusal(packet.StatusNotRun, retryAfterOut))
 		return
 	}
+	if q != nil && !c.welcomes(r, q) {
+		c.finish(r, c.refusal(packet.StatusNotRun, c.waitEstimate(r.tenant)))
+		return
+	}
 	c.Counters.OffersTaken++
 	c.place(r)
 }
 
+// welcomes reports whether the own target can run a peer's request soon. A peer
+// that may not use its own target any more is helped as long as there is room.
+func (c *Core) welcomes(r *request, owner *peer) bool {
+	return owner.Draining || owner.load.Draining || c.queue.Welcomes(r.tenant, c.Load(), owner.load)
+}
+
 // verifyOffer checks that an offer is meant for this start of the agent. One
 // for an earlier start may have run there.
 func (c *Core) verifyOffer(h *packet.Tunnel, p *packet.Packet) (*origin, bool) {
@@ -186,14 +197,18 @@
 	return r
 }
 
-// noteRunning takes over the load that a peer reports with an offer.
-func (c *Core) noteRunning(p *packet.Packet) {
-	q := c.peerOf(p.Token.Target)
-	if q == nil || q.incarnation != p.Token.Incarnation {
+// noteLoad takes over the load that a peer sends along with an offer or its answer.
+func (c *Core) noteLoad(q *peer, h *packet.Tunnel, p *packet.Packet) {
+	if q == nil || q.incarnation != h.SenderIncarnation {
 		return
 	}
 	q.heard = c.now
-	q.load.Running = int(p.Running)
+	l, err := DecodeLoad(p.Load)
+	if err != nil || l.Target != q.Target || l.Incarnation != q.incarnation {
+		return
+	}
+	q.load = l
+	q.moved = 0
 }
 
 // answerOffer sends all parts of an answer to the agent that offered the request.
@@ -205,7 +220,9 @@
 		p := a.packet(number, i)
 		p.Flow = flow
 		p.Boot = o.key.number
-		p.Running = uint32(c.running())
+		if i == 0 {
+			p.Load = AppendLoad(nil, c.Load())
+		}
 		c.send(SendTunnel{
 			To: o.agent,
 			Header: packet.Tunnel{
--- a/core/agent/options.go
+++ b/core/agent/options.go
@@ -31,6 +31,9 @@
 	// QueueMax bounds the waiting requests of a tenant; zero means
 	// admission.DefaultQueueMax.
 	QueueMax int
+	// LongestWait bounds the estimated wait of a request, in service times; zero
+	// means that only deadlines do.
+	LongestWait int
 	// CacheTime and CacheBytes bound the cache of answers; zero means
 	// DefaultCacheTime and DefaultCacheBytes.
 	CacheTime  time.Duration
--- a/core/agent/place.go
+++ b/core/agent/place.go
@@ -28,10 +28,14 @@
 	c.enqueue(r)
 }
 
-// enqueue refuses at once what would not be served before its deadline.
+// enqueue refuses at once what would not be served before its deadline or would
+// wait for long.
 func (c *Core) enqueue(r *request) {
-	wait := c.waitEstimate(r.tenant)
-	if c.now+wait >= r.deadline || !c.queue.Push(r.tenant, r.deadline, r) {
+	wait, refuse := time.Duration(0), false
+	if c.queue.Len() > 0 || c.running() >= c.limiter.Allow() {
+		wait, refuse = c.queue.Refuse(r.tenant, c.limiter.Allow(), c.backend.mean, r.deadline-c.now)
+	}
+	if refuse || !c.queue.Push(r.tenant, r.deadline, r) {
 		c.refuse(r, wait)
 	}
 }
--- a/core/packet/packet.go
+++ b/core/packet/packet.go
@@ -161,6 +161,9 @@
 	Parts uint32
 	// Payload belongs to the caller or the target. It aliases the decoded buffer.
 	Payload []byte
+	// Load is an agent's encoded load, on packets between agents only. It
+	// aliases the decoded buffer.
+	Load []byte
 }
 
 // Field numbers of packet.proto.
@@ -181,6 +184,7 @@
 	fieldPart       protowire.Number = 14
 	fieldParts      protowire.Number = 15
 	fieldPayload    protowire.Number = 16
+	fieldLoad       protowire.Number = 17
 )
 
 // Append appends the encoded packet to b without other allocation.
@@ -209,6 +213,7 @@
 	b = appendVarint(b, fieldPart, uint64(p.Part))
 	b = appendVarint(b, fieldParts, uint64(p.Parts))
 	b = appendBytes(b, fieldPayload, p.Payload)
+	b = appendBytes(b, fieldLoad, p.Load)
 
 	return b
 }
@@ -363,6 +368,8 @@
 		p.Tenant = v
 	case fieldPayload:
 		p.Payload = v
+	case fieldLoad:
+		p.Load = v
 	}
 
 	return nil
--- a/ibisfold-standin/experiment/agent.go
+++ b/ibisfold-standin/experiment/agent.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// longestWait is the bound of waiting, in service times; see
+	// docs/decisions/0012-longest-wait.md.
+	longestWait   = 5
 	heartbeat     = time.Second
 	helloInterval = 100 * time.Millisecond
 	tick          = 20 * time.Millisecond
--- a/ibisfold-standin/experiment/simulation.go
+++ b/ibisfold-standin/experiment/simulation.go
@@ -106,6 +106,7 @@
 		took:   time.Duration(float64(s.site.Service) / speed),
 	}
 	a.limiter.Slots = s.site.Slots
+	a.queue.LongestWait = longestWait
 	a.limiter.SetBoot(1)
 	if !s.options.cold {
 		t.served = t.warmAfter
