--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SITE ?= eisweinruf
 COMMON := ibisfold.example
 
-.PHONY: all build test lint format tidy demo matrix fuzz bench bench-process experiment capacity
+.PHONY: all build test lint format tidy demo matrix fuzz bench bench-process experiment capacity capacity-process tables
 
 all: lint test build
 
@@ -33,6 +33,11 @@
 demo: build
 	bin/ibisfold-standin demo --site $(SITE) --seed $(SEED) --examples examples --bin bin
 
+# Go benchmarks of the decisions, readable by benchstat, and the throughput of a process.
+bench: build
+	go test ./core/... ./proof -run XXX -bench . -benchmem
+	bin/ibisfold-standin load --pps --bin bin
+
 # Measures packets a second through an entry against a bare relay.
 bench-process: build
 	bin/ibisfold-standin load --pps --bin bin
@@ -57,3 +62,11 @@
 SIZES ?= 10,40,160,740
 capacity:
 	IBISFOLD_CAPACITY=$(SIZES) go test ./proof -run Capacity -v -count 1 -timeout 2h
+
+# Runs a site as real processes and writes what each of them used.
+capacity-process: build
+	bin/ibisfold-standin demo --site $(SITE) --seed $(SEED) --examples examples --bin bin --footprint docs/capacity/process-$(SITE).csv
+
+# Copies the measured CSV files into the pages that show them.
+tables:
+	go run ./tools/tables docs/CAPACITY.md
--- a/proof/steps_test.go
+++ b/proof/steps_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"ibisfold.example/core/ticket"
 )
@@ -31,6 +32,7 @@
 	}},
 	{"roll entries", func(s *site) { s.rollEntries() }},
 	{"stop agent", func(s *site) { s.stopAgent(0) }},
+	{"replace VM", func(s *site) { s.openSoon(40); s.replaceVM(1, openLead) }},
 }
 
 func (s *site) setTarget(i int, change func(t *ticket.Target), reason string) {
@@ -106,3 +108,15 @@
 	s.run(waitStep)
 	s.agents[i].update(agentStop)
 }
+
+// openLead is the time from the start of a replaced VM to its ticket.
+const openLead = time.Second
+
+// openSoon opens flows one after the other while the next ticket spreads.
+func (s *site) openSoon(count int) {
+	for i := range count {
+		s.after(openLead+time.Duration(i-10)*time.Millisecond, func() {
+			s.openAny(0)
+		})
+	}
+}
