entry: drop packets for callers while the view is unconfirmed

Cause: an entry that woke up after a pause of 5 minutes delivered Moved packets from its socket; the caller took the old token, and the former owner, whose forwarding entry had ended, reset the flow. Change: packets of agents are dropped and counted while the lease on the view has ended; agents and callers repeat them.

--- a/core/entry/route.go
+++ b/core/entry/route.go
@@ -119,6 +119,13 @@
 	}
 }
 
+// Relays reports whether packets of agents may go on to their callers. What an
+// entry finds in its socket after a long pause may carry tokens of owners that
+// no longer know the flow; agents and callers repeat what is lost.
+func (n *Snapshot) Relays(now time.Duration) bool {
+	return now < n.ConfirmedUntil
+}
+
 func drop(r Reason) Decision {
 	return Decision{
 		Action: Drop,
--- a/ibisfold-entry/downstream.go
+++ b/ibisfold-entry/downstream.go
@@ -23,6 +23,7 @@
 	w := d.process.callers.NewWriter()
 	returned := d.process.metrics.NewCounter("ibisfold_packets_returned_total")
 	invalid := d.process.metrics.NewCounter(`ibisfold_tunnel_dropped_total{reason="invalid"}`)
+	unconfirmed := d.process.metrics.NewCounter(`ibisfold_tunnel_dropped_total{reason="unconfirmed"}`)
 	for ctx.Err() == nil {
 		n, err := r.Read(time.Time{})
 		if err != nil {
@@ -32,6 +33,7 @@
 
 			return errors.Annotate(err, "read processes")
 		}
+		relays := d.process.snapshot.Load().Relays(d.process.clock())
 		for i := range n {
 			data, _ := r.Packet(i)
 			if !packet.IsTunnel(data) {
@@ -46,6 +48,11 @@
 
 				continue
 			}
+			if !relays {
+				unconfirmed.Inc()
+
+				continue
+			}
 			returned.Inc()
 			w.Add(append(w.Next(), body...), h.Caller)
 		}
--- a/proof/regression_test.go
+++ b/proof/regression_test.go
@@ -34,6 +34,10 @@
 			name:  "the same in the fuzzer",
 			world: 17633123455612474724,
 		},
+		{
+			name:  "entry relays tokens from before its pause",
+			world: 7010820382580633536,
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if c.cell != "" {
