Put a target on probation after slow answers, and place flows by slots

Cause: in the demo on a busy machine agents fell from 7 slots to 1 every few seconds: a stall of the VM makes all requests in progress slow together, which the alarm took for a cold target, and growing anew took 4 s or more. Meanwhile new flows went to the one target whose limit was not cut (1,137 flows against 383), and stayed there. Change: after an alarm the limit is 1 as before, but 8 answers as fast as usual bring it back; three slower batches or a second alarm start anew from 1. Flows are placed by slots.

--- a/core/admission/flow.go
+++ b/core/admission/flow.go
@@ -6,21 +6,34 @@
 // the own target. Only flows above the group's mean are passed on, to a peer in
 // proportion to its room, so that agents with equally old reports do not all
 // choose the same peer. A draining target passes on every flow if it has a peer.
+//
+// Flows are counted by slots and not by the limit of the moment: they outlive a
+// cold start, and their requests can be moved meanwhile.
 func (b *Balance) PickFlow(own Load, peers []Load, r *rand.Rand) int {
+	own = own.whole()
+	all := make([]Load, len(peers))
 	ratios := make([]float64, len(peers))
 	for i, p := range peers {
-		ratios[i] = float64(max(0, p.Flows)) / p.capacity()
+		all[i] = p.whole()
+		ratios[i] = float64(max(0, p.Flows)) / all[i].capacity()
 	}
 	mine := float64(own.Flows) / own.capacity()
-	level := clippedMean(own, peers, mine, ratios)
+	level := clippedMean(own, all, mine, ratios)
 	if !own.Draining && mine <= level {
 		return -1
 	}
-	if i := choose(rooms(peers, ratios, level, 0), r); i >= 0 || !own.Draining {
+	if i := choose(rooms(all, ratios, level, 0), r); i >= 0 || !own.Draining {
 		return i
 	}
 
-	return lowest(peers, ratios)
+	return lowest(all, ratios)
+}
+
+// whole returns the load of a target with all slots in use.
+func (l Load) whole() Load {
+	l.Limit = l.Slots
+
+	return l
 }
 
 // lowest returns the index of the peer with the lowest ratio that does not
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -20,6 +20,12 @@
 	// target whose known usual time no longer holds.
 	learnBatches   = 6
 	relearnBatches = 16
+	// probationBatch is the number of answers after an alarm whose mean decides
+	// whether the target was only held up, probationBatches how often it is tried.
+	// Requests that a stall of the VM delays together raise the alarm as well, and
+	// growing anew from 1 would cost most of the capacity for seconds.
+	probationBatch   = 8
+	probationBatches = 3
 	// improvement is the factor under which a batch counts as faster service.
 	improvement = 0.95
 	// setback is the factor above which a batch counts as another cold start.
@@ -38,6 +44,10 @@
 	answers int
 	sum     time.Duration
 	good    int
+	// resume is the growth to return to while the target is on probation after an
+	// alarm, tries the number of batches left to show that it is as fast as before.
+	resume int
+	tries  int
 	// slow is true if the alarm was raised in the current batch.
 	slow bool
 	boot uint64
@@ -83,11 +93,12 @@
 	}
 	if l.alarm.raise(&l.usual, took) {
 		if l.grown > 0 {
-			l.cut(now)
+			l.suspect(now)
 			return
 		}
 		l.alarm = slowAlarm{}
 		l.slow = true
+		l.resume = 0
 	}
 	if !l.Cold() {
 		l.suggested = false
@@ -128,6 +139,9 @@
 }
 
 func (l *Limiter) batch() int {
+	if l.resume > 0 {
+		return probationBatch
+	}
 	if l.grown == 0 {
 		return firstBatch
 	}
@@ -143,6 +157,10 @@
 	l.sum = 0
 	l.slow = false
 
+	if l.resume > 0 {
+		l.endProbation(mean)
+		return
+	}
 	if l.grown == 0 && l.plateau.reached(mean, l.patience()) {
 		l.usual = l.plateau.usual
 		l.suggested = false
@@ -168,6 +186,28 @@
 	return learnBatches
 }
 
+// endProbation returns to the limit before the alarm if the target is as fast as
+// before, and starts anew from 1 if it is not after a few batches.
+func (l *Limiter) endProbation(mean time.Duration) {
+	l.tries--
+	switch {
+	case l.usual.within(mean):
+		l.grown = l.resume - 1
+		l.resume = 0
+		l.grow()
+	case l.tries == 0:
+		l.resume = 0
+	}
+}
+
+// suspect cuts the limit because of slow answers and puts the target on probation.
+func (l *Limiter) suspect(now time.Duration) {
+	grown := l.grown
+	l.cut(now)
+	l.resume = grown
+	l.tries = probationBatches
+}
+
 func (l *Limiter) grow() {
 	l.grown++
 	l.good = 0
@@ -177,6 +217,7 @@
 
 func (l *Limiter) cut(now time.Duration) {
 	l.grown = 0
+	l.resume = 0
 	l.answers = 0
 	l.sum = 0
 	l.slow = false
--- a/core/admission/limiter_test.go
+++ b/core/admission/limiter_test.go
@@ -147,3 +147,32 @@
 	}
 	is.True(cuts <= 3)
 }
+
+// Guards against a stall of the VM that costs the whole limit: all requests in
+// progress are slow together, and the target is as fast as before afterwards.
+func TestLimiterReturnsAfterStall(t *testing.T) {
+	is := is.New(t)
+	l := &admission.Limiter{
+		Slots: 7,
+	}
+	l.Suggest(usual)
+	now := time.Duration(0)
+	answers := func(n int, took time.Duration) {
+		for range n {
+			now += took
+			l.Answered(now, took)
+		}
+	}
+	answers(500, usual)
+	is.Equal(l.Allow(), 7)
+	l.Answered(now, 20*usual)
+	is.Equal(l.Allow(), 1) // cut at once
+	answers(8, usual)
+	is.Equal(l.Allow(), 7)
+
+	l.Answered(now, 20*usual)
+	answers(24, 3*usual) // the target is really slow
+	is.Equal(l.Allow(), 1)
+	answers(8, usual)
+	is.Equal(l.Allow(), 1)
+}
