--- a/proof/fuzz_test.go
+++ b/proof/fuzz_test.go
@@ -113,8 +113,12 @@
 // fuzz runs worlds until they have handled the wanted number of steps. How many
 // worlds count depends on their order alone, not on which one ended first.
 func fuzz(seed, steps uint64) (list []verdict) {
-	const batch = 64
+	const (
+		batchMax  = 64
+		worldSize = 30_000
+	)
 	for n := uint64(0); n < steps; {
+		batch := int(min(batchMax, (steps-n)/worldSize+1))
 		for _, v := range runWorlds(seed, len(list), batch, breakNothing) {
 			if n >= steps {
 				break
--- a/proof/matrix_test.go
+++ b/proof/matrix_test.go
@@ -13,7 +13,7 @@
 
 var (
 	seedFlag  = flag.Uint64("seed", 1, "seed of the random numbers")
-	stepsFlag = flag.Uint64("steps", 20_000, "steps of the fuzzer")
+	stepsFlag = flag.Uint64("steps", 400_000, "steps of the fuzzer")
 	tableFlag = flag.Bool("table", false, "print the whole table of the matrix")
 	cellFlag  = flag.String("cell", "", "run only the cells whose name contains this, and print what callers and targets see")
 	worldFlag = flag.Uint64("world", 0, "print what happens in this world of the fuzzer")
