Tell earlier owners of a flow when it has moved on

Change: Handover names the owners that still announce a token; the owner whose token the caller uses tells all of them. An owner that hands a flow on tells the previous one where to (HandoverNext), which then announces the newest owner, so that idle callers learn it even if the owner in between stops.

--- a/core/agent/adopt.go
+++ b/core/agent/adopt.go
@@ -18,6 +18,8 @@
 	from   remote
 	epoch  uint32
 	doneAt time.Duration
+	// earlier are owners before from that may still tell the caller a token.
+	earlier []remote
 }
 
 // takeHandover accepts or refuses a flow that a peer hands over. The copy is
@@ -105,8 +107,9 @@
 		}, a.answer, a.answer.bytes())
 	}
 	c.adoptions.put(c.now, k, adoption{
-		from:  from,
-		epoch: m.epoch,
+		from:    from,
+		epoch:   m.epoch,
+		earlier: m.earlier,
 	}, 1)
 }
 
@@ -132,6 +135,7 @@
 
 	a.doneAt = c.now
 	c.adoptions.replace(k, a)
+	c.tellEarlier(k, a)
 	if c.view.zoneOut(a.from.zone) {
 		return
 	}
--- a/core/agent/fence.go
+++ b/core/agent/fence.go
@@ -69,6 +69,8 @@
 		c.handoverAcked(h, m.Body)
 	case packet.HandoverCommit:
 		c.handoverCommitted(h, m.Body)
+	case packet.HandoverNext:
+		c.handoverNext(h, m.Body)
 	case packet.HandoverDone:
 		c.handoverDone(h, m.Body)
 	case packet.Heartbeat:
--- a/core/agent/flowbody.go
+++ b/core/agent/flowbody.go
@@ -14,7 +14,7 @@
 	// flowBytesMax is the longest encoded flow; with the tunnel header it fits a
 	// packet. Cached answers that do not fit are left out.
 	flowBytesMax = packet.MaxBytes - packet.TunnelBytes - 256
-	ackBytesMax  = 64
+	ackBytesMax  = 160
 	// fieldBytesMax is the most that a tag and a length add to a field.
 	fieldBytesMax = 8
 )
@@ -32,6 +32,7 @@
 	flowSeen    protowire.Number = 9
 	flowAnswer  protowire.Number = 10
 	flowUnused  protowire.Number = 11
+	flowEarlier protowire.Number = 12
 )
 
 // Field numbers of an encoded answer.
@@ -45,9 +46,12 @@
 
 // Field numbers of an acknowledgement.
 const (
-	ackFlow     protowire.Number = 1
-	ackEpoch    protowire.Number = 2
-	ackAccepted protowire.Number = 3
+	ackFlow      protowire.Number = 1
+	ackEpoch     protowire.Number = 2
+	ackAccepted  protowire.Number = 3
+	ackLater     protowire.Number = 4
+	ackNext      protowire.Number = 5
+	ackNextEpoch protowire.Number = 6
 )
 
 // flowBody is the body of Handover.
@@ -62,7 +66,9 @@
 	address netip.AddrPort
 	window  window
 	// unused means that the caller has not used the flow at the previous owner.
-	unused  bool
+	unused bool
+	// earlier are owners before the previous one that still tell the caller a token.
+	earlier []remote
 	answers []numberedAnswer
 }
 
@@ -83,6 +89,9 @@
 	b = appendVarint(b, flowHighest, f.window.highest)
 	b = appendFixed(b, flowSeen, f.window.seen)
 	b = appendVarint(b, flowUnused, protowire.EncodeBool(f.unused))
+	for _, e := range c.announcing(f.key) {
+		b = appendRemote(b, flowEarlier, e)
+	}
 	for i := range uint64(windowBits) {
 		if f.window.seen&(1<<i) == 0 {
 			continue
@@ -180,6 +189,13 @@
 		m.window.seen = f.value
 	case flowUnused:
 		m.unused = f.value != 0
+	case flowEarlier:
+		var e remote
+		e, err = decodeRemote(f.bytes)
+		if len(m.earlier) >= chainMax {
+			return ErrBody
+		}
+		m.earlier = append(m.earlier, e)
 	case flowAnswer:
 		err = m.addAnswer(f.bytes)
 	}
@@ -223,18 +239,28 @@
 	return nil
 }
 
-// ack is the body of HandoverAck and HandoverDone.
+// ack is the body of the messages about a handover other than Handover.
 type ack struct {
 	flow     uint64
 	epoch    uint32
 	accepted bool
+	// later tells that epoch is of a handover after the receiver's own.
+	later bool
+	// next and nextEpoch describe the handover that followed.
+	next      remote
+	nextEpoch uint32
 }
 
 func appendAck(b []byte, a ack) []byte {
 	b = appendFixed(b, ackFlow, a.flow)
 	b = appendVarint(b, ackEpoch, uint64(a.epoch))
+	b = appendVarint(b, ackAccepted, protowire.EncodeBool(a.accepted))
+	b = appendVarint(b, ackLater, protowire.EncodeBool(a.later))
+	if a.next.agent.IsValid() {
+		b = appendRemote(b, ackNext, a.next)
+	}
 
-	return appendVarint(b, ackAccepted, protowire.EncodeBool(a.accepted))
+	return appendVarint(b, ackNextEpoch, uint64(a.nextEpoch))
 }
 
 func decodeAck(b []byte) (ack, error) {
@@ -250,6 +276,14 @@
 			a.epoch = uint32(f.value)
 		case ackAccepted:
 			a.accepted = f.value != 0
+		case ackLater:
+			a.later = f.value != 0
+		case ackNext:
+			var err error
+			a.next, err = decodeRemote(f.bytes)
+			return err
+		case ackNextEpoch:
+			a.nextEpoch = uint32(f.value)
 		}
 
 		return nil
--- a/core/agent/forward.go
+++ b/core/agent/forward.go
@@ -148,6 +148,7 @@
 		epoch:    w.epoch,
 		accepted: true,
 	}))
+	c.tellNext(w)
 	if !w.unused {
 		c.sendMoved(w)
 	}
@@ -213,7 +214,11 @@
 		service: h.Service,
 		flow:    a.flow,
 	})
-	if !ok || !c.meant(h) || w.epoch != a.epoch || h.SenderIncarnation != w.to.incarnation {
+	if !ok || !c.meant(h) {
+		return
+	}
+	direct := a.epoch == w.epoch && h.SenderIncarnation == w.to.incarnation
+	if !direct && !(a.later && a.epoch >= w.epoch) {
 		return
 	}
 	c.forwards.finish(c.now, w)
--- a/core/packet/tunnel.go
+++ b/core/packet/tunnel.go
@@ -30,6 +30,8 @@
 	HandoverAck
 	// HandoverCommit tells the new owner that the flow is its own from now on.
 	HandoverCommit
+	// HandoverNext tells the previous owner that the flow has moved on.
+	HandoverNext
 	// HandoverDone tells the previous owner that the caller uses the new token.
 	HandoverDone
 	// Heartbeat carries an agent's Load to the other agents of its service.
@@ -47,6 +49,7 @@
 	Handover:       "handover",
 	HandoverAck:    "handover_ack",
 	HandoverCommit: "handover_commit",
+	HandoverNext:   "handover_next",
 	HandoverDone:   "handover_done",
 	Heartbeat:      "heartbeat",
 }
@@ -147,7 +150,7 @@
 // body does.
 func (k TunnelKind) HasPacket() bool {
 	switch k {
-	case Handover, HandoverAck, HandoverCommit, HandoverDone, Heartbeat:
+	case Handover, HandoverAck, HandoverCommit, HandoverNext, HandoverDone, Heartbeat:
 		return false
 	default:
 		return true
