--- a/proof/regression_test.go
+++ b/proof/regression_test.go
@@ -45,6 +45,11 @@
 			world: 4212978101435810574,
 			known: true,
 		},
+		{
+			name:  "first ticket later than 5 s after all processes start at once",
+			world: 12037134328601814353,
+			known: true,
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if c.cell != "" {
