Elect readers after 1.5 s, and never drop a read of the configuration service

Cause: a site whose processes start together had its first ticket in force after 5.1 s (world), because candidates for readers had to stay the same for 3 s. A read that met a full inbox was lost with its tickets. Change: 1.5 s; the read waits for room in the inbox.

--- a/core/control/loop.go
+++ b/core/control/loop.go
@@ -133,9 +133,13 @@
 
 		return
 	}
-	l.Post(mesh.ConfigRead{
+	// The source returns each ticket once, so this message must not be dropped.
+	select {
+	case l.inbox <- mesh.ConfigRead{
 		Texts: texts,
-	})
+	}:
+	case <-ctx.Done():
+	}
 }
 
 func (l *Loop) listVMs(ctx context.Context) {
--- a/core/mesh/readers.go
+++ b/core/mesh/readers.go
@@ -24,7 +24,7 @@
 	unheardFor = 10 * time.Second
 	// electAfter is how long the known candidates must stay the same before a
 	// node thinks itself a reader, so that a starting zone doesn't read all at once.
-	electAfter = 3 * time.Second
+	electAfter = 1500 * time.Millisecond
 	// settleAfter is when a reader is certain enough for long blocking queries,
 	// which can't be withdrawn; before that it uses short ones.
 	settleAfter = 15 * time.Second
--- a/proof/regression_test.go
+++ b/proof/regression_test.go
@@ -43,12 +43,10 @@
 		{
 			name:  "flow at an agent that has stopped",
 			world: 4212978101435810574,
-			known: true,
 		},
 		{
 			name:  "first ticket later than 5 s after all processes start at once",
 			world: 12037134328601814353,
-			known: true,
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
