--- a/Makefile
+++ b/Makefile
@@ -69,4 +69,4 @@
 
 # Copies the measured CSV files into the pages that show them.
 tables:
-	go run ./tools/tables docs/CAPACITY.md
+	go run ./tools/tables docs/CAPACITY.md docs/experiments/README.md
--- a/ibisfold-entry/main.go
+++ b/ibisfold-entry/main.go
@@ -4,32 +4,18 @@
 
 import (
 	"context"
-	"flag"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/charmbracelet/log"
 
+	"ibisfold.example/core/program"
 	"ibisfold.example/core/settings"
 )
 
 func main() {
-	path := flag.String("settings", "", "file with the entry's settings (YAML)")
-	flag.Parse()
-
-	l := log.NewWithOptions(os.Stderr, log.Options{
-		ReportTimestamp: true,
-		Formatter:       log.LogfmtFormatter,
-		Prefix:          "ibisfold-entry",
-	})
-	if err := run(*path, l); err != nil {
-		l.Error("process failed", "error", err)
-		os.Exit(1)
-	}
+	program.Main("ibisfold-entry", run)
 }
 
-func run(path string, l *log.Logger) error {
+func run(term context.Context, path string, l *log.Logger) error {
 	s := settings.Entry{}
 	if err := settings.Load(path, &s); err != nil {
 		return err
@@ -39,8 +25,5 @@
 		return err
 	}
 
-	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-
 	return p.run(term)
 }
