--- a/core/agent/chain.go
+++ b/core/agent/chain.go
@@ -4,6 +4,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"ibisfold.example/core/packet"
+	"ibisfold.example/core/wire"
 )
 
 // Field numbers of an encoded remote.
@@ -16,9 +17,9 @@
 
 func appendRemote(b []byte, n protowire.Number, r remote) []byte {
 	m := appendAddress(nil, remoteAgent, r.agent)
-	m = appendFixed(m, remoteTarget, r.target)
-	m = appendFixed(m, remoteZone, r.zone)
-	m = appendFixed(m, remoteIncarnation, r.incarnation)
+	m = wire.AppendFixed(m, remoteTarget, r.target)
+	m = wire.AppendFixed(m, remoteZone, r.zone)
+	m = wire.AppendFixed(m, remoteIncarnation, r.incarnation)
 	b = protowire.AppendTag(b, n, protowire.BytesType)
 
 	return protowire.AppendBytes(b, m)
--- a/core/agent/flowbody.go
+++ b/core/agent/flowbody.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"ibisfold.example/core/packet"
+	"ibisfold.example/core/wire"
 )
 
 const (
@@ -79,16 +80,16 @@
 
 // encodeFlow encodes a flow with as many of its latest answers as fit.
 func (c *Core) encodeFlow(f *flow) []byte {
-	b := appendFixed(nil, flowNumber, f.key.flow)
-	b = appendVarint(b, flowEpoch, uint64(f.epoch))
-	b = appendFixed(b, flowOwner, c.target)
-	b = appendFixed(b, flowZone, c.zone)
+	b := wire.AppendFixed(nil, flowNumber, f.key.flow)
+	b = wire.AppendVarint(b, flowEpoch, uint64(f.epoch))
+	b = wire.AppendFixed(b, flowOwner, c.target)
+	b = wire.AppendFixed(b, flowZone, c.zone)
 	b = appendAddress(b, flowEntry, f.entry)
 	b = appendAddress(b, flowCaller, f.caller)
 	b = appendAddress(b, flowAddress, f.address)
-	b = appendVarint(b, flowHighest, f.window.highest)
-	b = appendFixed(b, flowSeen, f.window.seen)
-	b = appendVarint(b, flowUnused, protowire.EncodeBool(f.unused))
+	b = wire.AppendVarint(b, flowHighest, f.window.highest)
+	b = wire.AppendFixed(b, flowSeen, f.window.seen)
+	b = wire.AppendVarint(b, flowUnused, protowire.EncodeBool(f.unused))
 	for _, e := range c.announcing(f.key) {
 		b = appendRemote(b, flowEarlier, e)
 	}
@@ -116,10 +117,10 @@
 }
 
 func appendAnswer(b []byte, number uint64, a answer) []byte {
-	b = appendVarint(b, answerNumber, number)
-	b = appendVarint(b, answerKind, uint64(a.kind))
-	b = appendVarint(b, answerStatus, uint64(a.status))
-	b = appendVarint(b, answerRetry, uint64(a.retryAfter.Milliseconds()))
+	b = wire.AppendVarint(b, answerNumber, number)
+	b = wire.AppendVarint(b, answerKind, uint64(a.kind))
+	b = wire.AppendVarint(b, answerStatus, uint64(a.status))
+	b = wire.AppendVarint(b, answerRetry, uint64(a.retryAfter.Milliseconds()))
 	for _, s := range a.parts {
 		b = protowire.AppendTag(b, answerPart, protowire.BytesType)
 		b = protowire.AppendBytes(b, s)
@@ -252,15 +253,15 @@
 }
 
 func appendAck(b []byte, a ack) []byte {
-	b = appendFixed(b, ackFlow, a.flow)
-	b = appendVarint(b, ackEpoch, uint64(a.epoch))
-	b = appendVarint(b, ackAccepted, protowire.EncodeBool(a.accepted))
-	b = appendVarint(b, ackLater, protowire.EncodeBool(a.later))
+	b = wire.AppendFixed(b, ackFlow, a.flow)
+	b = wire.AppendVarint(b, ackEpoch, uint64(a.epoch))
+	b = wire.AppendVarint(b, ackAccepted, protowire.EncodeBool(a.accepted))
+	b = wire.AppendVarint(b, ackLater, protowire.EncodeBool(a.later))
 	if a.next.agent.IsValid() {
 		b = appendRemote(b, ackNext, a.next)
 	}
 
-	return appendVarint(b, ackNextEpoch, uint64(a.nextEpoch))
+	return wire.AppendVarint(b, ackNextEpoch, uint64(a.nextEpoch))
 }
 
 func decodeAck(b []byte) (ack, error) {
--- a/core/agent/load.go
+++ b/core/agent/load.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"ibisfold.example/core/admission"
+	"ibisfold.example/core/wire"
 )
 
 // Load is what an agent tells the others of its group about its target.
@@ -38,35 +39,17 @@
 
 // AppendLoad appends the encoded load to b.
 func AppendLoad(b []byte, l Load) []byte {
-	b = appendFixed(b, loadTarget, l.Target)
-	b = appendFixed(b, loadIncarnation, l.Incarnation)
-	b = appendFixed(b, loadBusy, math.Float64bits(l.Busy))
-	b = appendVarint(b, loadRunning, uint64(l.Running))
-	b = appendVarint(b, loadWaiting, uint64(l.Waiting))
-	b = appendVarint(b, loadSlots, uint64(l.Slots))
-	b = appendVarint(b, loadLimit, uint64(l.Limit))
-	b = appendVarint(b, loadFlows, uint64(l.Flows))
-	b = appendVarint(b, loadUsual, uint64(l.Usual.Microseconds()))
-
-	return appendVarint(b, loadDraining, protowire.EncodeBool(l.Draining))
-}
-
-func appendFixed(b []byte, n protowire.Number, v uint64) []byte {
-	if v == 0 {
-		return b
-	}
-	b = protowire.AppendTag(b, n, protowire.Fixed64Type)
-
-	return protowire.AppendFixed64(b, v)
-}
-
-func appendVarint(b []byte, n protowire.Number, v uint64) []byte {
-	if v == 0 {
-		return b
-	}
-	b = protowire.AppendTag(b, n, protowire.VarintType)
-
-	return protowire.AppendVarint(b, v)
+	b = wire.AppendFixed(b, loadTarget, l.Target)
+	b = wire.AppendFixed(b, loadIncarnation, l.Incarnation)
+	b = wire.AppendFixed(b, loadBusy, math.Float64bits(l.Busy))
+	b = wire.AppendVarint(b, loadRunning, uint64(l.Running))
+	b = wire.AppendVarint(b, loadWaiting, uint64(l.Waiting))
+	b = wire.AppendVarint(b, loadSlots, uint64(l.Slots))
+	b = wire.AppendVarint(b, loadLimit, uint64(l.Limit))
+	b = wire.AppendVarint(b, loadFlows, uint64(l.Flows))
+	b = wire.AppendVarint(b, loadUsual, uint64(l.Usual.Microseconds()))
+
+	return wire.AppendVarint(b, loadDraining, protowire.EncodeBool(l.Draining))
 }
 
 // DecodeLoad reads an encoded load. Unknown fields are skipped. Error: ErrBody.
--- a/core/packet/packet.go
+++ b/core/packet/packet.go
@@ -10,6 +10,8 @@
 
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"ibisfold.example/core/wire"
 )
 
 // Limits of a packet.
@@ -189,62 +191,35 @@
 
 // Append appends the encoded packet to b without other allocation.
 func (p *Packet) Append(b []byte) []byte {
-	b = appendVarint(b, fieldKind, uint64(p.Kind))
+	b = wire.AppendVarint(b, fieldKind, uint64(p.Kind))
 	if p.Service.IsValid() {
 		b = protowire.AppendTag(b, fieldService, protowire.BytesType)
 		b = protowire.AppendVarint(b, addrPortBytes)
 		b = appendAddrPort(b, p.Service)
 	}
-	b = appendFixed(b, fieldFlow, p.Flow)
+	b = wire.AppendFixed(b, fieldFlow, p.Flow)
 	if !p.Token.IsZero() {
 		b = protowire.AppendTag(b, fieldToken, protowire.BytesType)
 		b = protowire.AppendVarint(b, TokenBytes)
 		b = p.Token.append(b)
 	}
-	b = appendVarint(b, fieldRequest, p.Request)
-	b = appendVarint(b, fieldAttempt, uint64(p.Attempt))
-	b = appendVarint(b, fieldIdempotent, protowire.EncodeBool(p.Idempotent))
-	b = appendVarint(b, fieldDeadline, uint64(p.Deadline.Milliseconds()))
-	b = appendBytes(b, fieldTenant, p.Tenant)
-	b = appendVarint(b, fieldStatus, uint64(p.Status))
-	b = appendVarint(b, fieldRetryAfter, uint64(p.RetryAfter.Milliseconds()))
-	b = appendFixed(b, fieldBoot, p.Boot)
-	b = appendVarint(b, fieldRunning, uint64(p.Running))
-	b = appendVarint(b, fieldPart, uint64(p.Part))
-	b = appendVarint(b, fieldParts, uint64(p.Parts))
-	b = appendBytes(b, fieldPayload, p.Payload)
-	b = appendBytes(b, fieldLoad, p.Load)
+	b = wire.AppendVarint(b, fieldRequest, p.Request)
+	b = wire.AppendVarint(b, fieldAttempt, uint64(p.Attempt))
+	b = wire.AppendVarint(b, fieldIdempotent, protowire.EncodeBool(p.Idempotent))
+	b = wire.AppendVarint(b, fieldDeadline, uint64(p.Deadline.Milliseconds()))
+	b = wire.AppendBytes(b, fieldTenant, p.Tenant)
+	b = wire.AppendVarint(b, fieldStatus, uint64(p.Status))
+	b = wire.AppendVarint(b, fieldRetryAfter, uint64(p.RetryAfter.Milliseconds()))
+	b = wire.AppendFixed(b, fieldBoot, p.Boot)
+	b = wire.AppendVarint(b, fieldRunning, uint64(p.Running))
+	b = wire.AppendVarint(b, fieldPart, uint64(p.Part))
+	b = wire.AppendVarint(b, fieldParts, uint64(p.Parts))
+	b = wire.AppendBytes(b, fieldPayload, p.Payload)
+	b = wire.AppendBytes(b, fieldLoad, p.Load)
 
 	return b
 }
 
-func appendVarint(b []byte, n protowire.Number, v uint64) []byte {
-	if v == 0 {
-		return b
-	}
-	b = protowire.AppendTag(b, n, protowire.VarintType)
-
-	return protowire.AppendVarint(b, v)
-}
-
-func appendFixed(b []byte, n protowire.Number, v uint64) []byte {
-	if v == 0 {
-		return b
-	}
-	b = protowire.AppendTag(b, n, protowire.Fixed64Type)
-
-	return protowire.AppendFixed64(b, v)
-}
-
-func appendBytes(b []byte, n protowire.Number, v []byte) []byte {
-	if len(v) == 0 {
-		return b
-	}
-	b = protowire.AppendTag(b, n, protowire.BytesType)
-
-	return protowire.AppendBytes(b, v)
-}
-
 // Decode reads b into p without allocation. Tenant and Payload alias b.
 // Unknown fields are skipped. Errors: ErrTooLong, ErrMalformed, ErrKind, ErrField.
 func (p *Packet) Decode(b []byte) error {
--- a/core/peer/encode.go
+++ b/core/peer/encode.go
@@ -5,6 +5,7 @@
 
 	"ibisfold.example/core/mesh"
 	"ibisfold.example/core/ticket"
+	"ibisfold.example/core/wire"
 )
 
 // Field numbers of Wire; wire.proto documents all messages.
@@ -28,43 +29,43 @@
 func AppendWire(b []byte, m mesh.Wire) []byte {
 	switch m := m.(type) {
 	case mesh.Digest:
-		v := appendVarint(encodeExchange(m.Nonce, m.Status, nil), 4, uint64(m.Room))
-		v = appendVarint(v, 5, protowire.EncodeBool(m.Sparse))
+		v := wire.AppendVarint(encodeExchange(m.Nonce, m.Status, nil), 4, uint64(m.Room))
+		v = wire.AppendVarint(v, 5, protowire.EncodeBool(m.Sparse))
 		v = appendVersions(v, 6, m.Pending)
 
-		return appendMessage(b, wireDigest, v)
+		return wire.AppendMessage(b, wireDigest, v)
 	case mesh.DigestAck:
-		return appendMessage(b, wireDigestAck, appendVersions(encodeExchange(m.Nonce, m.Status, m.Parts), 6, m.Has))
+		return wire.AppendMessage(b, wireDigestAck, appendVersions(encodeExchange(m.Nonce, m.Status, m.Parts), 6, m.Has))
 	case mesh.Summary:
-		return appendMessage(b, wireSummary, appendVarint(appendParts(nil, m.Parts), 4, uint64(m.Room)))
+		return wire.AppendMessage(b, wireSummary, wire.AppendVarint(appendParts(nil, m.Parts), 4, uint64(m.Room)))
 	case mesh.Fetch:
-		return appendMessage(b, wireFetch, appendVersions(nil, 1, m.Versions))
+		return wire.AppendMessage(b, wireFetch, appendVersions(nil, 1, m.Versions))
 	case mesh.Announce:
-		return appendMessage(b, wireAnnounce, appendBytes(encodeTicket(m.Version, uint64(m.Size), m.Urgent, nil), fieldHave, m.Have))
+		return wire.AppendMessage(b, wireAnnounce, wire.AppendBytes(encodeTicket(m.Version, uint64(m.Size), m.Urgent, nil), fieldHave, m.Have))
 	case mesh.Body:
-		return appendMessage(b, wireBody, encodeTicket(m.Version, 0, false, m.Data))
+		return wire.AppendMessage(b, wireBody, encodeTicket(m.Version, 0, false, m.Data))
 	case mesh.ChunkRequest:
-		return appendMessage(b, wireChunkRequest, encodeTicket(m.Version, 0, false, encodeIndexes(m.Indexes)))
+		return wire.AppendMessage(b, wireChunkRequest, encodeTicket(m.Version, 0, false, encodeIndexes(m.Indexes)))
 	case mesh.Chunk:
-		return appendMessage(b, wireChunk, encodeChunk(m))
+		return wire.AppendMessage(b, wireChunk, encodeChunk(m))
 	case mesh.ChunkRefused:
-		return appendMessage(b, wireChunkRefused, encodeRefused(m))
+		return wire.AppendMessage(b, wireChunkRefused, encodeRefused(m))
 	case mesh.Rumours:
-		return appendMessage(b, wireRumours, appendRumours(nil, 1, m.Items))
+		return wire.AppendMessage(b, wireRumours, appendRumours(nil, 1, m.Items))
 	default:
 		return b
 	}
 }
 
 func encodeVersion(v ticket.Version) []byte {
-	b := appendVarint(nil, 1, v.Number)
+	b := wire.AppendVarint(nil, 1, v.Number)
 
-	return appendFixed(b, 2, v.Hash)
+	return wire.AppendFixed(b, 2, v.Hash)
 }
 
 func appendVersions(b []byte, n protowire.Number, versions []ticket.Version) []byte {
 	for _, v := range versions {
-		b = appendMessage(b, n, encodeVersion(v))
+		b = wire.AppendMessage(b, n, encodeVersion(v))
 	}
 
 	return b
@@ -72,23 +73,23 @@
 
 func encodeNode(n mesh.Node) []byte {
 	b := appendAddrPort(nil, 1, n.Addr)
-	b = appendBytes(b, 2, []byte(n.Zone))
-	b = appendVarint(b, 3, uint64(n.Role))
+	b = wire.AppendBytes(b, 2, []byte(n.Zone))
+	b = wire.AppendVarint(b, 3, uint64(n.Role))
 
-	return appendFixed(b, 4, n.Incarnation)
+	return wire.AppendFixed(b, 4, n.Incarnation)
 }
 
 func encodeStatus(s mesh.Status) []byte {
-	b := appendMessage(nil, 1, encodeNode(s.Self))
-	b = appendVarint(b, 2, s.State.Floor)
-	b = appendVarint(b, 3, s.State.Highest)
-	b = appendFixed(b, 4, s.State.Hash)
-	b = appendVarint(b, 5, protowire.EncodeBool(s.Confirmed))
+	b := wire.AppendMessage(nil, 1, encodeNode(s.Self))
+	b = wire.AppendVarint(b, 2, s.State.Floor)
+	b = wire.AppendVarint(b, 3, s.State.Highest)
+	b = wire.AppendFixed(b, 4, s.State.Hash)
+	b = wire.AppendVarint(b, 5, protowire.EncodeBool(s.Confirmed))
 	for _, n := range s.Sample {
-		b = appendMessage(b, 6, encodeNode(n))
+		b = wire.AppendMessage(b, 6, encodeNode(n))
 	}
 	for _, v := range s.Beats {
-		b = appendMessage(b, 7, encodeBeat(v))
+		b = wire.AppendMessage(b, 7, encodeBeat(v))
 	}
 
 	return appendRumours(b, 8, s.Rumours)
@@ -96,27 +97,27 @@
 
 func encodeBeat(v mesh.Beat) []byte {
 	b := appendAddrPort(nil, 1, v.Addr)
-	b = appendFixed(b, 2, v.Incarnation)
+	b = wire.AppendFixed(b, 2, v.Incarnation)
 
-	return appendVarint(b, 3, v.Count)
+	return wire.AppendVarint(b, 3, v.Count)
 }
 
 func encodeExchange(nonce uint64, s mesh.Status, parts []mesh.Part) []byte {
-	b := appendFixed(nil, 1, nonce)
-	b = appendMessage(b, 2, encodeStatus(s))
+	b := wire.AppendFixed(nil, 1, nonce)
+	b = wire.AppendMessage(b, 2, encodeStatus(s))
 
 	return appendParts(b, parts)
 }
 
 func appendParts(b []byte, parts []mesh.Part) []byte {
 	for _, p := range parts {
-		v := appendMessage(nil, 1, encodeVersion(p.From))
-		v = appendMessage(v, 2, encodeVersion(p.To))
-		v = appendVarint(v, 3, uint64(p.Count))
-		v = appendFixed(v, 4, p.Hash)
-		v = appendVarint(v, 5, protowire.EncodeBool(p.List))
+		v := wire.AppendMessage(nil, 1, encodeVersion(p.From))
+		v = wire.AppendMessage(v, 2, encodeVersion(p.To))
+		v = wire.AppendVarint(v, 3, uint64(p.Count))
+		v = wire.AppendFixed(v, 4, p.Hash)
+		v = wire.AppendVarint(v, 5, protowire.EncodeBool(p.List))
 		v = appendVersions(v, 6, p.Items)
-		b = appendMessage(b, 3, v)
+		b = wire.AppendMessage(b, 3, v)
 	}
 
 	return b
@@ -124,11 +125,11 @@
 
 // encodeTicket encodes the messages that name a ticket, a number and a flag.
 func encodeTicket(v ticket.Version, number uint64, flag bool, data []byte) []byte {
-	b := appendMessage(nil, 1, encodeVersion(v))
-	b = appendVarint(b, 2, number)
-	b = appendVarint(b, 3, protowire.EncodeBool(flag))
+	b := wire.AppendMessage(nil, 1, encodeVersion(v))
+	b = wire.AppendVarint(b, 2, number)
+	b = wire.AppendVarint(b, 3, protowire.EncodeBool(flag))
 
-	return appendBytes(b, 4, data)
+	return wire.AppendBytes(b, 4, data)
 }
 
 func encodeIndexes(indexes []uint32) []byte {
@@ -141,28 +142,28 @@
 }
 
 func encodeChunk(m mesh.Chunk) []byte {
-	b := appendMessage(nil, 1, encodeVersion(m.Version))
-	b = appendVarint(b, 2, uint64(m.Index))
-	b = appendVarint(b, 3, uint64(m.Size))
+	b := wire.AppendMessage(nil, 1, encodeVersion(m.Version))
+	b = wire.AppendVarint(b, 2, uint64(m.Index))
+	b = wire.AppendVarint(b, 3, uint64(m.Size))
 
-	b = appendBytes(b, 4, m.Data)
+	b = wire.AppendBytes(b, 4, m.Data)
 
-	return appendBytes(b, fieldHave, m.Have)
+	return wire.AppendBytes(b, fieldHave, m.Have)
 }
 
 func encodeRefused(m mesh.ChunkRefused) []byte {
 	b := encodeTicket(m.Version, protowire.EncodeBool(m.Busy), m.Gone, encodeIndexes(m.Indexes))
 
-	return appendBytes(b, fieldHave, m.Have)
+	return wire.AppendBytes(b, fieldHave, m.Have)
 }
 
 func appendRumours(b []byte, n protowire.Number, items []mesh.Rumour) []byte {
 	for _, r := range items {
-		v := appendFixed(nil, 1, r.Target)
-		v = appendFixed(v, 2, r.Incarnation)
-		v = appendVarint(v, 3, uint64(r.Change))
-		v = appendVarint(v, 4, uint64(r.Age))
-		b = appendMessage(b, n, v)
+		v := wire.AppendFixed(nil, 1, r.Target)
+		v = wire.AppendFixed(v, 2, r.Incarnation)
+		v = wire.AppendVarint(v, 3, uint64(r.Change))
+		v = wire.AppendVarint(v, 4, uint64(r.Age))
+		b = wire.AppendMessage(b, n, v)
 	}
 
 	return b
--- a/core/peer/field.go
+++ b/core/peer/field.go
@@ -4,6 +4,8 @@
 	"net/netip"
 
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"ibisfold.example/core/wire"
 )
 
 // field is one decoded field of a message; value holds varints and fixed64s.
@@ -76,44 +78,11 @@
 	return append(s, v), err
 }
 
-func appendVarint(b []byte, n protowire.Number, v uint64) []byte {
-	if v == 0 {
-		return b
-	}
-	b = protowire.AppendTag(b, n, protowire.VarintType)
-
-	return protowire.AppendVarint(b, v)
-}
-
-func appendFixed(b []byte, n protowire.Number, v uint64) []byte {
-	if v == 0 {
-		return b
-	}
-	b = protowire.AppendTag(b, n, protowire.Fixed64Type)
-
-	return protowire.AppendFixed64(b, v)
-}
-
-func appendBytes(b []byte, n protowire.Number, v []byte) []byte {
-	if len(v) == 0 {
-		return b
-	}
-
-	return appendMessage(b, n, v)
-}
-
-// appendMessage appends v even if it is empty, because its presence counts.
-func appendMessage(b []byte, n protowire.Number, v []byte) []byte {
-	b = protowire.AppendTag(b, n, protowire.BytesType)
-
-	return protowire.AppendBytes(b, v)
-}
-
 func appendAddrPort(b []byte, n protowire.Number, a netip.AddrPort) []byte {
 	if !a.IsValid() {
 		return b
 	}
 	v, _ := a.MarshalBinary()
 
-	return appendBytes(b, n, v)
+	return wire.AppendBytes(b, n, v)
 }
