Name the last owner in resets of packets that were passed on

Change: the last owner answers a packet passed on with Moved and a Reset under its own token. The world is a regression test.

--- a/core/agent/reply.go
+++ b/core/agent/reply.go
@@ -66,11 +66,23 @@
 	if p.Kind == packet.Request {
 		s = packet.StatusOutcomeUnknown
 	}
+	token := p.Token
+	if h.Kind == packet.ToOwner {
+		// The flow ended here and not at the previous owner that the caller knows;
+		// the token shows the caller in which zone that was.
+		token = c.token(h.Service, p.Flow)
+		c.replyTo(h, packet.Packet{
+			Kind:    packet.Moved,
+			Service: p.Service,
+			Flow:    p.Flow,
+			Token:   token,
+		})
+	}
 	c.replyTo(h, packet.Packet{
 		Kind:       packet.Reset,
 		Service:    p.Service,
 		Flow:       p.Flow,
-		Token:      p.Token,
+		Token:      token,
 		Request:    p.Request,
 		Status:     s,
 		RetryAfter: retryAfterMin,
--- a/proof/regression_test.go
+++ b/proof/regression_test.go
@@ -44,6 +44,10 @@
 			name:  "flows of a former service are never handed over after a cut",
 			world: 9238900621317348275,
 		},
+		{
+			name:  "reset of a flow that was handed over into a zone taken out",
+			world: 14835144835025753598,
+		},
 		{
 			name:  "planned stop of the agent of the last target in service",
 			world: 1414713607825754588,
