Let both resets of moved flows share one function

Cause: the reset of a flow handed over into a zone taken out went through the general reset, which added its own Moved and token for packets that had been passed on; in a chain of owners the caller got two Moved packets, and the Reset named an owner in the middle of the chain. Change: resetAt ends a flow under a given token; both cases call it.

--- a/core/agent/forward.go
+++ b/core/agent/forward.go
@@ -101,7 +101,7 @@
 		return
 	}
 	if c.view.zoneOut(w.to.zone) {
-		c.resetForwarded(w, h, p)
+		c.resetAt(h, p, c.tokenOf(w))
 		return
 	}
 
@@ -123,21 +123,6 @@
 	})
 }
 
-// resetForwarded tells the caller that its flow ended with the new owner's zone.
-// The token shows the caller in which zone that was.
-func (c *Core) resetForwarded(w *forward, h *packet.Tunnel, p *packet.Packet) {
-	t := c.tokenOf(w)
-	c.replyTo(h, packet.Packet{
-		Kind:    packet.Moved,
-		Service: p.Service,
-		Flow:    p.Flow,
-		Token:   t,
-	})
-	last := *p
-	last.Token = t
-	c.reset(h, &last)
-}
-
 // announce tells the new owner that the flow is its own, and the caller the
 // token of the new owner.
 func (c *Core) announce(w *forward) {
--- a/core/agent/reply.go
+++ b/core/agent/reply.go
@@ -61,28 +61,37 @@
 		return
 	}
 
+	if h.Kind == packet.ToOwner {
+		// The flow ended here and not at the previous owner that the caller knows.
+		c.resetAt(h, p, c.token(h.Service, p.Flow))
+		return
+	}
+	c.sendReset(h, p, p.Token)
+}
+
+// resetAt ends a flow under a token that the caller may not know yet. The token
+// shows the caller in which zone the flow ended.
+func (c *Core) resetAt(h *packet.Tunnel, p *packet.Packet, t packet.Token) {
+	c.replyTo(h, packet.Packet{
+		Kind:    packet.Moved,
+		Service: p.Service,
+		Flow:    p.Flow,
+		Token:   t,
+	})
+	c.sendReset(h, p, t)
+}
+
+func (c *Core) sendReset(h *packet.Tunnel, p *packet.Packet, t packet.Token) {
 	c.Counters.Resets++
 	s := packet.StatusNotRun
 	if p.Kind == packet.Request {
 		s = packet.StatusOutcomeUnknown
 	}
-	token := p.Token
-	if h.Kind == packet.ToOwner {
-		// The flow ended here and not at the previous owner that the caller knows;
-		// the token shows the caller in which zone that was.
-		token = c.token(h.Service, p.Flow)
-		c.replyTo(h, packet.Packet{
-			Kind:    packet.Moved,
-			Service: p.Service,
-			Flow:    p.Flow,
-			Token:   token,
-		})
-	}
 	c.replyTo(h, packet.Packet{
 		Kind:       packet.Reset,
 		Service:    p.Service,
 		Flow:       p.Flow,
-		Token:      token,
+		Token:      t,
 		Request:    p.Request,
 		Status:     s,
 		RetryAfter: retryAfterMin,
