Reset a new flow only if no target can have opened it

Cause: an entry that had tried several targets reset a flow once the last of them refused, also while an earlier one, slower than 60 ms, was about to open it; an entry that saw only a later copy of a SYN did the same; and an agent refused copies of a SYN that its target had got, for a cold target's rate. Each could end an open flow. Change: a reset needs the word of every target that got the SYN, and the first copy; copies pass. Requests that a target dropped no longer count as its load for a minute. Also: histograms of the times to open a flow, to search an owner and to answer, on the metrics address; resets by targets are logged; idle flows are kept for the platform's own maximal age instead of a constant; fields that nothing used are gone.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -29,10 +29,6 @@
 // Service is what new flows to its targets have to respect.
 type Service struct {
 	Name string
-	// Connections is the number of flows that a target holds.
-	Connections int
-	// ColdTime is how long a target is cold after its start.
-	ColdTime time.Duration
 	// ColdRate is the new flows in a second that a cold target bears; zero is no bound.
 	ColdRate float64
 }
--- a/core/conntrack/command.go
+++ b/core/conntrack/command.go
@@ -54,11 +54,40 @@
 	Count int
 }
 
+// Measured is a time for the histograms.
+type Measured struct {
+	Measure Measure
+	Time    time.Duration
+}
+
+// Measure names what took a time.
+type Measure uint8
+
+// Measures of an agent.
+const (
+	// AnswerTime: from a request to the first packet of the target's answer.
+	AnswerTime Measure = iota
+	// AcceptTime: from a SYN to the target's answer.
+	AcceptTime
+	measures
+)
+
+var measureNames = [measures]string{
+	AnswerTime: "target_answer",
+	AcceptTime: "target_accept",
+}
+
+// MeasureNames returns the names of all measures, in the order of their values.
+func MeasureNames() []string {
+	return measureNames[:]
+}
+
 func (ToTarget) command() {}
 func (ToCaller) command() {}
 func (ToEntry) command()  {}
 func (Reset) command()    {}
 func (Note) command()     {}
+func (Measured) command() {}
 
 // Decision names what was decided, for logs and counters.
 type Decision uint8
@@ -76,6 +105,8 @@
 	Adopted
 	// FlowLost: the target no longer holds a flow that it held; it was reset.
 	FlowLost
+	// TargetReset: the target reset a flow while a request was in progress.
+	TargetReset
 	// TargetFresh: the target started no earlier than the agent, so the agent knows
 	// all its flows.
 	TargetFresh
@@ -93,6 +124,7 @@
 	NotHeld:      "packet returned: flow not held",
 	Adopted:      "flow adopted",
 	FlowLost:     "flow reset: target no longer holds it",
+	TargetReset:  "flow reset by target",
 	TargetFresh:  "target has no earlier flows",
 	TargetDown:   "target down",
 	TargetBack:   "target back",
--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -16,9 +16,8 @@
 const (
 	// TickTime is the time between two Ticks.
 	TickTime = 20 * time.Millisecond
-	// idleTime is how long an idle flow is remembered. Both ends may discard a flow
-	// after the idle time of the configuration, at most 60 s of age.
-	idleTime = 60 * time.Second
+	// defaultMaxAge is the MaxFlowAge of a Core that has none.
+	defaultMaxAge = 60 * time.Second
 	// endedTime is the same for a flow that has ended at the target.
 	endedTime = 5 * time.Second
 	// activeTime is how lately a flow has been used to count as load.
@@ -43,6 +42,9 @@
 	// Complete means that no flow is older than this process, so that a flow which
 	// is not known here is not held by the target.
 	Complete bool
+	// MaxFlowAge is the age from which the ends discard a flow, by default 60 s. An
+	// idle flow is remembered as long.
+	MaxFlowAge time.Duration
 	// Started is when the process started, in Unix milliseconds on the clock that
 	// the target's start is told by.
 	Started int64
@@ -54,6 +56,7 @@
 	entries map[netip.AddrPort]time.Duration
 	target  target
 	cold    coldStart
+	work    work
 	flaps   flapDamping
 	// now is the time of the Update that runs.
 	now time.Duration
@@ -61,7 +64,6 @@
 	// lately in use.
 	load     float64
 	active   int
-	progress int
 	swept    time.Duration
 	commands []Command
 }
@@ -91,16 +93,15 @@
 // flow is what an agent remembers of a flow.
 type flow struct {
 	state state
-	// busy means that the caller sent data that the target has not answered.
-	busy bool
 	// synAck is the sequence number of the target's answer to the SYN.
 	synAck uint32
 	// ack is what the caller acknowledged last.
 	ack uint32
 	// entry got or sent the last packet of the caller.
 	entry netip.AddrPort
-	// used is when the last packet passed.
-	used time.Duration
+	// used is when the last packet passed, opened when the SYN did.
+	used   time.Duration
+	opened time.Duration
 }
 
 // Update takes a message and returns what to do. The commands and the packets
@@ -110,6 +111,9 @@
 		c.flows = map[segment.Key]*flow{}
 		c.probes = map[segment.Key]*flow{}
 		c.entries = map[netip.AddrPort]time.Duration{}
+		if c.MaxFlowAge == 0 {
+			c.MaxFlowAge = defaultMaxAge
+		}
 	}
 	c.commands = c.commands[:0]
 	c.now = now
@@ -119,16 +123,15 @@
 	case *TargetPacket:
 		c.targetPacket(now, m)
 	case TargetRefused:
-		c.target.refused(now)
+		c.target.refusal = true
 		c.checkTarget(now)
 	case ServiceChanged:
 		c.Service = m.Service
 	case Stop:
-		c.stop(now)
+		c.stop()
 	case Tick:
 		c.tick(now)
 	}
-
 	return c.commands
 }
 
@@ -139,7 +142,8 @@
 
 func (c *Core) tick(now time.Duration) {
 	share := float64(TickTime) / float64(loadTime)
-	c.load += share * (float64(c.progress) - c.load)
+	c.load += share * (float64(len(c.work.requests)) - c.load)
+	c.work.expire(now)
 	c.checkTarget(now)
 	c.tickProbes(now)
 	if now-c.swept >= sweepTime {
@@ -152,12 +156,12 @@
 func (c *Core) sweep(now time.Duration) {
 	c.active = 0
 	for k, f := range c.flows {
-		keep := idleTime
+		keep := c.MaxFlowAge
 		if f.state == stateEnded || f.state == statePlaced {
 			keep = endedTime
 		}
 		if now-f.used > keep {
-			c.forget(k, f)
+			c.forget(k)
 			continue
 		}
 		if f.state == stateHeld && now-f.used < activeTime {
@@ -165,32 +169,20 @@
 		}
 	}
 	for a, at := range c.entries {
-		if now-at > idleTime {
+		if now-at > c.MaxFlowAge {
 			delete(c.entries, a)
 		}
 	}
 }
 
-func (c *Core) forget(k segment.Key, f *flow) {
-	c.setBusy(f, false)
+func (c *Core) forget(k segment.Key) {
+	c.work.drop(k)
 	delete(c.flows, k)
 	delete(c.probes, k)
 }
 
-func (c *Core) setBusy(f *flow, busy bool) {
-	if f.busy == busy {
-		return
-	}
-	f.busy = busy
-	if busy {
-		c.progress++
-	} else {
-		c.progress--
-	}
-}
-
 // stop tells all entries that the coming silence is planned.
-func (c *Core) stop(time.Duration) {
+func (c *Core) stop() {
 	for _, a := range slices.SortedFunc(maps.Keys(c.entries), netip.AddrPort.Compare) {
 		c.answer(a, relay.Message{
 			Kind: relay.Stopping,
@@ -214,6 +206,13 @@
 	return m
 }
 
+func (c *Core) measure(m Measure, d time.Duration) {
+	c.commands = append(c.commands, Measured{
+		Measure: m,
+		Time:    d,
+	})
+}
+
 func (c *Core) note(now time.Duration, n Note) {
 	n.Age = c.target.age(now)
 	c.commands = append(c.commands, n)
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -32,8 +32,10 @@
 		return
 	}
 	f, ok := c.flows[k]
-	if !ok || f.state == stateFree || f.state == stateEnded {
-		f = &flow{}
+	if !ok || !f.opening() {
+		f = &flow{
+			opened: now,
+		}
 		c.flows[k] = f
 	}
 	f.entry = m.From
@@ -41,6 +43,11 @@
 	c.toTarget(now, m.Message.Packet, true)
 }
 
+// opening reports whether the target got the flow's SYN and may hold the flow.
+func (f *flow) opening() bool {
+	return f.state != stateFree && f.state != stateEnded
+}
+
 func (c *Core) refusal(now time.Duration, m *EntryMessage) relay.Reason {
 	if m.Message.Service != c.Service {
 		return relay.ReasonWrongService
@@ -48,6 +55,10 @@
 	if c.target.down && !c.target.tryAgain(now) {
 		return relay.ReasonTargetDown
 	}
+	if f, ok := c.flows[m.Message.Key]; ok && f.opening() {
+		// A copy. To refuse it would end a flow that the target may have opened.
+		return relay.ReasonNone
+	}
 	if !c.cold.allow(now, float64(m.Message.ColdRate)/10) {
 		return relay.ReasonCold
 	}
@@ -111,8 +122,11 @@
 	case stateProbed:
 		c.probes[k] = f
 	}
-	if m.Segment.Len > 0 && f.state != stateEnded {
-		c.setBusy(f, true)
+	switch {
+	case m.Segment.Flags.Has(segment.RST):
+		c.work.drop(k)
+	case m.Segment.Len > 0 && f.state != stateEnded:
+		c.work.begin(now, k)
 	}
 	c.toTarget(now, m.Message.Packet, m.Segment.Len > 0)
 	if m.Message.Kind != relay.Deliver && f.state != stateProbed {
--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -44,10 +44,6 @@
 	t.waiting++
 }
 
-func (t *target) refused(time.Duration) {
-	t.refusal = true
-}
-
 func (t *target) hear(now time.Duration) {
 	t.heard = now
 	t.waiting = 0
@@ -101,7 +97,7 @@
 		Key:      k,
 		Entry:    f.entry,
 	})
-	c.forget(k, f)
+	c.forget(k)
 	c.commands = append(c.commands, Reset{
 		Key: k,
 		Seq: seq,
@@ -145,23 +141,35 @@
 		return
 	}
 	if m.Segment.Flags.Has(segment.RST) {
-		if f.busy {
+		if _, busy := c.work.requests[k]; busy {
 			// A target that takes flows and resets their requests seems idle.
 			c.flaps.flowLost(now)
+			c.note(now, Note{
+				Decision: TargetReset,
+				Key:      k,
+				Entry:    f.entry,
+			})
 		}
-		c.setBusy(f, false)
+		c.work.drop(k)
 		f.state = stateEnded
 
 		return
 	}
 	if m.Segment.Len > 0 {
-		c.setBusy(f, false)
+		c.answered(now, k)
 	}
 	if f.state != stateEnded && f.state != stateHeld {
 		c.hold(now, k, f)
 	}
 	if m.Segment.Flags.Has(segment.FIN) {
-		c.setBusy(f, false)
+		c.work.drop(k)
+	}
+}
+
+// answered notes the target's answer to a request.
+func (c *Core) answered(now time.Duration, k segment.Key) {
+	if took, ok := c.work.end(now, k); ok {
+		c.measure(AnswerTime, took)
 	}
 }
 
@@ -182,6 +190,7 @@
 		Entry:    f.entry,
 	})
 	if f.entry.IsValid() {
+		c.measure(AcceptTime, now-f.opened)
 		c.answer(f.entry, relay.Message{
 			Kind: relay.Accepted,
 			Key:  k,
@@ -215,10 +224,10 @@
 	}
 	switch {
 	case m.Segment.Opens():
-		c.forget(k, f)
+		c.forget(k)
 		c.giveBack(now, m, f, relay.ReasonFull, Refused)
 	case f.state == stateProbed, f.state == stateAssumed, f.state == stateAnswered:
-		c.setBusy(f, false)
+		c.work.drop(k)
 		f.state = stateFree
 		delete(c.probes, k)
 		c.giveBack(now, m, f, relay.ReasonNotHeld, NotHeld)
--- a/core/opaque/process.go
+++ b/core/opaque/process.go
@@ -83,6 +83,16 @@
 	return list
 }
 
+// Histograms returns a histogram of seconds for each measure by its name.
+func (p *Process) Histograms(names []string) []*metrics.Histogram {
+	list := []*metrics.Histogram{}
+	for _, n := range names {
+		list = append(list, p.Metrics.NewHistogram("ibisfold_"+n+"_seconds"))
+	}
+
+	return list
+}
+
 // Run runs all services until term is done and stop has returned. Stop runs in
 // a goroutine of its own while the services go on.
 func (p *Process) Run(term context.Context, stop func()) error {
--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -228,7 +228,7 @@
 	}
 	_, listed := c.listed[addr]
 
-	return listed || now-a.asked < defaultIdle
+	return listed || now-a.asked < c.MaxFlowAge
 }
 
 // passed notes a packet that was passed on to the agent.
@@ -307,7 +307,7 @@
 	k := m.Message.Key
 	switch m.Message.Kind {
 	case relay.Accepted:
-		delete(c.opening, k)
+		c.accepted(now, k)
 	case relay.Owned, relay.NotOwned, relay.Unsure:
 		c.told(now, k, m.From, m.Message.Kind)
 	case relay.Answers:
--- a/core/steer/ask.go
+++ b/core/steer/ask.go
@@ -60,7 +60,7 @@
 	}
 	for _, a := range c.order {
 		x := c.agents[a]
-		if x.known && now-x.heard < defaultIdle && !x.silent {
+		if x.known && now-x.heard < c.MaxFlowAge && !x.silent {
 			c.askOnce(now, k, s, a)
 		}
 	}
--- a/core/steer/bench_test.go
+++ b/core/steer/bench_test.go
@@ -12,18 +12,18 @@
 	"ibisfold.example/core/segment"
 )
 
-var benchAddress = netip.MustParseAddrPort("198.18.0.1:443")
+var testAddress = netip.MustParseAddrPort("198.18.0.1:443")
 
-// newBenchCore returns an entry before n targets in three zones.
-func newBenchCore(n int) *Core {
+// newTestCore returns an entry before n targets in three zones.
+func newTestCore(n int) *Core {
 	s := catalog.State{}
 	service := catalog.ServiceID("rufdienst")
 	s.Apply(0, catalog.ConfigChange{
 		Config: &catalog.Config{
 			Version: 1,
 			Routes: map[netip.AddrPort]catalog.Route{
-				benchAddress: {
-					Address: benchAddress,
+				testAddress: {
+					Address: testAddress,
 					Splits: []catalog.Split{
 						{
 							Service: service,
@@ -64,7 +64,7 @@
 
 	return &CallerPacket{
 		Segment: segment.Segment{
-			Key:   segment.KeyOf(caller, benchAddress),
+			Key:   segment.KeyOf(caller, testAddress),
 			Flags: f,
 		},
 		Packet: make([]byte, 132),
@@ -75,7 +75,7 @@
 func BenchmarkEstablished(b *testing.B) {
 	for _, n := range []int{10, 50, 3700} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			c := newBenchCore(n)
+			c := newTestCore(n)
 			c.Update(0, benchPacket(1, segment.SYN))
 			p := benchPacket(1, segment.ACK)
 			c.Update(0, p)
@@ -102,7 +102,7 @@
 func BenchmarkOpen(b *testing.B) {
 	for _, n := range []int{10, 50, 3700} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			c := newBenchCore(n)
+			c := newTestCore(n)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				p := benchPacket(i%60000, segment.SYN)
@@ -119,7 +119,7 @@
 func BenchmarkSearch(b *testing.B) {
 	for _, n := range []int{10, 50, 3700} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			c := newBenchCore(n)
+			c := newTestCore(n)
 			now := time.Duration(0)
 			datagrams := 0
 			bytes := 0
--- a/core/steer/command.go
+++ b/core/steer/command.go
@@ -43,9 +43,41 @@
 	Reason relay.Reason
 }
 
-func (*Send) command() {}
-func (Reset) command() {}
-func (Note) command()  {}
+// Measured is a time for the histograms.
+type Measured struct {
+	Measure Measure
+	Time    time.Duration
+}
+
+// Measure names what took a time.
+type Measure uint8
+
+// Measures of an entry.
+const (
+	// OpenTime: from a SYN to the word that a target answered it.
+	OpenTime Measure = iota
+	// SearchTime: from a packet of an unknown flow to the word of its owner.
+	SearchTime
+	// MissTime: from such a packet to the reset of a flow that no target holds.
+	MissTime
+	measures
+)
+
+var measureNames = [measures]string{
+	OpenTime:   "flow_open",
+	SearchTime: "owner_search",
+	MissTime:   "owner_miss",
+}
+
+// MeasureNames returns the names of all measures, in the order of their values.
+func MeasureNames() []string {
+	return measureNames[:]
+}
+
+func (*Send) command()    {}
+func (Reset) command()    {}
+func (Note) command()     {}
+func (Measured) command() {}
 
 // Decision names what was decided, for logs and counters.
 type Decision uint8
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -25,8 +25,8 @@
 	// flowSlack is how much longer than the idle time of the configuration a flow
 	// is remembered.
 	flowSlack = 5 * time.Second
-	// defaultIdle is the idle time before the first configuration.
-	defaultIdle = 60 * time.Second
+	// defaultMaxAge is the MaxFlowAge of a Core that has none.
+	defaultMaxAge = 60 * time.Second
 	// sweepTime is the time between two removals of idle flows.
 	sweepTime = time.Second
 )
@@ -39,7 +39,9 @@
 	RelayPort uint16
 	// LinkRate is the speed of the VM's link in bytes a second; zero if not known.
 	LinkRate int
-	Random   *rand.Rand
+	// MaxFlowAge is the age from which the ends discard a flow, by default 60 s.
+	MaxFlowAge time.Duration
+	Random     *rand.Rand
 
 	snapshot *catalog.Snapshot
 	// listed holds the agents of all targets in the snapshot, listing their order.
@@ -77,8 +79,14 @@
 	tried []netip.AddrPort
 	// syn is the caller's SYN, kept until a target answers it.
 	syn []byte
-	// placed is when the last of tried got the SYN.
-	placed time.Duration
+	// refused holds those of tried that handed the SYN back. Each of the others may
+	// still open the flow.
+	refused []netip.AddrPort
+	// first means that the first copy of the SYN came here.
+	first bool
+	// opened is when the SYN came, due when another target gets it if none has answered.
+	opened time.Duration
+	due    time.Duration
 	used   time.Duration
 	// ack is what the caller acknowledged last, for a reset.
 	ack uint32
@@ -116,6 +124,9 @@
 	c.questions = map[netip.AddrPort][]segment.Key{}
 	c.lastTick = now
 	c.swept = now
+	if c.MaxFlowAge == 0 {
+		c.MaxFlowAge = defaultMaxAge
+	}
 	c.probes = math.MaxInt32
 	c.probesAt = now
 }
@@ -162,6 +173,13 @@
 	})
 }
 
+func (c *Core) measure(m Measure, d time.Duration) {
+	c.commands = append(c.commands, Measured{
+		Measure: m,
+		Time:    d,
+	})
+}
+
 // note adds a line for the log, with the inputs that every line has.
 func (c *Core) note(now time.Duration, n Note) {
 	if c.snapshot != nil {
@@ -199,7 +217,7 @@
 		}
 	}
 	for _, f := range c.opening {
-		f.placed = now
+		f.due = now + acceptTime
 	}
 	for _, s := range c.searches {
 		s.since = now
@@ -208,7 +226,7 @@
 
 // sweep forgets flows that have been idle for longer than ends keep them.
 func (c *Core) sweep(now time.Duration) {
-	idle := defaultIdle
+	idle := c.MaxFlowAge
 	if c.snapshot != nil && c.snapshot.Config.IdleTime > 0 {
 		idle = c.snapshot.Config.IdleTime
 	}
--- a/core/steer/open.go
+++ b/core/steer/open.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"ibisfold.example/core/catalog"
 	"ibisfold.example/core/relay"
 	"ibisfold.example/core/segment"
 )
@@ -37,13 +38,17 @@
 
 		return
 	}
-	if ok && now-f.placed < acceptTime {
+	if ok && now < f.due {
 		// A copy that was held up on its way.
 		return
 	}
 	if !ok {
-		f = &flow{}
+		f = &flow{
+			opened: now,
+		}
 	}
+	// In a SYN, Ack counts the copies that were sent before.
+	f.first = f.first || m.Segment.Ack == 0
 	f.used = now
 	f.syn = slices.Clone(m.Packet)
 	c.place(now, k, f)
@@ -69,7 +74,7 @@
 		decision = PlacedAgain
 	}
 	f.tried = append(f.tried, addr)
-	f.placed = now
+	f.due = now + acceptTime
 	c.flows[k] = f
 	c.opening[k] = f
 	c.agent(addr).opened++
@@ -79,18 +84,18 @@
 		Agent:    addr,
 		Count:    len(f.tried),
 	})
-	c.sendOpen(now, addr, k, f, chosen.Service)
+	c.sendOpen(now, addr, k, f, chosen)
 }
 
-func (c *Core) sendOpen(now time.Duration, addr netip.AddrPort, k segment.Key, f *flow, service uint64) {
+func (c *Core) sendOpen(now time.Duration, addr netip.AddrPort, k segment.Key, f *flow, m *catalog.Member) {
 	rate := uint16(0)
-	if m, ok := c.listed[addr]; ok && now < m.ColdUntil {
-		rate = uint16(min(math.MaxUint16, 10*c.snapshot.Config.Services[service].ColdRate))
+	if now < m.ColdUntil {
+		rate = uint16(min(math.MaxUint16, 10*c.snapshot.Config.Services[m.Service].ColdRate))
 	}
 	c.agent(addr).await(now, k)
 	c.send(addr, relay.Message{
 		Kind:     relay.Open,
-		Service:  service,
+		Service:  m.Service,
 		Key:      k,
 		ColdRate: rate,
 		Packet:   f.syn,
@@ -106,9 +111,9 @@
 		return
 	}
 	addr := f.tried[len(f.tried)-1]
-	f.placed = now
+	f.due = now + acceptTime
 	if m, ok := c.listed[addr]; ok && m.Usable() {
-		c.sendOpen(now, addr, k, f, m.Service)
+		c.sendOpen(now, addr, k, f, m)
 	}
 }
 
@@ -136,27 +141,48 @@
 	}
 	k := m.Message.Key
 	f, ok := c.flows[k]
-	if !ok || f.syn == nil || f.tried[len(f.tried)-1] != m.From {
+	if !ok || f.syn == nil || !slices.Contains(f.tried, m.From) {
 		return
 	}
-	if len(f.tried) >= maxTried {
-		c.giveUp(now, k, NoTarget, len(f.tried))
+	if !slices.Contains(f.refused, m.From) {
+		f.refused = append(f.refused, m.From)
+	}
+	if f.tried[len(f.tried)-1] == m.From || len(f.refused) == len(f.tried) {
+		c.placeRefused(now, k, f)
+	}
+}
+
+// accepted notes that a target answered a SYN.
+func (c *Core) accepted(now time.Duration, k segment.Key) {
+	if f, ok := c.opening[k]; ok {
+		c.measure(OpenTime, now-f.opened)
+		delete(c.opening, k)
+	}
+}
+
+// placeRefused finds another target for a SYN that was handed back, or gives the
+// flow up if no target can have opened it.
+func (c *Core) placeRefused(now time.Duration, k segment.Key, f *flow) {
+	if _, left := c.choose(now, k, c.routeOf(k), f.tried); left && len(f.tried) < maxTried {
+		c.place(now, k, f)
 
 		return
 	}
-	if _, left := c.choose(now, k, c.routeOf(k), f.tried); !left {
+	if f.first && len(f.refused) == len(f.tried) {
 		c.giveUp(now, k, NoTarget, len(f.tried))
 
 		return
 	}
-	c.place(now, k, f)
+	// A target that got a copy of the SYN may still answer: a reset could then end an
+	// open flow.
+	delete(c.opening, k)
 }
 
 // tickOpening tries another target for each SYN that was not answered in time.
 func (c *Core) tickOpening(now time.Duration) {
 	for _, k := range segment.SortedKeys(c.opening) {
 		f := c.opening[k]
-		if now-f.placed < acceptTime {
+		if now < f.due {
 			continue
 		}
 		if len(f.tried) >= maxTried {
--- /dev/null
+++ b/core/steer/open_test.go
@@ -0,0 +1,98 @@
+package steer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+var testKey = segment.KeyOf(netip.MustParseAddrPort("100.64.0.7:40001"), testAddress)
+
+// synPacket is the caller's SYN with a number of copies before it.
+func synPacket(copies uint32) *CallerPacket {
+	return &CallerPacket{
+		Segment: segment.Segment{
+			Key:   testKey,
+			Flags: segment.SYN,
+			Ack:   copies,
+		},
+		Packet: []byte{1},
+	}
+}
+
+// refusal is an agent's answer that its target does not take the SYN.
+func refusal(from netip.AddrPort) *AgentMessage {
+	return &AgentMessage{
+		From: from,
+		Message: relay.Message{
+			Kind:   relay.Returned,
+			Reason: relay.ReasonFull,
+			Key:    testKey,
+			Packet: []byte{1},
+		},
+		Segment: segment.Segment{
+			Key:   testKey,
+			Flags: segment.SYN,
+		},
+	}
+}
+
+// opened returns the agents that the commands send the SYN to, and whether the
+// flow is reset.
+func opened(commands []Command) (to []netip.AddrPort, reset bool) {
+	for _, c := range commands {
+		switch c := c.(type) {
+		case *Send:
+			if c.Message.Kind == relay.Open {
+				to = append(to, c.To)
+			}
+		case Reset:
+			reset = true
+		}
+	}
+
+	return to, reset
+}
+
+// Guards against callers that wait though every target has refused their flow.
+func TestAllRefuse(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(2)
+	to, _ := opened(c.Update(0, synPacket(0)))
+	is.Equal(len(to), 1)
+	to, reset := opened(c.Update(time.Millisecond, refusal(to[0])))
+	is.Equal(len(to), 1)
+	is.True(!reset)
+	_, reset = opened(c.Update(2*time.Millisecond, refusal(to[0])))
+	is.True(reset)
+}
+
+// Guards against a reset of a flow that a slow target is about to open, because
+// the targets that were tried after it refused.
+func TestSlowTargetMayStillOpen(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(2)
+	first, _ := opened(c.Update(0, synPacket(0)))
+	second, _ := opened(c.Update(acceptTime, Tick{}))
+	is.Equal(len(second), 1)
+	_, reset := opened(c.Update(acceptTime+time.Millisecond, refusal(second[0])))
+	is.True(!reset)
+	_, reset = opened(c.Update(acceptTime+2*time.Millisecond, refusal(first[0])))
+	is.True(reset)
+}
+
+// Guards against a reset by an entry that sees a later copy of the SYN only: the
+// first copy may have opened the flow through another entry.
+func TestLaterCopyIsNotReset(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(1)
+	to, _ := opened(c.Update(0, synPacket(1)))
+	is.Equal(len(to), 1)
+	_, reset := opened(c.Update(time.Millisecond, refusal(to[0])))
+	is.True(!reset)
+}
--- a/core/steer/search.go
+++ b/core/steer/search.go
@@ -129,6 +129,7 @@
 	if !ok {
 		return
 	}
+	c.measure(SearchTime, now-s.began)
 	probed := s.asked[owner] == answerProbed
 	delete(c.searches, k)
 	c.remember(now, k, owner)
@@ -214,6 +215,7 @@
 
 		return
 	}
+	c.measure(MissTime, now-s.began)
 	c.note(now, Note{
 		Decision: NotHeld,
 		Key:      k,
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -32,6 +32,7 @@
 
 	core      conntrack.Core
 	decisions []*metrics.Counter
+	times     []*metrics.Histogram
 }
 
 func runOpaque(term context.Context) error {
@@ -70,12 +71,14 @@
 		toCaller: outbound.NewWriter(),
 		toTarget: target.NewWriter(),
 		core: conntrack.Core{
-			Service:  catalog.ServiceID(s.Service),
-			Complete: s.FirstStart || !listens(s.Target),
-			Started:  time.Now().UnixMilli(),
+			Service:    catalog.ServiceID(s.Service),
+			Complete:   s.FirstStart || !listens(s.Target),
+			Started:    time.Now().UnixMilli(),
+			MaxFlowAge: s.MaxFlowAge,
 		},
 	}
 	p.decisions = p.DecisionCounters(conntrack.DecisionNames())
+	p.times = p.Histograms(conntrack.MeasureNames())
 
 	return p, p.register()
 }
@@ -276,6 +279,8 @@
 		case conntrack.Reset:
 			to := platform.CallerAddress(c.Key, p.settings)
 			p.toCaller.Add(platform.AppendReset(p.toCaller.Next(), c.Key, c.Seq), to)
+		case conntrack.Measured:
+			p.times[c.Measure].Update(c.Time.Seconds())
 		case conntrack.Note:
 			p.note(c)
 		}
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -34,6 +34,7 @@
 	// last is the clock at the last packet of a caller, in nanoseconds.
 	last      atomic.Int64
 	decisions []*metrics.Counter
+	times     []*metrics.Histogram
 }
 
 func runOpaque(term context.Context) error {
@@ -66,13 +67,15 @@
 		toCaller: callers.NewWriter(),
 		toAgent:  relays.NewWriter(),
 		core: steer.Core{
-			Zone:      s.Zone,
-			RelayPort: s.Relay.Port(),
-			LinkRate:  s.LinkRate,
-			Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Zone:       s.Zone,
+			RelayPort:  s.Relay.Port(),
+			LinkRate:   s.LinkRate,
+			MaxFlowAge: s.MaxFlowAge,
+			Random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 	}
 	p.decisions = p.DecisionCounters(steer.DecisionNames())
+	p.times = p.Histograms(steer.MeasureNames())
 
 	return p, p.register()
 }
@@ -299,6 +302,8 @@
 		case steer.Reset:
 			to := platform.CallerAddress(c.Key, p.settings)
 			p.toCaller.Add(platform.AppendReset(p.toCaller.Next(), c.Key, c.Seq), to)
+		case steer.Measured:
+			p.times[c.Measure].Update(c.Time.Seconds())
 		case steer.Note:
 			p.note(c)
 		}
