--- /dev/null
+++ b/proof/opaque_deployment_test.go
@@ -0,0 +1,86 @@
+package proof_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	// opaqueDeployments is the number of random deployments that CI plays. More: IBISFOLD_SEEDS=500.
+	opaqueDeployments = 30
+	// opaqueDeploymentFaults is the number of faults in each.
+	opaqueDeploymentFaults = 12
+)
+
+// opaqueDeployment returns a world with random zones, VMs, slots, work and links,
+// and its callers.
+func opaqueDeployment(t *testing.T, seed uint64) (*opaqueWorld, []*opaqueCaller) {
+	w := newOpaqueWorld(t, seed)
+	w.linkRate = []int{0, 1_250_000, 25_000_000}[w.random.IntN(3)]
+	zones := 1 + w.random.IntN(5)
+	slots := 1 + w.random.IntN(7)
+	work := time.Duration(5+w.random.IntN(50)) * time.Millisecond
+	capacity := 0
+	for z := range zones {
+		zone := string(rune('a' + z))
+		for i := range 1 + w.random.IntN(3) {
+			w.addEntry(zone, fmt.Sprintf("10.%d.1.%d:%d", z, i+1, opaqueRelayPort))
+		}
+		for i := range 1 + w.random.IntN(4) {
+			a := w.addAgent(zone, fmt.Sprintf("10.%d.2.%d:%d", z, i+1, opaqueRelayPort), opaqueService, true)
+			a.target.slots = slots
+			a.target.work = work
+			capacity += slots
+		}
+		// A route may be moved to this service, so it has to bear the load alone.
+		for i := range 4 {
+			a := w.addAgent(zone, fmt.Sprintf("10.%d.3.%d:%d", z, i+1, opaqueRelayPort), "kartendienst", true)
+			a.target.slots = slots
+			a.target.work = work
+		}
+	}
+	w.publish()
+	w.startTicks()
+	callers := []*opaqueCaller{}
+	for i := range max(2, capacity) {
+		pause := 4 * work
+		if i%4 == 0 {
+			pause = 3 * time.Second
+		}
+		callers = append(callers, w.addCaller(string(rune('a'+i%zones)), pause))
+	}
+
+	return w, callers
+}
+
+// Guards against decisions that hold for three zones and the sites' figures only:
+// zones from 1 to 5, one or more entries and targets in each, 1 to 7 slots, work of
+// 5 to 55 ms, links of 10 Mbit/s and more.
+func TestOpaqueDeployments(t *testing.T) {
+	for seed := range seedsOr(opaqueDeployments) {
+		w, callers := opaqueDeployment(t, 5000+seed)
+		w.run(time.Second)
+		for range opaqueDeploymentFaults {
+			f := opaqueFaults[w.random.IntN(len(opaqueFaults))]
+			w.story = append(w.story, fmt.Sprint(w.now, " ", f.name))
+			f.run(w)
+			w.run(time.Duration(w.random.Int64N(int64(time.Second))))
+		}
+		for _, a := range w.agents {
+			a.target.draining = false
+		}
+		w.publish()
+		w.run(opaqueCalmTime)
+		opaqueTotals(callers)
+		w.run(opaqueCalmTime)
+		for _, c := range callers {
+			if c.answers == 0 {
+				w.breaks("caller in zone %s was not served after the faults", c.zone)
+			}
+		}
+		if len(w.broken) > 0 {
+			t.Errorf("seed %d: %d broken, first: %s", 5000+seed, len(w.broken), w.broken[0])
+		}
+	}
+}
--- a/proof/opaque_fuzz_test.go
+++ b/proof/opaque_fuzz_test.go
@@ -236,15 +236,20 @@
 	}
 }
 
+// seedsOr returns the number of seeds that the environment asks for.
+func seedsOr(usual uint64) uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("IBISFOLD_SEEDS"), 10, 64); err == nil {
+		return n
+	}
+
+	return usual
+}
+
 // Guards against any order of faults that ends a living flow or leaves a caller
 // without service. A seed that fails is kept in opaqueRegressions. More seeds:
 // IBISFOLD_SEEDS=500.
 func TestOpaqueFuzz(t *testing.T) {
-	seeds := uint64(opaqueFuzzSeeds)
-	if n, err := strconv.ParseUint(os.Getenv("IBISFOLD_SEEDS"), 10, 64); err == nil {
-		seeds = n
-	}
-	for seed := range seeds {
+	for seed := range seedsOr(opaqueFuzzSeeds) {
 		for _, skew := range []time.Duration{0, opaqueSkew} {
 			if broken := opaqueFuzz(t, 1000+seed, opaqueAll, skew); len(broken) > 0 {
 				t.Errorf("seed %d, skew %v: %d broken, first: %s", 1000+seed, skew, len(broken), broken[0])
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -141,6 +141,12 @@
 		}
 	}
 	w.publish()
+	w.startTicks()
+
+	return w
+}
+
+func (w *opaqueWorld) startTicks() {
 	w.every(steer.TickTime, func() {
 		for _, e := range w.entries {
 			if !e.down {
@@ -153,8 +159,6 @@
 			}
 		}
 	})
-
-	return w
 }
 
 func (w *opaqueWorld) after(d time.Duration, run func()) {
