--- /dev/null
+++ b/proof/opaque_matrix_test.go
@@ -0,0 +1,137 @@
+package proof_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+)
+
+// opaqueStep is planned work on opaque flows.
+type opaqueStep struct {
+	name string
+	run  func(w *opaqueWorld)
+}
+
+// opaqueCellStep is the distance of the cells that CI plays. IBISFOLD_CELLS=all
+// plays all of them.
+const opaqueCellStep = 4
+
+// opaqueStepTime is how long each step takes at most.
+const opaqueStepTime = 3 * time.Second
+
+var opaqueSteps = []opaqueStep{
+	{"none", func(*opaqueWorld) {}},
+	{"target drains and leaves", func(w *opaqueWorld) {
+		a := w.agents[0]
+		a.target.draining = true
+		w.publish()
+		w.after(opaqueStepTime, func() {
+			a.impair(w.now + time.Hour)
+			a.target.gone = true
+			w.publish()
+		})
+	}},
+	{"target is added", func(w *opaqueWorld) {
+		a := w.addAgent("a", fmt.Sprintf("10.0.2.9:%d", opaqueRelayPort), opaqueService, true)
+		a.target.born = w.wall()
+		w.publish()
+	}},
+	{"route moves", func(w *opaqueWorld) {
+		w.moved = "kartendienst"
+		w.publish()
+	}},
+	{"route moves to and fro", func(w *opaqueWorld) {
+		for i, service := range []string{"kartendienst", opaqueService, "kartendienst"} {
+			w.after(time.Duration(i)*time.Second, func() {
+				w.moved = service
+				w.publish()
+			})
+		}
+	}},
+	{"entries are replaced in turn", func(w *opaqueWorld) {
+		for i, e := range w.entries {
+			at := time.Duration(i) * opaqueRestart
+			w.after(at, func() {
+				e.down = true
+				e.rotated = true
+			})
+			w.after(at+opaqueRestart, func() {
+				w.startEntry(e)
+				e.rotated = false
+			})
+		}
+	}},
+	{"agents are replaced in turn", func(w *opaqueWorld) {
+		for i, a := range w.agents {
+			w.after(time.Duration(i)*opaqueRestart/2, func() {
+				if !a.down {
+					w.stopAgent(a, opaqueRestart)
+				}
+			})
+		}
+	}},
+}
+
+// opaqueMoments are when a fault comes, from the begin of the step.
+var opaqueMoments = []struct {
+	name string
+	at   time.Duration
+}{
+	{"before", -300 * time.Millisecond},
+	{"during", 700 * time.Millisecond},
+	{"after", opaqueStepTime + 200*time.Millisecond},
+}
+
+// opaqueCell plays one fault at one moment of one step, twice in a row.
+func opaqueCell(t *testing.T, seed uint64, s *opaqueStep, f *opaqueFault, at time.Duration, kind opaqueKind) []string {
+	w := opaqueSite(t, seed, 2)
+	w.messy = kind == opaqueMessy
+	if kind == opaqueSkewed {
+		w.skew = opaqueSkew
+	}
+	for z, zone := range []string{"a", "b", "c"} {
+		w.addAgent(zone, fmt.Sprintf("10.%d.3.1:%d", z, opaqueRelayPort), "kartendienst", true)
+	}
+	w.publish()
+	callers := append(w.addCallers(18, 50*time.Millisecond), w.addCallers(6, time.Second)...)
+	const begin = 2500 * time.Millisecond
+	w.after(begin, func() { s.run(w) })
+	w.after(begin+at, func() { f.run(w) })
+	w.after(begin+at+200*time.Millisecond, func() { f.run(w) })
+	w.run(begin + opaqueStepTime + opaqueCalmTime)
+	opaqueTotals(callers)
+	w.run(opaqueCalmTime)
+	for _, c := range callers {
+		if c.answers == 0 {
+			w.breaks("caller %v in zone %s was not served after the faults", c.key, c.zone)
+		}
+	}
+
+	return w.broken
+}
+
+// Guards against a fault that ends a living flow, or leaves a caller without
+// service, beside planned work: every fault, twice, before, during and after every
+// step, in orderly, skewed and messy networks.
+func TestOpaqueMatrix(t *testing.T) {
+	cells := 0
+	all := os.Getenv("IBISFOLD_CELLS")
+	for i := range opaqueSteps {
+		for j := range opaqueFaults {
+			for _, m := range opaqueMoments {
+				for _, kind := range []opaqueKind{opaqueOrderly, opaqueSkewed, opaqueMessy} {
+					cells++
+					if all == "" && cells%opaqueCellStep != 0 {
+						continue
+					}
+					s, f := &opaqueSteps[i], &opaqueFaults[j]
+					if broken := opaqueCell(t, uint64(7000+cells), s, f, m.at, kind); len(broken) > 0 {
+						t.Errorf("%s / %s / %s / %s: %d broken, first: %s", s.name, f.name, m.name, kind, len(broken), broken[0])
+					}
+				}
+			}
+		}
+	}
+	t.Logf("Cells=%d", cells)
+}
