--- a/proof/opaque_fuzz_test.go
+++ b/proof/opaque_fuzz_test.go
@@ -277,9 +277,10 @@
 		cause: "a flow was placed on a target that only one entry knew, and another entry reset it",
 	},
 	{
-		seed:  1022,
-		kind:  opaqueMessy,
-		cause: "a message from before an agent's announced stop came after it and took the announcement back",
+		seed: 1022,
+		kind: opaqueMessy,
+		cause: "a message from before an agent's announced stop came after it and took the announcement back; " +
+			"also found by hunt on eisruf-lb, evacuation-beside-kills --vary --seed 869248578745",
 	},
 }
 
