Do not change batches that peers read, and wait longer for a slow store

Found by reading: the follower of a source set the mark AfterOutage in the batch that its log already passed on, while peers may be reading it (TestLogKeepsItsBatches). Each call at the store that fails lets the next one take 0.5 s more, up to 1.5 s: a source gave up a store slower than 0.5 s for ever (TestSlowService).

--- a/core/feed/follower.go
+++ b/core/feed/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,10 @@
 	// the same for a source's own call and for a call at a source.
 	serviceTime = 700 * time.Millisecond
 	sourceTime  = 500 * time.Millisecond
+	// patience is added to that time for each call at the service that failed, up to
+	// mostTime: a service that has turned slow still answers.
+	patience = 500 * time.Millisecond
+	mostTime = 1500 * time.Millisecond
 	// gatherTime is the pause after changes, so that one call brings several, and
 	// sourceGather that of a source. They are short while news is urgent: in the first
 	// settleTime after the start, when targets that lost power come back too.
@@ -75,6 +80,8 @@
 	// outageEnd is when the last outage ended.
 	outageEnd time.Time
 	retry     time.Duration
+	// failures counts the calls at the service that failed in a row.
+	failures int
 }
 
 // peer is a source that may be followed.
@@ -166,6 +173,7 @@
 	if f.direct {
 		wait = lookWait
 	}
+	limit = min(limit+time.Duration(f.failures)*patience, mostTime)
 	f.Called(false)
 	b, err := f.call(ctx, f.Service, f.lists(), wait, limit)
 	if errors.Is(err, ErrHistory) {
@@ -281,13 +289,15 @@
 	if len(b.Changes) == 0 {
 		return
 	}
-	for i, c := range b.Changes {
+	// Peers may be reading b from the log.
+	changes := slices.Clone(b.Changes)
+	for i, c := range changes {
 		if g, ok := c.(catalog.TargetGone); ok {
 			g.AfterOutage = g.AfterOutage || after
-			b.Changes[i] = g
+			changes[i] = g
 		}
 	}
-	f.Change(b.Changes)
+	f.Change(changes)
 }
 
 func (f *Follower) gather(source bool) time.Duration {
@@ -316,6 +326,7 @@
 	}
 	f.answered = now
 	f.retry = 0
+	f.failures = 0
 }
 
 // failed notes a call at the service that failed and returns the pause before the
@@ -325,6 +336,7 @@
 		return 0
 	}
 	f.failing = true
+	f.failures++
 	f.direct = false
 	f.Lost(err)
 	f.Service.Disconnect()
--- a/core/feed/follower_test.go
+++ b/core/feed/follower_test.go
@@ -282,3 +282,58 @@
 	_, err = f.Log.Watch(context.Background(), 5, time.Hour)
 	is.True(errors.Is(err, ErrUnavailable))
 }
+
+// Guards against a source that changes what its peers are reading.
+func TestLogKeepsItsBatches(t *testing.T) {
+	is := is.New(t)
+	service := &upstreamStandIn{
+		list: listOf(5),
+		watch: func(uint64, time.Duration) (Batch, error) {
+			return Batch{
+				Revision: 6,
+				Changes: []catalog.Change{
+					catalog.TargetGone{
+						ID: "i-1",
+					},
+				},
+			}, nil
+		},
+	}
+	f, changes := newTestFollower(service)
+	f.Log = &Log{}
+	f.Follow(true, nil)
+	f.step(context.Background())
+	f.outageEnd = time.Now()
+	f.step(context.Background())
+	is.True((*changes)[1].(catalog.TargetGone).AfterOutage)
+	is.True(!f.Log.history[0].Changes[0].(catalog.TargetGone).AfterOutage)
+}
+
+// Guards against a follower that gives up every call at a service which has turned
+// slow.
+func TestSlowService(t *testing.T) {
+	is := is.New(t)
+	service := &slowUpstream{
+		time: 1200 * time.Millisecond,
+	}
+	f, changes := newTestFollower(service)
+	for range 4 {
+		f.step(context.Background())
+	}
+	is.True(len(*changes) > 0)
+}
+
+// slowUpstream takes a time for each listing.
+type slowUpstream struct {
+	upstreamStandIn
+	time time.Duration
+}
+
+func (u *slowUpstream) List(ctx context.Context) (Batch, error) {
+	select {
+	case <-time.After(u.time):
+		return listOf(5)()
+	case <-ctx.Done():
+		return Batch{}, ErrUnavailable
+	}
+}
