Let targets that come back after an outage take flows at once

Cause: the wait of targets that others may not know applied to all that a running entry sees for the first time. Change: only targets that have just started wait (TestTargetsComeBackAfterOutage).

--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -43,10 +43,12 @@
 	// maxUnheard bounds the packets that are kept for an agent: those that its
 	// callers send within a second at most.
 	maxUnheard = 128
-	// spreadTime is how long after its first listing here a target gets no new flow if
-	// there is another: other entries may learn of it later, by 0.7 s as a rule and by
-	// 1.5 s where the source that they follow fails. One that gets a packet of a flow of
-	// a target that it has never heard of would find that no target holds the flow.
+	// spreadTime is how long after its first listing here a target that has just started
+	// gets no new flow if there is another: other entries may learn of it later, by 0.7 s
+	// as a rule and by 1.5 s where the source that they follow fails. One that gets a
+	// packet of a flow of a target that it has never heard of would find that no target
+	// holds the flow. Targets that only come back to the list, after an outage of the
+	// configuration service, do not wait: those before them would be overrun.
 	spreadTime = 2 * time.Second
 	// slowTime is how long an agent may not answer before new flows avoid it.
 	slowTime = 80 * time.Millisecond
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -132,7 +132,6 @@
 }
 
 func (c *Core) setSnapshot(now time.Duration, m CatalogChanged) {
-	first := c.snapshot == nil
 	old := c.listed
 	n := m.Snapshot
 	c.snapshot = n
@@ -142,7 +141,7 @@
 		g := n.Groups[service]
 		for i := range g {
 			a := c.agentOf(&g[i])
-			if _, ok := old[a]; !ok && (!first || m.fresh(now, &g[i])) {
+			if _, ok := old[a]; !ok && m.fresh(now, &g[i]) {
 				c.agent(a).spread = now + spreadTime
 			}
 			c.listed[a] = &g[i]
--- a/core/steer/message.go
+++ b/core/steer/message.go
@@ -30,8 +30,8 @@
 // CatalogChanged brings a new view of routes and targets.
 type CatalogChanged struct {
 	Snapshot *catalog.Snapshot
-	// Wall is the time of day in Unix milliseconds. It may be off by seconds, so it
-	// only tells which targets of the first view started lately.
+	// Wall is the time of day in Unix milliseconds. It may be off by seconds; it only
+	// tells which targets started lately.
 	Wall int64
 }
 
--- a/core/steer/open_test.go
+++ b/core/steer/open_test.go
@@ -135,3 +135,19 @@
 	is.True(c.agent(to[0]).slow(2 * time.Millisecond))
 	is.True(!c.agent(to[0]).slow(stopTime + 2*time.Millisecond))
 }
+
+// Guards against targets that get no flows while others are overrun, because their
+// entries had expired in an outage and came back after those of the others. Pattern:
+// all entries start during the outage. Found by score on eisruf-lb, scale-1.
+func TestTargetsComeBackAfterOutage(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(1)
+	n := newTestCore(3).snapshot
+	c.Update(time.Second, CatalogChanged{
+		Snapshot: n,
+		Wall:     time.Hour.Milliseconds(),
+	})
+	for _, a := range c.listing {
+		is.Equal(c.agent(a).spread, time.Duration(0))
+	}
+}
