--- a/core/agent/caller_test.go
+++ b/core/agent/caller_test.go
@@ -66,7 +66,7 @@
 		return
 	}
 	f.w.toAgent(f.at.addr, ticket.ID(f.at.name), 0, f.packet(packet.Open))
-	f.w.after(wait, func() {
+	f.w.After(wait, func() {
 		f.connect(parallel, min(2*wait, 2*time.Second))
 	})
 	if wait == openRepeat {
@@ -77,7 +77,7 @@
 // start begins the requests once the flow is open.
 func (f *testCaller) start(parallel int) {
 	if !f.open {
-		f.w.after(20*time.Millisecond, func() {
+		f.w.After(20*time.Millisecond, func() {
 			f.start(parallel)
 		})
 		return
@@ -93,7 +93,7 @@
 		return
 	}
 	f.send(f.packet(packet.KeepAlive))
-	f.w.after(2*time.Second, f.keepAlive)
+	f.w.After(2*time.Second, f.keepAlive)
 }
 
 func (f *testCaller) packet(k packet.Kind) packet.Packet {
@@ -119,7 +119,7 @@
 	f.next++
 	f.waiting[f.next] = &call{
 		parts: map[uint32]bool{},
-		sent:  f.w.now,
+		sent:  f.w.Now,
 	}
 	f.repeat(f.next, 100*time.Millisecond)
 }
@@ -133,10 +133,10 @@
 	p := f.packet(packet.Request)
 	p.Request = number
 	p.Idempotent = f.idempotent
-	p.Deadline = max(time.Millisecond, f.deadline-(f.w.now-c.sent))
+	p.Deadline = max(time.Millisecond, f.deadline-(f.w.Now-c.sent))
 	p.Payload = fmt.Appendf(nil, "%d/%d", f.flow, number)
 	f.send(p)
-	f.w.after(wait, func() {
+	f.w.After(wait, func() {
 		f.repeat(number, min(2*wait, time.Second))
 	})
 }
@@ -169,7 +169,7 @@
 		return
 	}
 	f.finish(p)
-	f.w.after(f.idle, f.ask)
+	f.w.After(f.idle, f.ask)
 }
 
 func (f *testCaller) ended(p *packet.Packet) {
@@ -199,7 +199,7 @@
 		kind:   p.Kind,
 		status: p.Status,
 		after:  p.RetryAfter,
-		took:   f.w.now - f.waiting[p.Request].sent,
+		took:   f.w.Now - f.waiting[p.Request].sent,
 	}
 	delete(f.waiting, p.Request)
 }
--- a/core/agent/chaos_test.go
+++ b/core/agent/chaos_test.go
@@ -18,7 +18,7 @@
 	for seed := range uint64(*chaosSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newWorld(t, seed, 4)
-			w.run(2 * time.Second)
+			w.Run(2 * time.Second)
 			w.lossy(0.3 * w.rand.Float64())
 			w.load(24, 200, 1+int(seed%3))
 			for _, f := range w.callers {
@@ -32,10 +32,10 @@
 				out:    make([]bool, 3),
 			}
 			for range 60 {
-				w.run(time.Duration(w.rand.Int64N(int64(time.Second))))
+				w.Run(time.Duration(w.rand.Int64N(int64(time.Second))))
 				c.step()
 			}
-			w.run(30 * time.Second)
+			w.Run(30 * time.Second)
 			w.check(t)
 			if w.total(packet.StatusOK) == 0 {
 				t.Error("no request was answered")
@@ -100,7 +100,7 @@
 
 func (c *chaos) during(set func(on bool)) {
 	set(true)
-	c.w.after(time.Duration(c.w.rand.Int64N(int64(8*time.Second))), func() {
+	c.w.After(time.Duration(c.w.rand.Int64N(int64(8*time.Second))), func() {
 		set(false)
 	})
 }
@@ -111,7 +111,7 @@
 		return
 	}
 	c.w.update(a, Stop{})
-	c.w.after(10*time.Second, func() {
+	c.w.After(10*time.Second, func() {
 		if a.stopped {
 			c.w.start(a)
 		}
--- a/core/agent/core_test.go
+++ b/core/agent/core_test.go
@@ -31,10 +31,10 @@
 		for seed := range uint64(5) {
 			is := is.New(t)
 			w := newWorld(t, seed, 3)
-			w.run(2 * time.Second)
+			w.Run(2 * time.Second)
 			w.lossy(loss)
 			w.load(30, 20, 2)
-			w.run(2 * time.Minute)
+			w.Run(2 * time.Minute)
 			w.check(t)
 			is.Equal(w.resets(), 0)
 			is.True(w.total(packet.StatusOK) >= 594)
@@ -51,10 +51,10 @@
 		w := newWorld(t, 7, 3)
 		w.lossy(0.2)
 		w.load(30, 20, 2)
-		w.run(3 * time.Second)
+		w.Run(3 * time.Second)
 		w.ticket("Ticket: 2\nTargets:\n" + targetLine(0, "s", "Draining"))
 		w.restartTarget(w.agents[1])
-		w.run(time.Minute)
+		w.Run(time.Minute)
 		counters := []Counters{}
 		for _, a := range w.agents {
 			counters = append(counters, a.core.Counters)
@@ -71,21 +71,21 @@
 	for seed := range uint64(5) {
 		is := is.New(t)
 		w := newWorld(t, seed, 3)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.lossy(0.1)
 		w.load(30, 40, 2)
 		for range 5 {
-			w.run(time.Second)
+			w.Run(time.Second)
 			w.restartTarget(w.agents[1])
-			w.run(100 * time.Millisecond)
+			w.Run(100 * time.Millisecond)
 			is.True(w.agents[1].target.most <= 1)
 		}
 		w.agents[2].target.down = true
 		clear(w.agents[2].target.running)
-		w.run(5 * time.Second)
+		w.Run(5 * time.Second)
 		w.agents[2].target.down = false
 		w.agents[2].target.boot++
-		w.run(time.Minute)
+		w.Run(time.Minute)
 		w.check(t)
 		is.Equal(w.resets(), 0)
 		is.True(w.total(packet.StatusOutcomeUnknown) > 0)
@@ -99,17 +99,17 @@
 	for seed := range uint64(5) {
 		is := is.New(t)
 		w := newWorld(t, seed, 3)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.lossy(0.1)
 		w.load(30, 40, 2)
 		for _, f := range w.callers {
 			f.idempotent = true
 		}
 		for i := range 10 {
-			w.run(500 * time.Millisecond)
+			w.Run(500 * time.Millisecond)
 			w.restartTarget(w.agents[i%3])
 		}
-		w.run(time.Minute)
+		w.Run(time.Minute)
 		w.check(t)
 		is.True(w.total(packet.StatusOK) > 1100)
 	}
@@ -121,19 +121,19 @@
 	for seed := range uint64(5) {
 		is := is.New(t)
 		w := newWorld(t, seed, 3)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		a := w.agents[0]
 		a.target.work = 2 * time.Second
 		w.load(12, 10, 2)
-		w.run(3 * time.Second)
+		w.Run(3 * time.Second)
 		a.target.most = 0
 		a.target.got = 0
 		old := a.incarnation
 		w.start(a)
-		w.run(50 * time.Millisecond)
+		w.Run(50 * time.Millisecond)
 		is.True(a.core.Load().Running <= a.target.slots)
 		is.Equal(a.core.Load().Running, len(a.target.running))
-		w.run(time.Minute)
+		w.Run(time.Minute)
 		w.check(t)
 		is.True(w.resets() > 0)
 		is.Equal(a.core.Counters.Shed, uint64(0))
@@ -149,17 +149,17 @@
 	for seed := range uint64(8) {
 		is := is.New(t)
 		w := newWorld(t, seed, 3)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.lossy(0.1)
 		w.agents[0].target.work = 500 * time.Millisecond
 		for range 15 {
 			w.caller(w.agents[0], 20, 2)
 		}
 		for range 10 {
-			w.run(300 * time.Millisecond)
+			w.Run(300 * time.Millisecond)
 			w.start(w.agents[1])
 		}
-		w.run(2 * time.Minute)
+		w.Run(2 * time.Minute)
 		w.check(t)
 		is.True(w.agents[0].core.Counters.OffersSent > 0)
 		is.True(w.total(packet.StatusOK) > 0)
@@ -172,19 +172,19 @@
 	for seed := range uint64(5) {
 		is := is.New(t)
 		w := newWorld(t, seed, 3)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		for range 20 {
 			w.caller(w.agents[0], 30, 2)
 		}
-		w.run(time.Second)
+		w.Run(time.Second)
 		far := w.agents[1].addr
 		w.cut = func(from, _ netip.AddrPort) bool {
 			return from == far
 		}
-		w.run(10 * time.Second)
+		w.Run(10 * time.Second)
 		is.True(len(w.agents[0].suspects) > 0)
 		w.cut = nil
-		w.run(2 * time.Minute)
+		w.Run(2 * time.Minute)
 		w.check(t)
 		is.Equal(w.total(packet.StatusOK)+w.total(packet.StatusNotRun)+w.total(packet.StatusOutcomeUnknown), 600-w.left())
 	}
--- a/core/agent/drain_test.go
+++ b/core/agent/drain_test.go
@@ -18,17 +18,17 @@
 			t.Run(fmt.Sprint(loss, "/", seed), func(t *testing.T) {
 				is := is.New(t)
 				w := newWorld(t, seed, 3)
-				w.run(2 * time.Second)
+				w.Run(2 * time.Second)
 				w.lossy(loss)
 				w.load(30, 100, 1)
-				w.run(3 * time.Second)
+				w.Run(3 * time.Second)
 				w.ticket("Ticket: 2\nTargets:\n" + targetLine(0, "s", "Draining"))
-				w.run(3300 * time.Millisecond)
+				w.Run(3300 * time.Millisecond)
 				w.agents[0].target.got = 0
-				w.run(time.Minute)
+				w.Run(time.Minute)
 				is.Equal(w.agents[0].target.got, 0)
 				is.Equal(w.agents[0].core.Load().Flows, 0)
-				w.run(3 * time.Minute)
+				w.Run(3 * time.Minute)
 				w.check(t)
 				is.Equal(w.resets(), 0)
 				is.True(w.agents[0].core.Counters.FlowsHandedOver > 0)
@@ -44,17 +44,17 @@
 	for seed := range uint64(5) {
 		is := is.New(t)
 		w := newWorld(t, seed, 3)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.lossy(0.1)
 		w.load(30, 1000, 1)
 		n := 2
 		for i := range 6 {
-			w.run(4 * time.Second)
+			w.Run(4 * time.Second)
 			w.ticket(fmt.Sprintf("Ticket: %d\nTargets:\n%s%s%s", n,
 				targetLine(i%3, "s", "Draining"), targetLine((i+1)%3, "s", ""), targetLine((i+2)%3, "s", "")))
 			n++
 		}
-		w.run(10 * time.Second)
+		w.Run(10 * time.Second)
 		w.check(t)
 		is.Equal(w.resets(), 0)
 		is.Equal(w.total(packet.StatusOutcomeUnknown), 0)
@@ -67,19 +67,19 @@
 	for seed := range uint64(5) {
 		is := is.New(t)
 		w := newWorld(t, seed, 3)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.lossy(0.1)
 		w.load(30, 200, 1)
-		w.run(3 * time.Second)
-		start := w.now
+		w.Run(3 * time.Second)
+		start := w.Now
 		w.update(w.agents[0], Stop{})
-		for !w.agents[0].stopped && w.now < start+time.Minute {
-			w.run(100 * time.Millisecond)
+		for !w.agents[0].stopped && w.Now < start+time.Minute {
+			w.Run(100 * time.Millisecond)
 		}
 		is.True(w.agents[0].stopped)
-		is.True(w.now-start < DefaultStopTimeout)
+		is.True(w.Now-start < DefaultStopTimeout)
 		w.agents[0].down = true
-		w.run(2 * time.Minute)
+		w.Run(2 * time.Minute)
 		w.check(t)
 		is.Equal(w.resets(), 0)
 		is.Equal(w.total(packet.StatusOutcomeUnknown), 0)
@@ -92,14 +92,14 @@
 	is := is.New(t)
 	w := newWorld(t, 1, 1)
 	w.agents[0].target.work = 3 * time.Second
-	w.run(time.Second)
+	w.Run(time.Second)
 	f := w.caller(w.agents[0], 1, 1)
-	w.run(time.Second)
+	w.Run(time.Second)
 	w.update(w.agents[0], Stop{})
-	w.run(10 * time.Second)
+	w.Run(10 * time.Second)
 	is.True(!w.agents[0].stopped)
 	is.Equal(f.outcomes[1].kind, packet.Answer)
-	w.run(DefaultStopTimeout)
+	w.Run(DefaultStopTimeout)
 	is.True(w.agents[0].stopped)
 	is.True(f.reset)
 	w.check(t)
@@ -111,18 +111,18 @@
 	for seed := range uint64(10) {
 		is := is.New(t)
 		w := newWorld(t, seed, 2)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.lossy(0.3)
 		for range 20 {
 			w.caller(w.agents[0], 100, 1)
 		}
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.ticket("Ticket: 2\nTargets:\n" + targetLine(0, "s", "Draining"))
 		for range 5 {
-			w.run(200 * time.Millisecond)
+			w.Run(200 * time.Millisecond)
 			w.start(w.agents[1])
 		}
-		w.run(time.Minute)
+		w.Run(time.Minute)
 		w.check(t)
 		is.True(w.agents[0].core.Counters.FlowsHandedOver > 0)
 	}
@@ -134,24 +134,24 @@
 	for seed := range uint64(5) {
 		is := is.New(t)
 		w := newWorld(t, seed, 3)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.lossy(0.1)
 		w.load(30, 200, 2)
-		w.run(3 * time.Second)
+		w.Run(3 * time.Second)
 		flows := w.agents[0].core.Load().Flows
 		w.ticket("Ticket: 2\nZones:\n  - {Name: z0, InService: false}")
-		w.run(time.Second)
+		w.Run(time.Second)
 		a := w.agents[0]
 		a.target.got = 0
 		is.Equal(a.core.Load().Flows, 0)
 		is.True(a.core.Counters.FlowsGivenUp >= uint64(flows))
-		w.run(10 * time.Second)
+		w.Run(10 * time.Second)
 		is.Equal(a.target.got, 0)
 		is.Equal(uint64(w.resets()), a.core.Counters.FlowsGivenUp)
 		w.ticket("Ticket: 3\nZones:\n  - {Name: z0, InService: true}")
-		a.target.told = w.now
+		a.target.told = w.Now
 		a.target.most = 0
-		w.run(time.Minute)
+		w.Run(time.Minute)
 		w.check(t)
 		is.True(a.target.got > 0)
 	}
@@ -162,21 +162,21 @@
 func TestPausedWhileZoneGoesOut(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, 3)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	w.load(30, 1000, 2)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	a := w.agents[0]
 	a.paused = true
 	w.ticket("Ticket: 2\nZones:\n  - {Name: z0, InService: false}")
-	w.run(time.Minute)
+	w.Run(time.Minute)
 	a.target.got = 0
 	a.paused = false
 	a.unconfirmed = true
-	w.run(3 * time.Second)
+	w.Run(3 * time.Second)
 	is.Equal(a.target.got, 0)
 	is.True(a.core.Counters.Held > 0)
 	a.unconfirmed = false
-	w.run(3 * time.Second)
+	w.Run(3 * time.Second)
 	is.Equal(a.target.got, 0)
 	is.Equal(a.core.Load().Flows, 0)
 	w.check(t)
@@ -188,16 +188,16 @@
 	for seed := range uint64(5) {
 		is := is.New(t)
 		w := newWorld(t, seed, 3)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.lossy(0.1)
 		w.load(30, 100, 2)
 		for i, d := range []time.Duration{3, 4, 12} {
-			w.run(time.Second)
+			w.Run(time.Second)
 			w.agents[i].unconfirmed = true
-			w.run(d * time.Second)
+			w.Run(d * time.Second)
 			w.agents[i].unconfirmed = false
 		}
-		w.run(2 * time.Minute)
+		w.Run(2 * time.Minute)
 		w.check(t)
 		is.Equal(w.resets(), 0)
 		is.True(w.total(packet.StatusOK) > 2500)
@@ -210,14 +210,14 @@
 	for seed := range uint64(5) {
 		is := is.New(t)
 		w := newWorld(t, seed, 3)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.lossy(0.1)
 		w.load(30, 100, 1)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.ticket("Ticket: 2\nTargets:\n" + targetLine(0, "u", ""))
-		w.run(time.Second)
+		w.Run(time.Second)
 		w.ticket("Ticket: 3\nTargets:\n" + targetLine(1, "s", "Draining"))
-		w.run(2 * time.Minute)
+		w.Run(2 * time.Minute)
 		w.check(t)
 		is.Equal(w.resets(), 0)
 		is.Equal(w.agents[0].core.Load().Flows, 0)
@@ -233,15 +233,15 @@
 	for seed := range uint64(3) {
 		is := is.New(t)
 		w := newWorld(t, seed, 3)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.lossy(0.1)
 		w.load(6, 500, 12)
-		w.run(3 * time.Second)
+		w.Run(3 * time.Second)
 		w.update(w.agents[0], Stop{})
-		w.run(DefaultStopTimeout)
+		w.Run(DefaultStopTimeout)
 		is.True(w.agents[0].stopped)
 		is.Equal(w.agents[0].core.Counters.FlowsCut, uint64(0))
-		w.run(2 * time.Minute)
+		w.Run(2 * time.Minute)
 		w.check(t)
 		is.Equal(w.resets(), 0)
 		is.Equal(w.total(packet.StatusOK), 3000)
@@ -254,14 +254,14 @@
 	for seed := range uint64(5) {
 		is := is.New(t)
 		w := newWorld(t, seed, 3)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.lossy(0.1)
 		w.load(30, 100, 1)
-		w.run(2 * time.Second)
+		w.Run(2 * time.Second)
 		w.ticket("Ticket: 2\nRemoved:\n  - Target: t0")
-		w.run(time.Second)
+		w.Run(time.Second)
 		w.agents[0].target.got = 0
-		w.run(2 * time.Minute)
+		w.Run(2 * time.Minute)
 		w.check(t)
 		is.Equal(w.agents[0].target.got, 0)
 		is.Equal(w.resets(), 0)
--- a/core/agent/limits_test.go
+++ b/core/agent/limits_test.go
@@ -15,11 +15,11 @@
 func TestConnectionLimit(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, 2)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	for range 230 {
 		w.caller(w.agents[0], 0, 0)
 	}
-	w.run(4 * time.Second)
+	w.Run(4 * time.Second)
 	is.Equal(w.agents[0].core.Load().Flows, 100)
 	is.Equal(w.agents[1].core.Load().Flows, 100)
 	refused := w.agents[0].core.Counters.FlowsRefused + w.agents[1].core.Counters.FlowsRefused
@@ -33,13 +33,13 @@
 	w := newWorld(t, 1, 1)
 	a := w.agents[0]
 	a.target.work = 100 * time.Millisecond
-	w.run(time.Second)
+	w.Run(time.Second)
 	warm := w.caller(a, 40, 1)
-	w.run(20 * time.Second)
+	w.Run(20 * time.Second)
 	is.Equal(warm.count(packet.StatusOK), 40)
 	f := w.caller(a, 60, 30)
 	f.deadline = time.Second
-	w.run(400 * time.Millisecond)
+	w.Run(400 * time.Millisecond)
 	is.True(f.count(packet.StatusNotRun) > 0)
 	for _, o := range f.outcomes {
 		if o.status == packet.StatusNotRun {
@@ -47,7 +47,7 @@
 			is.True(o.took < 300*time.Millisecond)
 		}
 	}
-	w.run(20 * time.Second)
+	w.Run(20 * time.Second)
 	w.check(t)
 	is.Equal(len(f.waiting), 0)
 }
--- a/core/agent/world_test.go
+++ b/core/agent/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -12,18 +11,18 @@
 
 	"ibisfold.example/core/keyring"
 	"ibisfold.example/core/packet"
+	"ibisfold.example/core/simclock"
 	"ibisfold.example/core/ticket"
 )
 
 // world wires cores, targets and callers through a network that loses, repeats
 // and reorders packets as its seed says. Time is virtual.
 type world struct {
+	simclock.Clock
+
 	t      *testing.T
-	now    time.Duration
 	rand   *rand.Rand
 	keys   *keyring.Keyring
-	events events
-	serial uint64
 	state  ticket.State
 	agents []*testAgent
 	// loss and repeat are probabilities; delay is the longest one-way delay.
@@ -36,27 +35,6 @@
 	runs    map[passKey]int
 }
 
-type event struct {
-	at     time.Duration
-	serial uint64
-	do     func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].serial, e[j].serial)) < 0
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	o := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-
-	return o
-}
-
 // testAgent is one agent process and the target beside it.
 type testAgent struct {
 	name        string
@@ -163,7 +141,7 @@
 	w.t.Helper()
 	w.merge(text)
 	for _, a := range w.agents {
-		w.after(time.Duration(w.rand.Int64N(int64(300*time.Millisecond))), func() {
+		w.After(time.Duration(w.rand.Int64N(int64(300*time.Millisecond))), func() {
 			w.tell(a)
 		})
 	}
@@ -185,7 +163,7 @@
 // tell gives an agent its view of the present state.
 func (w *world) tell(a *testAgent) {
 	v := BuildView(&w.state, a.name, a.former...)
-	v.ConfirmedUntil = w.now + 2*time.Second
+	v.ConfirmedUntil = w.Now + 2*time.Second
 	w.update(a, ViewChanged{
 		View: v,
 	})
@@ -194,10 +172,10 @@
 // tick drives an agent's timers and renews its lease every half second.
 func (w *world) tick(a *testAgent) {
 	w.update(a, Tick{})
-	if !a.unconfirmed && w.now/TickInterval%25 == 0 {
+	if !a.unconfirmed && w.Now/TickInterval%25 == 0 {
 		w.tell(a)
 	}
-	w.after(TickInterval, func() {
+	w.After(TickInterval, func() {
 		w.tick(a)
 	})
 }
@@ -206,7 +184,7 @@
 	if a.down || a.paused || a.stopped {
 		return
 	}
-	for _, o := range a.core.Update(w.now, m) {
+	for _, o := range a.core.Update(w.Now, m) {
 		switch o := o.(type) {
 		case SendTunnel:
 			w.sendTunnel(a, &o)
@@ -222,25 +200,6 @@
 	}
 }
 
-func (w *world) after(d time.Duration, f func()) {
-	w.serial++
-	heap.Push(&w.events, event{
-		at:     w.now + d,
-		serial: w.serial,
-		do:     f,
-	})
-}
-
-func (w *world) run(d time.Duration) {
-	end := w.now + d
-	for len(w.events) > 0 && w.events[0].at <= end {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.do()
-	}
-	w.now = end
-}
-
 // deliver calls f after a random delay, never or several times.
 func (w *world) deliver(f func()) {
 	copies := 1
@@ -249,7 +208,7 @@
 	}
 	for range copies {
 		if w.rand.Float64() >= w.loss {
-			w.after(time.Millisecond+time.Duration(w.rand.Int64N(int64(w.delay))), f)
+			w.After(time.Millisecond+time.Duration(w.rand.Int64N(int64(w.delay))), f)
 		}
 	}
 }
@@ -320,7 +279,7 @@
 
 func (w *world) sendTarget(a *testAgent, p packet.Packet) {
 	p.Payload = slices.Clone(p.Payload)
-	w.after(100*time.Microsecond, func() {
+	w.After(100*time.Microsecond, func() {
 		t := &a.target
 		if t.down {
 			w.update(a, TargetUnreachable{})
@@ -354,11 +313,11 @@
 			return
 		}
 		t.running[k] = *p
-		if t.told > 0 && w.now > t.told+time.Millisecond {
+		if t.told > 0 && w.Now > t.told+time.Millisecond {
 			t.most = max(t.most, len(t.running))
 		}
 		w.runs[k]++
-		w.after(t.work/2+time.Duration(w.rand.Int64N(int64(t.work))), func() {
+		w.After(t.work/2+time.Duration(w.rand.Int64N(int64(t.work))), func() {
 			w.targetDone(a, boot, k)
 		})
 	}
@@ -384,9 +343,9 @@
 
 func (w *world) targetReply(a *testAgent, boot uint64, p packet.Packet) {
 	p.Boot = boot
-	w.after(time.Duration(w.rand.Int64N(int64(time.Millisecond))), func() {
+	w.After(time.Duration(w.rand.Int64N(int64(time.Millisecond))), func() {
 		if boot == a.target.boot && a.target.told == 0 {
-			a.target.told = w.now
+			a.target.told = w.Now
 		}
 		w.update(a, FromTarget{
 			Packet: p,
--- a/core/steer/policy_test.go
+++ b/core/steer/policy_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -12,6 +11,7 @@
 	"ibisfold.example/core/catalog"
 	"ibisfold.example/core/relay"
 	"ibisfold.example/core/segment"
+	"ibisfold.example/core/simclock"
 )
 
 // policy chooses the target of a new flow among usable ones.
@@ -106,29 +106,9 @@
 type policyFlow struct {
 	entry  int
 	target int
-	zone   int
 	rate   float64
 }
 
-// policyEvent is a request that a flow sends.
-type policyEvent struct {
-	at   time.Duration
-	flow *policyFlow
-}
-
-type policyEvents []policyEvent
-
-func (e policyEvents) Len() int           { return len(e) }
-func (e policyEvents) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e policyEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *policyEvents) Push(x any)        { *e = append(*e, x.(policyEvent)) }
-func (e *policyEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-
-	return last
-}
-
 // policyTarget is a target with its queue.
 type policyTarget struct {
 	free  [policySlots]time.Duration
@@ -170,38 +150,15 @@
 		c.Random = random
 		entries = append(entries, c)
 	}
-	events := &policyEvents{}
-	opening := 10 * time.Second
-	if l.together {
-		opening = 100 * time.Millisecond
-	}
-	for i := range l.flows {
-		f := &policyFlow{
-			entry:  random.IntN(policyEntries),
-			target: -1,
-			rate:   l.rate,
-		}
-		f.zone = f.entry % 3
-		if l.heavy && i%10 == 0 {
-			f.rate *= 5
-		}
-		heap.Push(events, policyEvent{
-			at:   time.Duration(random.Int64N(int64(opening))),
-			flow: f,
-		})
-	}
+	clock := simclock.Clock{}
 	times := []time.Duration{}
-	for events.Len() > 0 {
-		e := heap.Pop(events).(policyEvent)
-		if e.at > policyTime {
-			continue
-		}
-		f := e.flow
+	var request func(f *policyFlow)
+	request = func(f *policyFlow) {
 		c := entries[f.entry]
 		if f.target < 0 {
 			k := testKey
 			k.CallerPort = uint16(random.IntN(math.MaxUint16))
-			m := p(c, e.at, k)
+			m := p(c, clock.Now, k)
 			c.agent(c.agentOf(m)).opened++
 			f.target = slices.Index(c.listing, c.agentOf(m))
 			targets[f.target].flows++
@@ -211,22 +168,39 @@
 		if l.slow > 0 && f.target == 0 {
 			work = time.Duration(l.slow * float64(work))
 		}
-		took := t.take(e.at, work) - e.at
+		took := t.take(clock.Now, work) - clock.Now
 		if c.listed[c.listing[f.target]].Zone != c.Zone {
 			took += policyFar
 		}
 		times = append(times, took)
-		c.hear(e.at, c.listing[f.target], &relay.Message{
+		c.hear(clock.Now, c.listing[f.target], &relay.Message{
 			Kind:  relay.Owned,
-			Load:  uint16(100 * t.progress(e.at)),
+			Load:  uint16(100 * t.progress(clock.Now)),
 			Flows: uint16(t.flows),
 		})
 		pause := time.Duration(random.ExpFloat64() / f.rate * float64(time.Second))
-		heap.Push(events, policyEvent{
-			at:   e.at + max(took, pause),
-			flow: f,
+		clock.After(max(took, pause), func() {
+			request(f)
+		})
+	}
+	opening := 10 * time.Second
+	if l.together {
+		opening = 100 * time.Millisecond
+	}
+	for i := range l.flows {
+		f := &policyFlow{
+			entry:  random.IntN(policyEntries),
+			target: -1,
+			rate:   l.rate,
+		}
+		if l.heavy && i%10 == 0 {
+			f.rate *= 5
+		}
+		clock.At(time.Duration(random.Int64N(int64(opening))), func() {
+			request(f)
 		})
 	}
+	clock.Run(policyTime)
 	slices.SortFunc(times, cmp.Compare[time.Duration])
 
 	return times
--- a/ibisfold-standin/experiment/agent.go
+++ b/ibisfold-standin/experiment/agent.go
@@ -77,7 +77,7 @@
 
 // load is what the agent reports of itself.
 func (a *agent) load() admission.Load {
-	now := a.sim.now
+	now := a.sim.Now
 
 	return admission.Load{
 		Target:      a.id,
@@ -143,7 +143,7 @@
 		return false
 	}
 	agents, loads := a.view()
-	i := a.balance.PickRequest(a.sim.now, own, loads, a.sim.random)
+	i := a.balance.PickRequest(a.sim.Now, own, loads, a.sim.random)
 	if i < 0 {
 		return false
 	}
@@ -153,7 +153,7 @@
 	q.hops++
 	a.sim.offers++
 	report := a.reported()
-	a.sim.after(d, func() {
+	a.sim.After(d, func() {
 		if carries(a.sim.fault, a.index) {
 			o.peers[a.index] = report
 		}
@@ -164,8 +164,8 @@
 			return
 		}
 		a.hear(o, d)
-		a.sim.after(d, func() {
-			a.balance.Refused(a.sim.now, o.id)
+		a.sim.After(d, func() {
+			a.balance.Refused(a.sim.Now, o.id)
 			a.receive(q)
 		})
 	})
@@ -185,7 +185,7 @@
 		return
 	}
 	l := o.reported()
-	a.sim.after(d, func() {
+	a.sim.After(d, func() {
 		a.peers[o.index] = l
 	})
 }
@@ -207,7 +207,7 @@
 	}
 
 	t := tenantName(q.tenant)
-	wait, refuse := a.queue.Refuse(t, a.allow(), a.took, q.deadline-a.sim.now)
+	wait, refuse := a.queue.Refuse(t, a.allow(), a.took, q.deadline-a.sim.Now)
 	if refuse || !a.queue.Push(t, q.deadline-a.took, q) {
 		a.sim.refuse(q, wait)
 	}
@@ -216,7 +216,7 @@
 
 func (a *agent) dispatch() {
 	for len(a.running) < a.allow() && !a.down && !a.out {
-		q, ok := a.queue.Pop(a.sim.now)
+		q, ok := a.queue.Pop(a.sim.Now)
 		if !ok {
 			return
 		}
@@ -225,7 +225,7 @@
 }
 
 func (a *agent) run(q *request) {
-	now := a.sim.now
+	now := a.sim.Now
 	q.started = now
 	q.boot = a.boot
 	a.running = append(a.running, q)
@@ -238,7 +238,7 @@
 
 // finish handles the target's reaction to a request.
 func (a *agent) finish(q *request, r result, boot uint64) {
-	now := a.sim.now
+	now := a.sim.Now
 	switch r {
 	case refused:
 		a.limiter.Failed(now)
@@ -300,25 +300,25 @@
 	case ok:
 		a.sawBoot(b)
 	case !a.down:
-		a.limiter.Failed(a.sim.now)
+		a.limiter.Failed(a.sim.Now)
 		a.lost(nil)
 	}
 	a.dispatch()
 }
 
 func (a *agent) expire() {
-	for _, q := range a.queue.Expired(a.sim.now) {
+	for _, q := range a.queue.Expired(a.sim.Now) {
 		a.sim.refuse(q, a.took)
 	}
 }
 
 func (a *agent) count() {
-	a.busy.Set(a.sim.now, len(a.running))
+	a.busy.Set(a.sim.Now, len(a.running))
 }
 
 func (a *agent) setFlows(d int) {
 	a.flows += d
-	a.flowsIn.set(a.sim.now, a.flows)
+	a.flowsIn.set(a.sim.Now, a.flows)
 }
 
 // late is the snapshot that is reportDelay old.
--- a/ibisfold-standin/experiment/cold.go
+++ b/ibisfold-standin/experiment/cold.go
@@ -59,7 +59,7 @@
 
 // disturb makes one random target cold every 10 s.
 func (s *simulation) disturb(chill bool) {
-	s.every(settle, 10*time.Second, func() {
+	s.Every(settle, 10*time.Second, func() {
 		t := s.agents[s.random.IntN(len(s.agents))].target
 		if chill {
 			t.chill()
--- a/ibisfold-standin/experiment/experiment_test.go
+++ b/ibisfold-standin/experiment/experiment_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"ibisfold.example/core/simclock"
 )
 
 const testEnd = 30 * time.Second
@@ -57,7 +59,7 @@
 // faults of the limiter.
 func TestTargetFallsOverWhenOverrun(t *testing.T) {
 	is := is.New(t)
-	c := &clock{}
+	c := &simclock.Clock{}
 	x := &target{
 		clock:     c,
 		site:      eisweinruf("rufdienst", 1),
@@ -78,12 +80,12 @@
 	x.start(q, done)
 	is.Equal(x.beyond, 1)
 	is.True(x.down)
-	c.runUntil(10 * time.Second)
+	c.RunUntil(10 * time.Second)
 	is.Equal(answers, 0)
 	is.True(!x.down)
 	for range usualWarmAfter {
 		x.start(q, done)
-		c.runUntil(c.now + time.Second)
+		c.RunUntil(c.Now + time.Second)
 	}
 	is.Equal(x.bears(), 2)
 	is.Equal(answers, usualWarmAfter)
--- a/ibisfold-standin/experiment/recent.go
+++ b/ibisfold-standin/experiment/recent.go
@@ -13,7 +13,7 @@
 func (p *sampler) sample(s *simulation) float64 {
 	row := []float64{}
 	for _, a := range s.agents {
-		row = append(row, a.target.busy.total(s.now))
+		row = append(row, a.target.busy.total(s.Now))
 	}
 	p.totals = append(p.totals, row)
 	old := p.totals[max(0, len(p.totals)-1-int(window/time.Second))]
--- a/ibisfold-standin/experiment/simulation.go
+++ b/ibisfold-standin/experiment/simulation.go
@@ -7,6 +7,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"ibisfold.example/core/admission"
+	"ibisfold.example/core/simclock"
 )
 
 // entries is the number of load balancer processes.
@@ -34,7 +35,7 @@
 
 // simulation runs one trace under one policy.
 type simulation struct {
-	clock
+	simclock.Clock
 	site    Site
 	policy  Policy
 	fault   Fault
@@ -79,14 +80,14 @@
 	}
 	s.nextFlow()
 	s.nextArrival()
-	s.runUntil(end)
+	s.RunUntil(end)
 
 	return s
 }
 
 func (s *simulation) addAgent(i int, speed float64) {
 	t := &target{
-		clock: &s.clock,
+		clock: &s.Clock,
 		site:  s.site,
 		speed: speed,
 		boot:  1,
@@ -131,9 +132,9 @@
 	phase := func(d time.Duration) time.Duration {
 		return time.Duration(s.random.Int64N(int64(d)))
 	}
-	s.every(phase(heartbeat), heartbeat, func() { s.heartbeat(a) })
-	s.every(phase(tick), tick, a.expire)
-	s.every(phase(helloInterval), helloInterval, func() {
+	s.Every(phase(heartbeat), heartbeat, func() { s.heartbeat(a) })
+	s.Every(phase(tick), tick, a.expire)
+	s.Every(phase(helloInterval), helloInterval, func() {
 		a.hello()
 		a.snapshot()
 	})
@@ -142,11 +143,11 @@
 func (s *simulation) heartbeat(a *agent) {
 	l := a.reported()
 	for _, o := range s.agents {
-		d, ok := heartbeatDelay(s.fault, a.index, s.now, s.between(a, o))
+		d, ok := heartbeatDelay(s.fault, a.index, s.Now, s.between(a, o))
 		if !ok || o == a {
 			continue
 		}
-		s.after(d, func() {
+		s.After(d, func() {
 			o.peers[a.index] = l
 		})
 	}
@@ -180,9 +181,9 @@
 	}
 	f := &s.trace.flows[s.opened]
 	s.opened++
-	s.at(f.open, func() {
+	s.At(f.open, func() {
 		s.open(f)
-		s.at(f.close, func() {
+		s.At(f.close, func() {
 			s.closeFlow(f)
 		})
 		s.nextFlow()
@@ -206,9 +207,9 @@
 	}
 	v := &s.trace.arrivals[s.next]
 	s.next++
-	s.at(v.at, func() {
+	s.At(v.at, func() {
 		t := s.trace.flows[v.flow].tenant
-		s.stats.offered(s.now, t)
+		s.stats.offered(s.Now, t)
 		s.budget.First(tenantName(t))
 		s.send(v, 1)
 		s.nextArrival()
@@ -224,25 +225,25 @@
 		deadline: v.at + deadline,
 		attempt:  attempt,
 	}
-	s.stats.sent(s.now)
+	s.stats.sent(s.Now)
 	if f.owner == nil {
 		s.stats.refused(v.at)
 		return
 	}
-	s.after(s.site.ClientDelay, func() {
+	s.After(s.site.ClientDelay, func() {
 		if f.owner == nil {
 			s.stats.refused(v.at)
 			return
 		}
-		q.received = s.now
+		q.received = s.Now
 		s.placeRequest(f).receive(q)
 	})
 }
 
 // answer delivers an answer to the caller.
 func (s *simulation) answer(q *request) {
-	s.after(s.site.ClientDelay+q.delay, func() {
-		s.stats.answered(s.now, q)
+	s.After(s.site.ClientDelay+q.delay, func() {
+		s.stats.answered(s.Now, q)
 	})
 }
 
@@ -256,9 +257,9 @@
 		pause = stormPause
 		most = stormAttempts
 	}
-	retry := q.attempt < most && s.now+back+pause < q.deadline
+	retry := q.attempt < most && s.Now+back+pause < q.deadline
 	if retry && (s.options.noBudget || s.budget.Allow(tenantName(q.tenant))) {
-		s.after(back+pause, func() {
+		s.After(back+pause, func() {
 			s.send(q.arrival, q.attempt+1)
 		})
 		return
--- a/ibisfold-standin/experiment/target.go
+++ b/ibisfold-standin/experiment/target.go
@@ -1,6 +1,10 @@
 package experiment
 
-import "time"
+import (
+	"time"
+
+	"ibisfold.example/core/simclock"
+)
 
 const (
 	// usualWarmAfter is how many answers a target usually gives until it is warm.
@@ -14,7 +18,7 @@
 // target simulates a server. It bears one request at first and all its slots
 // when warm, is slower while cold, and falls over when it is overrun.
 type target struct {
-	clock *clock
+	clock *simclock.Clock
 	site  Site
 	speed float64
 
@@ -61,7 +65,7 @@
 func (t *target) start(q *request, done func(result, uint64)) {
 	if t.down {
 		t.told = true
-		t.clock.after(0, func() {
+		t.clock.After(0, func() {
 			done(refused, 0)
 		})
 		return
@@ -81,8 +85,8 @@
 
 	slow := coldSlowdown - (coldSlowdown-1)*t.warmth()
 	d := time.Duration(float64(t.site.Service) * q.factor * slow / t.speed)
-	boot, begin := t.boot, t.clock.now
-	t.clock.after(d, func() {
+	boot, begin := t.boot, t.clock.Now
+	t.clock.After(d, func() {
 		if t.boot != boot {
 			return
 		}
@@ -115,7 +119,7 @@
 	t.chill()
 	t.down = true
 	boot := t.boot
-	t.clock.after(d, func() {
+	t.clock.After(d, func() {
 		if t.boot == boot {
 			t.down = false
 		}
@@ -126,9 +130,9 @@
 func (t *target) chill() {
 	t.served = 0
 	t.told = false
-	t.chilled = t.clock.now
+	t.chilled = t.clock.Now
 }
 
 func (t *target) measure() {
-	t.busy.set(t.clock.now, t.running)
+	t.busy.set(t.clock.Now, t.running)
 }
--- a/ibisfold-standin/experiment/zone.go
+++ b/ibisfold-standin/experiment/zone.go
@@ -45,20 +45,20 @@
 			Name: j.policy.Name(),
 		}
 		s := run(j.site, j.policy, nil, normal(), w.generate(j.site, seed), zoneEnd, seed, func(s *simulation) {
-			s.at(zoneOut, func() {
+			s.At(zoneOut, func() {
 				reset, size = s.zoneOut(j.zone)
 			})
-			s.at(zoneBack, func() {
+			s.At(zoneBack, func() {
 				s.zoneBack(j.zone)
 			})
 			p := &sampler{}
-			s.every(time.Second, time.Second, func() {
+			s.Every(time.Second, time.Second, func() {
 				v := p.sample(s)
-				l.X = append(l.X, s.now.Seconds())
+				l.X = append(l.X, s.Now.Seconds())
 				l.Y = append(l.Y, v)
-				out = first(out, v, s.now, zoneOut, zoneBack)
-				back = first(back, v, s.now, zoneBack, zoneEnd)
-				flowsBack = first(flowsBack, spread(s.flowMeters()), s.now, zoneBack, zoneEnd)
+				out = first(out, v, s.Now, zoneOut, zoneBack)
+				back = first(back, v, s.Now, zoneBack, zoneEnd)
+				flowsBack = first(flowsBack, spread(s.flowMeters()), s.Now, zoneBack, zoneEnd)
 			})
 		})
 		t := s.stats.total(zoneOut-deadline, zoneEnd-deadline)
@@ -103,7 +103,7 @@
 		a.running = nil
 		a.count()
 		for {
-			q, ok := a.queue.Pop(s.now)
+			q, ok := a.queue.Pop(s.Now)
 			if !ok {
 				break
 			}
--- a/proof/actions_test.go
+++ b/proof/actions_test.go
@@ -78,7 +78,7 @@
 }
 
 func (s *site) idleAny(a int) {
-	s.caller(a).idleUntil = s.now + time.Duration(1+a%12)*time.Second
+	s.caller(a).idleUntil = s.Now + time.Duration(1+a%12)*time.Second
 }
 
 // copyAny delivers a late copy of a packet that a caller sent before.
@@ -88,7 +88,7 @@
 		return
 	}
 	p := c.sentPackets[a%len(c.sentPackets)]
-	s.after(time.Duration(a%8)*time.Second, func() {
+	s.After(time.Duration(a%8)*time.Second, func() {
 		c.carry(p)
 	})
 }
--- a/proof/caller_test.go
+++ b/proof/caller_test.go
@@ -100,13 +100,13 @@
 
 // request sends one request if the flow is open and idle.
 func (c *caller) request(idempotent bool) {
-	if c.state != callerOpen || c.pending || c.w.now < c.retryAt || c.w.now < c.idleUntil {
+	if c.state != callerOpen || c.pending || c.w.Now < c.retryAt || c.w.Now < c.idleUntil {
 		return
 	}
 	c.number++
 	c.pending = true
 	c.idempotent = idempotent
-	c.sent = c.w.now
+	c.sent = c.w.Now
 	c.parts = map[uint32][]byte{}
 	number := c.number
 	c.repeat(packet.Packet{
@@ -139,13 +139,13 @@
 		if c.serial != serial || !wanted() {
 			return
 		}
-		if p.Kind == packet.Request && c.w.now-c.sent > requestTime+lastRetry {
+		if p.Kind == packet.Request && c.w.Now-c.sent > requestTime+lastRetry {
 			c.pending = false
 
 			return
 		}
 		c.transmit(p, attempt)
-		c.w.after(d, func() {
+		c.w.After(d, func() {
 			send(attempt+1, min(2*d, lastRetry))
 		})
 	}
@@ -161,7 +161,7 @@
 	p.Attempt = attempt
 	p.Tenant = []byte("shop")
 	if p.Kind == packet.Request {
-		p.Deadline = max(time.Millisecond, requestTime-(c.w.now-c.sent))
+		p.Deadline = max(time.Millisecond, requestTime-(c.w.Now-c.sent))
 	}
 	const kept = 8
 	if len(c.sentPackets) == kept {
@@ -194,7 +194,7 @@
 		if c.state == callerOpening {
 			c.state = callerOpen
 			c.token = p.Token
-			c.opened = c.w.now
+			c.opened = c.w.Now
 			c.w.oracle.opened(c)
 		}
 	case packet.Moved:
@@ -234,7 +234,7 @@
 		return
 	}
 	c.pending = false
-	c.retryAt = c.w.now + p.RetryAfter
+	c.retryAt = c.w.Now + p.RetryAfter
 	c.w.oracle.refused(c, c.number, p.Status)
 }
 
--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -40,7 +40,7 @@
 	c.calls++
 	incarnation := p.incarnation
 	reply := func() {
-		w.after(configDelay, func() {
+		w.After(configDelay, func() {
 			if p.alive && p.incarnation == incarnation {
 				post(w.configAnswer(p))
 			}
@@ -63,7 +63,7 @@
 		incarnation: incarnation,
 		answer:      once,
 	})
-	w.after(wait, once)
+	w.After(wait, once)
 }
 
 func (w *world) configAnswer(p *process) mesh.Message {
--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -59,13 +59,13 @@
 	n := s.agentAt(i)
 	s.lose(n)
 	n.kill()
-	s.after(waitStep, n.start)
+	s.After(waitStep, n.start)
 }
 
 func (s *site) killEntry(i int) {
 	n := s.entryAt(i)
 	n.kill()
-	s.after(waitStep, n.start)
+	s.After(waitStep, n.start)
 }
 
 // stopTarget ends a target's process and starts it again, cold.
@@ -73,7 +73,7 @@
 	n := s.agentAt(i)
 	s.lose(n)
 	n.target.alive = false
-	s.after(waitStep, n.target.start)
+	s.After(waitStep, n.target.start)
 }
 
 // coldTarget restarts a target within no time, which nobody announces.
@@ -86,7 +86,7 @@
 	n := s.agentAt(i)
 	s.lose(n)
 	n.target.hung = true
-	s.after(4*time.Second, func() {
+	s.After(4*time.Second, func() {
 		n.target.hung = false
 	})
 }
@@ -122,7 +122,7 @@
 		{name: "agent dies", run: func(s *site) { s.killAgent(0) }},
 		{name: "agent dies twice", run: func(s *site) {
 			s.killAgent(0)
-			s.after(2*waitStep, func() { s.killAgent(0) })
+			s.After(2*waitStep, func() { s.killAgent(0) })
 		}},
 		{name: "agent pauses 1 s", run: func(s *site) { s.pauseAgent(0, 1100*time.Millisecond) }},
 		{name: "agent pauses 10 s", run: func(s *site) { s.pauseAgent(1, 10*time.Second) }, lasts: 12 * time.Second},
@@ -131,7 +131,7 @@
 		{name: "target goes cold", run: func(s *site) { s.coldTarget(0) }},
 		{name: "target goes cold twice", run: func(s *site) {
 			s.coldTarget(0)
-			s.after(time.Second, func() { s.coldTarget(0) })
+			s.After(time.Second, func() { s.coldTarget(0) })
 		}},
 		{name: "target hangs", run: func(s *site) { s.hang(0) }},
 		{name: "configuration down", run: func(s *site) { s.config.down = true }},
--- a/proof/fuzz_test.go
+++ b/proof/fuzz_test.go
@@ -45,18 +45,18 @@
 	s := newSite(seed, b)
 	s.verbose = *worldFlag != 0
 	s.openFlows(12)
-	s.run(warmTime)
+	s.Run(warmTime)
 	for _, a := range list {
-		s.run(a.wait)
+		s.Run(a.wait)
 		s.steps++
 		s.note('a', uint64(a.kind), uint64(a.which))
 		actionKinds[a.kind].run(s, a.which)
 	}
 	s.heal()
 	for s.anyPaused() {
-		s.run(time.Second)
+		s.Run(time.Second)
 	}
-	s.run(10 * time.Second)
+	s.Run(10 * time.Second)
 	s.probe()
 
 	return s
--- a/proof/matrix_test.go
+++ b/proof/matrix_test.go
@@ -59,20 +59,20 @@
 	s := newSite(seed, b)
 	s.verbose = *cellFlag != ""
 	s.openFlows(12)
-	s.run(warmTime)
-	start := s.now
+	s.Run(warmTime)
+	start := s.Now
 	if c.phase.delay < 0 {
 		c.fault.run(s)
-		s.run(-c.phase.delay)
+		s.Run(-c.phase.delay)
 	} else {
-		s.after(c.phase.delay, func() {
+		s.After(c.phase.delay, func() {
 			c.fault.run(s)
 		})
 	}
 	c.step.run(s)
-	s.run(max(0, start+max(c.fault.lasts, defaultFault)-s.now))
+	s.Run(max(0, start+max(c.fault.lasts, defaultFault)-s.Now))
 	s.heal()
-	s.run(10 * time.Second)
+	s.Run(10 * time.Second)
 	s.probe()
 
 	return s
--- a/proof/network_test.go
+++ b/proof/network_test.go
@@ -83,7 +83,7 @@
 	n, ok := w.byAddress[to]
 	if t, tunnel := m.(tunnelMessage); tunnel && w.verbose {
 		fmt.Printf("%12v t %s to %v: %s %s flow %x request %d status %d\n",
-			w.now, from.name, to, t.header.Kind, t.packet.Kind, t.packet.Flow, t.packet.Request, t.packet.Status)
+			w.Now, from.name, to, t.header.Kind, t.packet.Kind, t.packet.Flow, t.packet.Request, t.packet.Status)
 	}
 	if !ok || w.net.blocked(from, n.base()) {
 		return
@@ -104,10 +104,10 @@
 	switch w.net.tamper.how {
 	case "lost":
 	case "late":
-		w.after(d+time.Second, deliver)
+		w.After(d+time.Second, deliver)
 	case "twice":
-		w.after(d, deliver)
-		w.after(d+300*time.Millisecond, deliver)
+		w.After(d, deliver)
+		w.After(d+300*time.Millisecond, deliver)
 	}
 }
 
@@ -116,9 +116,9 @@
 	if w.net.loss > 0 && w.rand.Float64() < w.net.loss {
 		return
 	}
-	w.after(d+w.jitter(), f)
+	w.After(d+w.jitter(), f)
 	if w.net.duplicate > 0 && w.rand.Float64() < w.net.duplicate {
-		w.after(d+w.jitter(), f)
+		w.After(d+w.jitter(), f)
 	}
 }
 
--- a/proof/nodes_test.go
+++ b/proof/nodes_test.go
@@ -60,7 +60,7 @@
 	c.backlog = nil
 	c.index = 0
 	c.incarnation = c.w.nextStart()
-	c.since = c.w.now
+	c.since = c.w.Now
 	c.core = mesh.New(mesh.Options{
 		Self:  c.node(),
 		Seeds: seeds,
@@ -80,7 +80,7 @@
 	if r, ok := m.(mesh.ConfigRead); ok && c.w.broken == breakMerge {
 		m = c.lastReadWins(r)
 	}
-	for _, command := range c.core.Update(c.w.now, m) {
+	for _, command := range c.core.Update(c.w.Now, m) {
 		c.execute(command)
 	}
 }
@@ -96,7 +96,7 @@
 		c.w.read(&c.process, m.Wait, c.post)
 	case mesh.ListVMs:
 		incarnation := c.incarnation
-		c.w.after(configDelay, func() {
+		c.w.After(configDelay, func() {
 			if c.alive && c.incarnation == incarnation && !c.w.config.down {
 				c.post(mesh.VMsListed{
 					Nodes: c.w.vms(),
@@ -188,7 +188,7 @@
 	case callerMessage:
 		n.route(m)
 	case tunnelMessage:
-		if c := n.w.callerAt(m.header.Caller); m.header.Kind == packet.ToEntry && c != nil && n.snapshot.Relays(n.w.now) {
+		if c := n.w.callerAt(m.header.Caller); m.header.Kind == packet.ToEntry && c != nil && n.snapshot.Relays(n.w.Now) {
 			p := m.packet
 			n.w.carry(time.Millisecond, func() {
 				c.handle(p)
@@ -199,7 +199,7 @@
 
 func (n *entryNode) route(m callerMessage) {
 	p := m.packet
-	d := entry.Route(n.snapshot, n.w.keys, n.w.now, &p)
+	d := entry.Route(n.snapshot, n.w.keys, n.w.Now, &p)
 	switch d.Action {
 	case entry.Forward:
 		n.w.oracle.checkZone(n.w.targetName(d.Target), "a packet of "+n.name)
@@ -293,7 +293,7 @@
 	}
 	n.view = &v
 	if n.w.verbose {
-		fmt.Printf("%12v v %s ticket %d zone %v until %v\n", n.w.now, n.name, v.Ticket, v.ZoneInService, v.ConfirmedUntil)
+		fmt.Printf("%12v v %s ticket %d zone %v until %v\n", n.w.Now, n.name, v.Ticket, v.ZoneInService, v.ConfirmedUntil)
 	}
 	n.update(agent.ViewChanged{
 		View: n.view,
@@ -352,7 +352,7 @@
 		return
 	}
 	n.w.steps++
-	for _, c := range n.agent.Update(n.w.now, m) {
+	for _, c := range n.agent.Update(n.w.Now, m) {
 		n.perform(c)
 	}
 }
@@ -374,7 +374,7 @@
 	case agent.SendTarget:
 		p := c.Packet
 		p.Payload = bytes.Clone(p.Payload)
-		n.w.after(100*time.Microsecond, func() {
+		n.w.After(100*time.Microsecond, func() {
 			n.target.handle(p)
 		})
 	case agent.ReportSuspect:
@@ -390,7 +390,7 @@
 	case agent.WatchServices:
 		n.former = c.Services
 		n.rebuild = true
-		n.w.after(time.Millisecond, n.publish)
+		n.w.After(time.Millisecond, n.publish)
 	case agent.Stopped:
 		n.stopped = true
 		n.alive = false
--- a/proof/opaque_deployment_test.go
+++ b/proof/opaque_deployment_test.go
@@ -62,12 +62,12 @@
 		w, callers := opaqueDeployment(t, 5000+seed)
 		w.messy = seed%2 == 1
 		w.once = true
-		w.run(time.Second)
+		w.Run(time.Second)
 		for range opaqueDeploymentFaults {
 			f := opaqueFaults[w.random.IntN(len(opaqueFaults))]
-			w.story = append(w.story, fmt.Sprint(w.now, " ", f.name))
+			w.story = append(w.story, fmt.Sprint(w.Now, " ", f.name))
 			f.run(w)
-			w.run(time.Duration(w.random.Int64N(int64(time.Second))))
+			w.Run(time.Duration(w.random.Int64N(int64(time.Second))))
 		}
 		for _, a := range w.agents {
 			a.target.draining = false
--- a/proof/opaque_ends_test.go
+++ b/proof/opaque_ends_test.go
@@ -85,7 +85,7 @@
 			seq = w.random.Uint32()
 			t.flows[s.Key] = seq
 		}
-		w.after(t.answerDelay, func() {
+		w.After(t.answerDelay, func() {
 			w.fromTarget(a, &segment.Segment{
 				Key:        s.Key,
 				FromTarget: true,
@@ -150,8 +150,8 @@
 		}
 	}
 	t.runs++
-	t.busyUntil[slot] = max(t.busyUntil[slot], w.now) + t.work
-	w.after(t.busyUntil[slot]-w.now, func() {
+	t.busyUntil[slot] = max(t.busyUntil[slot], w.Now) + t.work
+	w.After(t.busyUntil[slot]-w.Now, func() {
 		if _, held := t.flows[s.Key]; !held || !t.reacts() {
 			return
 		}
@@ -221,7 +221,7 @@
 		zone:  zone,
 		pause: pause,
 	}
-	c.began = w.now
+	c.began = w.Now
 	w.openFlow(c)
 
 	return c
@@ -259,7 +259,7 @@
 	}
 	if c.copies == len(opaqueSYNCopies) {
 		c.timeouts++
-		c.began = w.now
+		c.began = w.Now
 		w.openFlow(c)
 
 		return
@@ -272,7 +272,7 @@
 	}, nil))
 	d := opaqueSYNCopies[c.copies]
 	c.copies++
-	w.after(d, func() {
+	w.After(d, func() {
 		w.sendSYN(c, number)
 	})
 }
@@ -288,9 +288,9 @@
 	if !c.waiting || c.number != number {
 		return
 	}
-	if w.now-c.began >= opaqueBudget {
+	if w.Now-c.began >= opaqueBudget {
 		c.timeouts++
-		c.began = w.now
+		c.began = w.Now
 		w.openFlow(c)
 
 		return
@@ -302,7 +302,7 @@
 		Ack:   c.ack,
 	}, make([]byte, opaqueRequest)))
 	c.copies++
-	w.after(200*time.Millisecond, func() {
+	w.After(200*time.Millisecond, func() {
 		w.sendRequest(c, number)
 	})
 }
@@ -313,7 +313,7 @@
 	if !ok {
 		return
 	}
-	w.after(w.delay(zone, c.zone)+time.Millisecond, func() {
+	w.After(w.delay(zone, c.zone)+time.Millisecond, func() {
 		if c.key != k {
 			return
 		}
@@ -345,15 +345,15 @@
 func (w *opaqueWorld) answered(c *opaqueCaller, s *segment.Segment) {
 	c.waiting = false
 	c.answers++
-	c.slowest = max(c.slowest, w.now-c.began)
+	c.slowest = max(c.slowest, w.Now-c.began)
 	c.ack = s.Seq + uint32(s.Len)
 	c.seq += opaqueRequest
 	number := c.number
-	w.after(c.pause, func() {
+	w.After(c.pause, func() {
 		if c.number != number {
 			return
 		}
-		c.began = w.now
+		c.began = w.Now
 		if c.fresh {
 			w.openFlow(c)
 		} else {
@@ -365,7 +365,7 @@
 // callerReset checks that the system did not end a flow that its target holds,
 // and opens another flow.
 func (w *opaqueWorld) callerReset(c *opaqueCaller) {
-	if a := w.holder(c); a != nil && a.target.reacts() && (a.cutEnd == 0 || w.now > a.cutEnd+opaqueTouch) {
+	if a := w.holder(c); a != nil && a.target.reacts() && (a.cutEnd == 0 || w.Now > a.cutEnd+opaqueTouch) {
 		w.breaks("flow %v was reset, though the target at %v holds it", c.key, a.addr)
 	}
 	c.resets++
--- a/proof/opaque_fuzz_test.go
+++ b/proof/opaque_fuzz_test.go
@@ -33,12 +33,12 @@
 	{"entry away", func(w *opaqueWorld) {
 		e := w.anyEntry()
 		e.down = true
-		w.after(w.someTime(), func() { w.startEntry(e) })
+		w.After(w.someTime(), func() { w.startEntry(e) })
 	}},
 	{"entry leaves rotation", func(w *opaqueWorld) {
 		e := w.anyEntry()
 		e.rotated = true
-		w.after(w.someTime(), func() { e.rotated = false })
+		w.After(w.someTime(), func() { e.rotated = false })
 	}},
 	{"agent stopped", func(w *opaqueWorld) {
 		if a := w.anyAgent(); !a.down {
@@ -47,9 +47,9 @@
 	}},
 	{"agent killed", func(w *opaqueWorld) {
 		if a := w.anyAgent(); !a.down {
-			a.impair(w.now + opaqueRestart)
+			a.impair(w.Now + opaqueRestart)
 			a.down = true
-			w.after(opaqueRestart, func() { w.startAgent(a, false) })
+			w.After(opaqueRestart, func() { w.startAgent(a, false) })
 		}
 	}},
 	{"agent cut off", func(w *opaqueWorld) {
@@ -62,8 +62,8 @@
 		d := w.someTime()
 		a.target.restart()
 		a.target.silent = true
-		a.impair(w.now + d)
-		w.after(d, func() {
+		a.impair(w.Now + d)
+		w.After(d, func() {
 			a.target.restart()
 			a.target.born = w.wall()
 			w.publish()
@@ -77,8 +77,8 @@
 		a.down = true
 		a.target.restart()
 		a.target.silent = true
-		a.impair(w.now + opaqueRestart)
-		w.after(opaqueRestart, func() {
+		a.impair(w.Now + opaqueRestart)
+		w.After(opaqueRestart, func() {
 			a.target.restart()
 			a.target.born = w.wall()
 			w.startAgent(a, false)
@@ -110,7 +110,7 @@
 		a.target.born = w.wall()
 		w.publish()
 		for range 4 {
-			w.after(w.someTime(), func() { w.addCallers(3, 300*time.Millisecond) })
+			w.After(w.someTime(), func() { w.addCallers(3, 300*time.Millisecond) })
 		}
 	}},
 	{"zone's entries leave rotation in turn", func(w *opaqueWorld) {
@@ -120,9 +120,9 @@
 			if e.zone != zone {
 				continue
 			}
-			w.after(at, func() { e.rotated = true })
+			w.After(at, func() { e.rotated = true })
 			at += opaqueRestart
-			w.after(at, func() { e.rotated = false })
+			w.After(at, func() { e.rotated = false })
 		}
 	}},
 }
@@ -176,12 +176,12 @@
 	w.publish()
 	callers := w.addCallers(45, 30*time.Millisecond)
 	callers = append(callers, w.addCallers(15, 3*time.Second)...)
-	w.run(time.Second)
-	for w.now < opaqueFuzzTime {
+	w.Run(time.Second)
+	for w.Now < opaqueFuzzTime {
 		f := faults[w.random.IntN(len(faults))]
-		w.story = append(w.story, fmt.Sprint(w.now, " ", f.name))
+		w.story = append(w.story, fmt.Sprint(w.Now, " ", f.name))
 		f.run(w)
-		w.run(time.Duration(w.random.Int64N(int64(600 * time.Millisecond))))
+		w.Run(time.Duration(w.random.Int64N(int64(600 * time.Millisecond))))
 	}
 	for _, a := range w.agents {
 		a.target.draining = false
@@ -197,9 +197,9 @@
 
 // judgeCalm lets the faults pass and checks that all callers are served after them.
 func (w *opaqueWorld) judgeCalm(callers []*opaqueCaller) {
-	w.run(opaqueCalmTime)
+	w.Run(opaqueCalmTime)
 	opaqueTotals(callers)
-	w.run(opaqueCalmTime)
+	w.Run(opaqueCalmTime)
 	for _, c := range callers {
 		if c.answers == 0 {
 			w.breaks("caller %v in zone %s was not served after the faults: %d resets, %d timeouts, pause %v", c.key, c.zone, c.resets, c.timeouts, c.pause)
--- a/proof/opaque_matrix_test.go
+++ b/proof/opaque_matrix_test.go
@@ -26,8 +26,8 @@
 		a := w.agents[0]
 		a.target.draining = true
 		w.publish()
-		w.after(opaqueStepTime, func() {
-			a.impair(w.now + time.Hour)
+		w.After(opaqueStepTime, func() {
+			a.impair(w.Now + time.Hour)
 			a.target.gone = true
 			w.publish()
 		})
@@ -43,7 +43,7 @@
 	}},
 	{"route moves to and fro", func(w *opaqueWorld) {
 		for i, service := range []string{"kartendienst", opaqueService, "kartendienst"} {
-			w.after(time.Duration(i)*time.Second, func() {
+			w.After(time.Duration(i)*time.Second, func() {
 				w.moved = service
 				w.publish()
 			})
@@ -52,11 +52,11 @@
 	{"entries are replaced in turn", func(w *opaqueWorld) {
 		for i, e := range w.entries {
 			at := time.Duration(i) * opaqueRestart
-			w.after(at, func() {
+			w.After(at, func() {
 				e.down = true
 				e.rotated = true
 			})
-			w.after(at+opaqueRestart, func() {
+			w.After(at+opaqueRestart, func() {
 				w.startEntry(e)
 				e.rotated = false
 			})
@@ -64,7 +64,7 @@
 	}},
 	{"agents are replaced in turn", func(w *opaqueWorld) {
 		for i, a := range w.agents {
-			w.after(time.Duration(i)*opaqueRestart/2, func() {
+			w.After(time.Duration(i)*opaqueRestart/2, func() {
 				if !a.down {
 					w.stopAgent(a, opaqueRestart)
 				}
@@ -96,10 +96,10 @@
 	w.publish()
 	callers := append(w.addCallers(18, 50*time.Millisecond), w.addCallers(6, time.Second)...)
 	const begin = 2500 * time.Millisecond
-	w.after(begin, func() { s.run(w) })
-	w.after(begin+at, func() { f.run(w) })
-	w.after(begin+at+200*time.Millisecond, func() { f.run(w) })
-	w.run(begin + opaqueStepTime)
+	w.After(begin, func() { s.run(w) })
+	w.After(begin+at, func() { f.run(w) })
+	w.After(begin+at+200*time.Millisecond, func() { f.run(w) })
+	w.Run(begin + opaqueStepTime)
 	w.judgeCalm(callers)
 
 	return w.broken
--- a/proof/opaque_test.go
+++ b/proof/opaque_test.go
@@ -36,14 +36,14 @@
 	is := is.New(t)
 	w := opaqueSite(t, 1, 3)
 	callers := w.addCallers(60, 50*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	w.addAgent("a", "10.0.2.9:7720", opaqueService, false)
 	w.agents[0].target.draining = true
 	w.publish()
 	opaqueTotals(callers)
 	for _, e := range w.entries {
 		w.startEntry(e)
-		w.run(300 * time.Millisecond)
+		w.Run(300 * time.Millisecond)
 	}
 	slowest, _, resets, timeouts := opaqueTotals(callers)
 	w.check()
@@ -58,11 +58,11 @@
 	is := is.New(t)
 	w := opaqueSite(t, 2, 3)
 	callers := w.addCallers(60, 50*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	opaqueTotals(callers)
 	for _, a := range w.agents {
 		w.stopAgent(a, 150*time.Millisecond)
-		w.run(400 * time.Millisecond)
+		w.Run(400 * time.Millisecond)
 	}
 	_, _, resets, timeouts := opaqueTotals(callers)
 	w.check()
@@ -76,10 +76,10 @@
 	is := is.New(t)
 	w := opaqueSite(t, 3, 3)
 	callers := w.addCallers(60, 50*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	w.restartProcesses()
 	opaqueTotals(callers)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	slowest, _, resets, timeouts := opaqueTotals(callers)
 	w.check()
 	is.Equal(resets, 0)
@@ -93,11 +93,11 @@
 	is := is.New(t)
 	w := opaqueSite(t, 4, 3)
 	callers := w.addCallers(60, 50*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	w.restartTargets()
 	w.restartProcesses()
 	opaqueTotals(callers)
-	w.run(time.Second)
+	w.Run(time.Second)
 	slowest, _, _, timeouts := opaqueTotals(callers)
 	w.check()
 	is.Equal(timeouts, 0)
@@ -110,11 +110,11 @@
 	is := is.New(t)
 	w := opaqueSite(t, 5, 3)
 	callers := w.addCallers(60, 20*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	w.agents[0].target.silent = true
-	w.run(700 * time.Millisecond)
+	w.Run(700 * time.Millisecond)
 	opaqueTotals(callers)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	slowest, _, _, timeouts := opaqueTotals(callers)
 	w.check()
 	is.Equal(timeouts, 0)
@@ -126,10 +126,10 @@
 	is := is.New(t)
 	w := opaqueSite(t, 6, 3)
 	callers := w.addCallers(60, 20*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	opaqueTotals(callers)
 	w.agents[0].target.refusing = true
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	slowest, _, _, timeouts := opaqueTotals(callers)
 	w.check()
 	is.Equal(timeouts, 0)
@@ -142,11 +142,11 @@
 	is := is.New(t)
 	w := opaqueSite(t, 7, 3)
 	callers := w.addCallers(60, 20*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	opaqueTotals(callers)
 	w.agents[0].down = true
 	w.agents[0].target.silent = true
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	slowest, _, _, timeouts := opaqueTotals(callers)
 	w.check()
 	is.Equal(timeouts, 0)
@@ -158,12 +158,12 @@
 func TestOpaquePlannedStops(t *testing.T) {
 	w := opaqueSite(t, 8, 2)
 	callers := w.addCallers(60, 20*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	for i, a := range w.agents {
 		w.stopAgent(a, 700*time.Millisecond)
-		w.run(100 * time.Millisecond)
+		w.Run(100 * time.Millisecond)
 		w.startEntry(w.entries[i%len(w.entries)])
-		w.run(time.Second)
+		w.Run(time.Second)
 	}
 	w.check()
 	if _, answers, _, _ := opaqueTotals(callers); answers < 1000 {
@@ -180,14 +180,14 @@
 		w.addAgent(zone, []string{"10.0.3.1:7720", "10.1.3.1:7720", "10.2.3.1:7720"}[z], "kartendienst", true)
 	}
 	callers := w.addCallers(30, 50*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	opaqueTotals(callers)
 	w.moved = "kartendienst"
 	w.publish()
 	for _, e := range w.entries {
 		w.startEntry(e)
 	}
-	w.run(time.Second)
+	w.Run(time.Second)
 	_, _, resets, timeouts := opaqueTotals(callers)
 	w.check()
 	is.Equal(resets, 0)
@@ -203,7 +203,7 @@
 		a.target.answerDelay = 70 * time.Millisecond
 	}
 	callers := w.addCallers(30, 50*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	w.check()
 	_, answers, resets, timeouts := opaqueTotals(callers)
 	is.Equal(resets, 0)
@@ -219,14 +219,14 @@
 	w := opaqueSite(t, 11, 2)
 	w.addCallers(12, 20*time.Millisecond)
 	w.addCallers(30, 9*time.Second)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	cut := w.agents[0]
 	w.cut(cut, 3*time.Second)
-	w.run(12 * time.Second)
+	w.Run(12 * time.Second)
 	w.check()
 	served := cut.target.served
 	w.addCallers(30, 50*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	is.True(cut.target.served > served+50)
 }
 
@@ -236,16 +236,16 @@
 	is := is.New(t)
 	w := opaqueSite(t, 12, 2)
 	callers := w.addCallers(60, 20*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	opaqueTotals(callers)
 	for _, e := range w.entries {
 		w.startBlindEntry(e)
 	}
-	w.run(150 * time.Millisecond)
+	w.Run(150 * time.Millisecond)
 	for _, e := range w.entries {
 		w.informEntry(e)
 	}
-	w.run(500 * time.Millisecond)
+	w.Run(500 * time.Millisecond)
 	slowest, _, resets, timeouts := opaqueTotals(callers)
 	w.check()
 	is.Equal(resets, 0)
@@ -260,7 +260,7 @@
 	is := is.New(t)
 	w := opaqueSite(t, 13, 17)
 	callers := w.addCallers(480, 200*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	for _, a := range w.agents {
 		a.target.restart()
 		a.target.born = w.wall()
@@ -272,7 +272,7 @@
 	}
 	opaqueTotals(callers)
 	w.probeBytes = 0
-	w.run(time.Second)
+	w.Run(time.Second)
 	slowest, _, _, timeouts := opaqueTotals(callers)
 	w.check()
 	is.Equal(timeouts, 0)
@@ -286,12 +286,12 @@
 	is := is.New(t)
 	w := opaqueSite(t, 14, 17)
 	callers := w.addCallers(480, 200*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	w.restartTargets()
 	w.restartProcesses()
 	opaqueTotals(callers)
 	w.probeBytes = 0
-	w.run(time.Second)
+	w.Run(time.Second)
 	w.check()
 	// A quarter of 10 Mbit/s for each of 6 entries, and half of that at once.
 	is.True(w.probeBytes <= 6*10_000_000/8/4*3/2)
@@ -299,9 +299,9 @@
 		a.target.born = w.wall()
 	}
 	w.publish()
-	w.run(time.Second)
+	w.Run(time.Second)
 	opaqueTotals(callers)
-	w.run(time.Second)
+	w.Run(time.Second)
 	slowest, _, _, timeouts := opaqueTotals(callers)
 	w.check()
 	is.Equal(timeouts, 0)
@@ -318,14 +318,14 @@
 	for _, c := range callers {
 		c.fresh = true
 	}
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	opaqueTotals(callers)
 	flapping := &w.agents[0].target
 	for range 5 {
 		flapping.resetting = true
-		w.run(600 * time.Millisecond)
+		w.Run(600 * time.Millisecond)
 		flapping.resetting = false
-		w.run(600 * time.Millisecond)
+		w.Run(600 * time.Millisecond)
 	}
 	_, answers, resets, _ := opaqueTotals(callers)
 	w.check()
@@ -341,11 +341,11 @@
 	is := is.New(t)
 	w := opaqueSite(t, 16, 17)
 	callers := w.addCallers(480, 200*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	w.restartProcesses()
 	opaqueTotals(callers)
 	w.probed = 0
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	slowest, _, resets, timeouts := opaqueTotals(callers)
 	w.check()
 	is.Equal(resets, 0)
@@ -362,7 +362,7 @@
 	w := opaqueSite(t, 17, 8)
 	w.linkRate = 40_000
 	callers := w.addCallers(240, 200*time.Millisecond)
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	// More targets change which ones the flows' hashes prefer.
 	for z, zone := range []string{"a", "b", "c"} {
 		for i := range 16 {
@@ -372,7 +372,7 @@
 	w.publish()
 	w.restartProcesses()
 	opaqueTotals(callers)
-	w.run(4 * time.Second)
+	w.Run(4 * time.Second)
 	_, answers, _, _ := opaqueTotals(callers)
 	w.check()
 	is.True(answers > len(callers))
@@ -388,7 +388,7 @@
 	asleep, awake := w.entries[0], w.entries[1]
 	asleep.rotated = true
 	c := w.addCaller("a", time.Second)
-	w.run(500 * time.Millisecond)
+	w.Run(500 * time.Millisecond)
 	owner := w.holder(c)
 	owner.target.draining = true
 	w.publish()
@@ -404,7 +404,7 @@
 			Seq:   c.seq - 1,
 		}, nil),
 	})
-	w.run(100 * time.Millisecond)
+	w.Run(100 * time.Millisecond)
 	for _, a := range w.agents {
 		if _, got := a.target.flows[c.key]; got && a != owner {
 			w.agentUpdate(a, conntrack.Stop{})
@@ -416,7 +416,7 @@
 	asleep.rotated = false
 	awake.rotated = true
 	opaqueTotals([]*opaqueCaller{c})
-	w.run(3 * time.Second)
+	w.Run(3 * time.Second)
 	_, answers, resets, timeouts := opaqueTotals([]*opaqueCaller{c})
 	w.check()
 	is.Equal(resets, 0)
@@ -432,7 +432,7 @@
 	is := is.New(t)
 	w := opaqueSite(t, 21, 2)
 	w.addCallers(30, 20*time.Millisecond)
-	w.run(time.Second)
+	w.Run(time.Second)
 	added := []*opaqueAgent{}
 	for z, zone := range []string{"a", "b", "c"} {
 		a := w.addAgent(zone, fmt.Sprintf("10.%d.2.9:%d", z, opaqueRelayPort), opaqueService, true)
@@ -450,20 +450,20 @@
 		w.informEntry(e)
 	}
 	w.addCallers(30, 20*time.Millisecond)
-	w.run(time.Second)
+	w.Run(time.Second)
 	for _, e := range ahead {
 		e.rotated = true
 	}
-	w.run(300 * time.Millisecond)
+	w.Run(300 * time.Millisecond)
 	for _, e := range w.entries {
 		w.informEntry(e)
 	}
 	for _, e := range ahead {
 		e.rotated = false
 	}
-	w.run(2 * time.Second)
+	w.Run(2 * time.Second)
 	w.addCallers(30, 20*time.Millisecond)
-	w.run(time.Second)
+	w.Run(time.Second)
 	w.check()
 	for _, a := range added {
 		is.True(a.target.served > 0)
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -1,7 +1,6 @@
 package proof_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -13,6 +12,7 @@
 	"ibisfold.example/core/conntrack"
 	"ibisfold.example/core/relay"
 	"ibisfold.example/core/segment"
+	"ibisfold.example/core/simclock"
 	"ibisfold.example/core/steer"
 	"ibisfold.example/platform"
 )
@@ -33,11 +33,10 @@
 // opaqueWorld joins the decisions of entries and agents on opaque flows with
 // small models of callers and targets, on a virtual clock.
 type opaqueWorld struct {
+	simclock.Clock
+
 	t       testing.TB
-	now     time.Duration
 	random  *rand.Rand
-	events  opaqueEvents
-	order   int
 	catalog catalog.State
 	entries []*opaqueEntry
 	agents  []*opaqueAgent
@@ -69,28 +68,6 @@
 	probed int
 }
 
-// opaqueEvent is something that happens at a time.
-type opaqueEvent struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type opaqueEvents []opaqueEvent
-
-func (e opaqueEvents) Len() int { return len(e) }
-func (e opaqueEvents) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
-}
-func (e opaqueEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *opaqueEvents) Push(x any)   { *e = append(*e, x.(opaqueEvent)) }
-func (e *opaqueEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-
-	return last
-}
-
 // opaqueEntry is a VM with an entry.
 type opaqueEntry struct {
 	addr netip.AddrPort
@@ -117,10 +94,10 @@
 
 // cut separates a VM from all entries for a while, without notice.
 func (w *opaqueWorld) cut(a *opaqueAgent, d time.Duration) {
-	w.notes = append(w.notes, fmt.Sprint(w.now, " agent ", a.addr, " cut off for ", d))
+	w.notes = append(w.notes, fmt.Sprint(w.Now, " agent ", a.addr, " cut off for ", d))
 	a.down = true
-	a.impair(w.now + d)
-	w.after(d, func() {
+	a.impair(w.Now + d)
+	w.After(d, func() {
 		a.down = false
 	})
 }
@@ -152,7 +129,7 @@
 }
 
 func (w *opaqueWorld) startTicks() {
-	w.every(steer.TickTime, func() {
+	w.Every(w.Now+steer.TickTime, steer.TickTime, func() {
 		for _, e := range w.entries {
 			if !e.down {
 				w.entryUpdate(e, steer.Tick{})
@@ -166,35 +143,8 @@
 	})
 }
 
-func (w *opaqueWorld) after(d time.Duration, run func()) {
-	w.order++
-	heap.Push(&w.events, opaqueEvent{
-		at:    w.now + d,
-		order: w.order,
-		run:   run,
-	})
-}
-
-func (w *opaqueWorld) every(d time.Duration, run func()) {
-	w.after(d, func() {
-		run()
-		w.every(d, run)
-	})
-}
-
-// run lets time pass.
-func (w *opaqueWorld) run(d time.Duration) {
-	end := w.now + d
-	for len(w.events) > 0 && w.events[0].at <= end {
-		e := heap.Pop(&w.events).(opaqueEvent)
-		w.now = e.at
-		e.run()
-	}
-	w.now = end
-}
-
 func (w *opaqueWorld) breaks(format string, args ...any) {
-	w.broken = append(w.broken, fmt.Sprintf("%v ", w.now)+fmt.Sprintf(format, args...))
+	w.broken = append(w.broken, fmt.Sprintf("%v ", w.Now)+fmt.Sprintf(format, args...))
 }
 
 // check fails the test if a promise was broken.
@@ -260,7 +210,7 @@
 }
 
 func (w *opaqueWorld) startAgent(a *opaqueAgent, first bool) {
-	w.notes = append(w.notes, fmt.Sprint(w.now, " agent ", a.addr, " starts"))
+	w.notes = append(w.notes, fmt.Sprint(w.Now, " agent ", a.addr, " starts"))
 	a.core = &conntrack.Core{
 		Service:  catalog.ServiceID(a.target.service),
 		Complete: first || w.without == opaqueUnsure,
@@ -291,7 +241,7 @@
 
 // wall is the time of day, in Unix milliseconds.
 func (w *opaqueWorld) wall() int64 {
-	return 1_000_000 + w.now.Milliseconds()
+	return 1_000_000 + w.Now.Milliseconds()
 }
 
 // opaqueStopCopies is how often an agent announces its stop.
@@ -307,7 +257,7 @@
 		w.agentUpdate(a, conntrack.Stop{})
 	}
 	a.down = true
-	w.after(away, func() {
+	w.After(away, func() {
 		w.startAgent(a, false)
 	})
 }
@@ -317,7 +267,7 @@
 	w.list()
 	for _, e := range w.entries {
 		if w.skew > 0 {
-			w.after(time.Duration(w.random.Int64N(int64(w.skew))), func() {
+			w.After(time.Duration(w.random.Int64N(int64(w.skew))), func() {
 				w.informIfUp(e)
 			})
 		} else {
@@ -335,7 +285,7 @@
 // list brings the catalog up to date without telling any entry.
 func (w *opaqueWorld) list() {
 	w.version++
-	w.catalog.Apply(w.now, catalog.ConfigChange{
+	w.catalog.Apply(w.Now, catalog.ConfigChange{
 		Config: &catalog.Config{
 			Version:  w.version,
 			IdleTime: 15 * time.Second,
@@ -370,7 +320,7 @@
 			},
 		})
 	}
-	w.catalog.Apply(w.now, list)
+	w.catalog.Apply(w.Now, list)
 }
 
 func (w *opaqueWorld) delay(a, b string) time.Duration {
@@ -392,7 +342,7 @@
 // carry delivers a message between VMs.
 func (w *opaqueWorld) carry(d time.Duration, run func()) {
 	if !w.messy {
-		w.after(d, run)
+		w.After(d, run)
 
 		return
 	}
@@ -408,19 +358,19 @@
 		if w.random.Float64() < opaqueLate {
 			late = time.Duration(w.random.Int64N(int64(opaqueLatest)))
 		}
-		w.after(d+late, run)
+		w.After(d+late, run)
 	}
 }
 
 func (w *opaqueWorld) entryUpdate(e *opaqueEntry, m steer.Message) {
-	for _, c := range slices.Clone(e.core.Update(w.now, m)) {
+	for _, c := range slices.Clone(e.core.Update(w.Now, m)) {
 		switch c := c.(type) {
 		case *steer.Send:
 			w.toAgent(e, c.To, c.Message)
 		case steer.Reset:
 			w.toCaller(e.zone, c.Key, platform.AppendReset(nil, c.Key, c.Seq))
 		case steer.Note:
-			w.notes = append(w.notes, fmt.Sprintf("%v entry %v %v %v %v heard %v count %d %v", w.now, e.addr, c.Decision, c.Key, c.Agent, c.Age, c.Count, c.Reason))
+			w.notes = append(w.notes, fmt.Sprintf("%v entry %v %v %v %v heard %v count %d %v", w.Now, e.addr, c.Decision, c.Key, c.Agent, c.Age, c.Count, c.Reason))
 		}
 	}
 }
@@ -466,11 +416,11 @@
 }
 
 func (w *opaqueWorld) agentUpdate(a *opaqueAgent, m conntrack.Message) {
-	for _, c := range slices.Clone(a.core.Update(w.now, m)) {
+	for _, c := range slices.Clone(a.core.Update(w.Now, m)) {
 		switch c := c.(type) {
 		case conntrack.ToTarget:
 			b := slices.Clone(c.Packet)
-			w.after(0, func() {
+			w.After(0, func() {
 				w.targetTakes(a, b)
 			})
 		case conntrack.ToCaller:
@@ -483,7 +433,7 @@
 		case conntrack.Reset:
 			w.toCaller(a.zone, c.Key, platform.AppendReset(nil, c.Key, c.Seq))
 		case conntrack.Note:
-			w.notes = append(w.notes, fmt.Sprintf("%v agent %v %v %v %v heard %v count %d %v", w.now, a.addr, c.Decision, c.Key, c.Entry, c.Age, c.Count, c.Reason))
+			w.notes = append(w.notes, fmt.Sprintf("%v agent %v %v %v %v heard %v count %d %v", w.Now, a.addr, c.Decision, c.Key, c.Entry, c.Age, c.Count, c.Reason))
 		}
 	}
 }
@@ -527,7 +477,7 @@
 		return
 	}
 	e := near[k.Hash()%uint64(len(near))]
-	w.after(time.Millisecond, func() {
+	w.After(time.Millisecond, func() {
 		if !e.down {
 			w.entryUpdate(e, &steer.CallerPacket{
 				Segment: w.decode(b),
--- a/proof/operators_test.go
+++ b/proof/operators_test.go
@@ -143,7 +143,7 @@
 	s.plan.number++
 	s.setTarget(second, func(t *ticket.Target) { t.Connections++ }, "early")
 	after := s.plan.number
-	s.run(time.Duration(a%3) * time.Second)
+	s.Run(time.Duration(a%3) * time.Second)
 	s.plan.number = after - 2
 	s.setTarget(first, func(t *ticket.Target) { t.Connections++ }, "late")
 	s.plan.number = max(s.plan.number, after)
@@ -158,7 +158,7 @@
 func (s *site) restartEntry(a int) {
 	n := s.entries[a%len(s.entries)]
 	n.kill()
-	s.after(waitStep, n.start)
+	s.After(waitStep, n.start)
 }
 
 // restartAgent is a planned restart: drain, stop, start, end of drain.
@@ -169,7 +169,7 @@
 		return
 	}
 	s.drain(i)
-	s.after(waitStep, func() {
+	s.After(waitStep, func() {
 		if n.alive {
 			n.update(agentStop)
 		}
@@ -201,7 +201,7 @@
 	s.gone[old.Name] = true
 	n := s.addTargetAt(s.plan.services[a%len(s.plan.services)].Name, old.Zone, old.Agent)
 	n.start()
-	s.run(lead)
+	s.Run(lead)
 	last := len(s.plan.targets) - 1
 	s.submit("replace VM", func(b *strings.Builder) {
 		writeTargets(b, s.plan.targets[last:])
--- a/proof/oracle_test.go
+++ b/proof/oracle_test.go
@@ -63,14 +63,14 @@
 func (o *oracle) fail(invariant, format string, args ...any) {
 	o.failures[invariant]++
 	if o.first == "" {
-		o.first = fmt.Sprintf("%v %s: %s", o.w.now, invariant, fmt.Sprintf(format, args...))
+		o.first = fmt.Sprintf("%v %s: %s", o.w.Now, invariant, fmt.Sprintf(format, args...))
 	}
 }
 
 // published notes a ticket of the operators.
 func (o *oracle) published(t *ticket.Ticket) {
 	next := intent{
-		at: o.w.now,
+		at: o.w.Now,
 	}
 	if n := len(o.history); n > 0 {
 		for _, v := range o.history[n-1].state.Versions() {
@@ -96,7 +96,7 @@
 	return false
 }
 
-func (o *oracle) opened(c *caller) { o.flows[c.flow] = o.w.now }
+func (o *oracle) opened(c *caller) { o.flows[c.flow] = o.w.Now }
 
 // ran checks a request that reached a target.
 func (o *oracle) ran(t *target, k work) {
@@ -181,11 +181,11 @@
 // hear of a ticket go on with what they have, and from the end of such a fault
 // the bound counts anew. Loss, delay and pauses give no extra time.
 func (o *oracle) bound(d time.Duration) time.Duration {
-	if o.w.isolated() || o.w.now-o.touched < d {
+	if o.w.isolated() || o.w.Now-o.touched < d {
 		return 0
 	}
 
-	return o.w.now - d
+	return o.w.Now - d
 }
 
 func (o *oracle) overrun(t *target) {
@@ -286,7 +286,7 @@
 func (o *oracle) checkInForce(c *control, since time.Duration) {
 	for i := len(o.history) - 1; i >= 0; i-- {
 		h := &o.history[i]
-		if o.w.now-max(h.at, since) <= inForceTime {
+		if o.w.Now-max(h.at, since) <= inForceTime {
 			continue
 		}
 		if s := c.core.State(); s.Highest() < h.state.Highest() || i == len(o.history)-1 && s.Digest() != h.state.Digest() {
--- a/proof/site_test.go
+++ b/proof/site_test.go
@@ -157,7 +157,7 @@
 
 // watch checks the nodes ten times a second.
 func (s *site) watch() {
-	s.after(100*time.Millisecond, func() {
+	s.After(100*time.Millisecond, func() {
 		s.oracle.checkNodes()
 		s.watch()
 	})
@@ -174,7 +174,7 @@
 
 func (s *site) work(c *caller) {
 	d := 100*time.Millisecond + time.Duration(s.rand.Int64N(int64(600*time.Millisecond)))
-	s.after(d, func() {
+	s.After(d, func() {
 		c.request(s.rand.IntN(3) == 0)
 		s.work(c)
 	})
@@ -186,7 +186,7 @@
 	for _, c := range s.callers {
 		answers[c] = c.answers
 	}
-	s.run(15 * time.Second)
+	s.Run(15 * time.Second)
 	for _, c := range s.callers {
 		if c.state != callerOpen || c.answers > answers[c] {
 			continue
@@ -211,7 +211,7 @@
 	c.staleAt = 0
 	c.truncated = false
 	c.listed = nil
-	s.oracle.touched = s.now
+	s.oracle.touched = s.Now
 	s.wakeWatches()
 }
 
--- a/proof/steps_test.go
+++ b/proof/steps_test.go
@@ -17,11 +17,11 @@
 var steps = []step{
 	{"none", func(*site) {}},
 	{"drain", func(s *site) { s.drain(0) }},
-	{"undrain", func(s *site) { s.drain(0); s.run(waitStep); s.undrain(0) }},
+	{"undrain", func(s *site) { s.drain(0); s.Run(waitStep); s.undrain(0) }},
 	{"replace", func(s *site) { s.replace(1) }},
 	{"retarget", func(s *site) { s.retarget(0, 1) }},
 	{"zone out", func(s *site) { s.zone(1, false) }},
-	{"zone back", func(s *site) { s.zone(1, false); s.run(waitStep); s.zone(1, true) }},
+	{"zone back", func(s *site) { s.zone(1, false); s.Run(waitStep); s.zone(1, true) }},
 	{"complete", func(s *site) { s.complete() }},
 	{"five tickets", func(s *site) {
 		s.drain(0)
@@ -96,16 +96,16 @@
 func (s *site) rollEntries() {
 	for _, n := range s.entries {
 		n.kill()
-		s.run(waitStep)
+		s.Run(waitStep)
 		n.start()
-		s.run(waitStep)
+		s.Run(waitStep)
 	}
 }
 
 // stopAgent starts a graceful shutdown after a drain.
 func (s *site) stopAgent(i int) {
 	s.drain(i)
-	s.run(waitStep)
+	s.Run(waitStep)
 	s.agents[i].update(agentStop)
 }
 
@@ -115,7 +115,7 @@
 // openSoon opens flows one after the other while the next ticket spreads.
 func (s *site) openSoon(count int) {
 	for i := range count {
-		s.after(openLead+time.Duration(i-10)*time.Millisecond, func() {
+		s.After(openLead+time.Duration(i-10)*time.Millisecond, func() {
 			s.openAny(0)
 		})
 	}
--- a/proof/target_test.go
+++ b/proof/target_test.go
@@ -45,12 +45,12 @@
 	t.alive = true
 	t.boot = t.w.nextStart()
 	t.running = 0
-	t.coldEnd = t.w.now + coldTime
+	t.coldEnd = t.w.Now + coldTime
 }
 
 // bears returns the number of requests that the target can run now.
 func (t *target) bears() int {
-	if t.w.now < t.coldEnd {
+	if t.w.Now < t.coldEnd {
 		return 1
 	}
 
@@ -86,7 +86,7 @@
 	}
 	boot := t.boot
 	d := t.service/2 + time.Duration(t.w.rand.Int64N(int64(t.service)))
-	t.w.after(d, func() {
+	t.w.After(d, func() {
 		if t.boot != boot || !t.alive {
 			return
 		}
@@ -113,7 +113,7 @@
 	}
 	p.Running = uint32(t.running)
 	p.Payload = bytes.Clone(p.Payload)
-	t.w.after(100*time.Microsecond, func() {
+	t.w.After(100*time.Microsecond, func() {
 		t.agent.update(agent.FromTarget{
 			Packet: p,
 		})
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -1,7 +1,6 @@
 package proof_test
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"hash"
@@ -11,17 +10,17 @@
 	"time"
 
 	"ibisfold.example/core/keyring"
+	"ibisfold.example/core/simclock"
 )
 
 // world runs decision cores on a virtual clock. All randomness comes from one
 // seeded source and events of the same time run in the order of their creation,
 // so a seed always gives the same trace.
 type world struct {
-	now    time.Duration
-	rand   *rand.Rand
-	keys   *keyring.Keyring
-	events eventHeap
-	serial uint64
+	simclock.Clock
+
+	rand *rand.Rand
+	keys *keyring.Keyring
 	// steps counts the inputs that decision cores handled.
 	steps uint64
 	trace hash.Hash64
@@ -67,32 +66,6 @@
 
 func (p *process) base() *process { return p }
 
-type event struct {
-	at     time.Duration
-	serial uint64
-	run    func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int      { return len(h) }
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-
-	return h[i].serial < h[j].serial
-}
-func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-
-	return e
-}
-
 func newWorld(seed uint64, b protection) *world {
 	keys, err := keyring.New([]keyring.Key{
 		{
@@ -116,36 +89,15 @@
 	return w
 }
 
-// after runs f at a later time.
-func (w *world) after(d time.Duration, f func()) {
-	w.serial++
-	heap.Push(&w.events, event{
-		at:     w.now + d,
-		serial: w.serial,
-		run:    f,
-	})
-}
-
-// run lets d of virtual time pass.
-func (w *world) run(d time.Duration) {
-	end := w.now + d
-	for len(w.events) > 0 && w.events[0].at <= end {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.run()
-	}
-	w.now = end
-}
-
 // note adds an observation to the trace.
 func (w *world) note(kind byte, values ...uint64) {
 	var b [8]byte
 
 	if w.verbose {
-		fmt.Printf("%12v %c %x\n", w.now, kind, values)
+		fmt.Printf("%12v %c %x\n", w.Now, kind, values)
 	}
 	w.trace.Write([]byte{kind})
-	binary.BigEndian.PutUint64(b[:], uint64(w.now))
+	binary.BigEndian.PutUint64(b[:], uint64(w.Now))
 	w.trace.Write(b[:])
 	for _, v := range values {
 		binary.BigEndian.PutUint64(b[:], v)
@@ -156,7 +108,7 @@
 // every runs f at each interval while the node's incarnation lives.
 func (w *world) every(p *process, interval time.Duration, f func()) {
 	incarnation := p.incarnation
-	w.after(interval, func() {
+	w.After(interval, func() {
 		if !p.alive || p.incarnation != incarnation {
 			return
 		}
@@ -193,12 +145,12 @@
 	}
 	incarnation := p.incarnation
 	p.paused = true
-	w.after(d, func() {
+	w.After(d, func() {
 		if !p.alive || p.incarnation != incarnation {
 			return
 		}
 		p.paused = false
-		p.since = w.now
+		p.since = w.Now
 		backlog := p.backlog
 		p.backlog = nil
 		for _, m := range backlog {
