--- /dev/null
+++ b/proof/opaque_network_test.go
@@ -0,0 +1,178 @@
+package proof_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"ibisfold.example/core/conntrack"
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+	"ibisfold.example/core/steer"
+	"ibisfold.example/platform"
+)
+
+func (w *opaqueWorld) delay(a, b string) time.Duration {
+	if a == b {
+		return opaqueNear
+	}
+
+	return opaqueFar
+}
+
+// Chances of a message between VMs in a network that is not orderly.
+const (
+	opaqueLost   = 0.01
+	opaqueTwice  = 0.05
+	opaqueLate   = 0.1
+	opaqueLatest = 30 * time.Millisecond
+)
+
+// carry delivers a message between VMs.
+func (w *opaqueWorld) carry(d time.Duration, run func()) {
+	if !w.messy {
+		w.After(d, run)
+
+		return
+	}
+	if w.random.Float64() < opaqueLost {
+		return
+	}
+	copies := 1
+	if w.random.Float64() < opaqueTwice {
+		copies = 2
+	}
+	for range copies {
+		late := time.Duration(0)
+		if w.random.Float64() < opaqueLate {
+			late = time.Duration(w.random.Int64N(int64(opaqueLatest)))
+		}
+		w.After(d+late, run)
+	}
+}
+
+func (w *opaqueWorld) entryUpdate(e *opaqueEntry, m steer.Message) {
+	for _, c := range slices.Clone(e.core.Update(w.Now, m)) {
+		switch c := c.(type) {
+		case *steer.Send:
+			w.toAgent(e, c.To, c.Message)
+		case steer.Reset:
+			w.toCaller(e.zone, c.Key, platform.AppendReset(nil, c.Key, c.Seq))
+		case steer.Note:
+			w.notes = append(w.notes, fmt.Sprintf("%v entry %v %v %v %v heard %v count %d %v", w.Now, e.addr, c.Decision, c.Key, c.Agent, c.Age, c.Count, c.Reason))
+		}
+	}
+}
+
+func (w *opaqueWorld) toAgent(e *opaqueEntry, to netip.AddrPort, m relay.Message) {
+	if m.Kind == relay.Probe {
+		w.probed++
+		w.probeBytes += relay.HeaderBytes + len(m.Packet)
+	}
+	b := m.Append(nil)
+	for _, a := range w.agents {
+		if a.addr != to {
+			continue
+		}
+		w.carry(w.delay(e.zone, a.zone), func() {
+			if !a.down {
+				w.deliverToAgent(a, e.addr, b)
+			}
+		})
+	}
+}
+
+func (w *opaqueWorld) deliverToAgent(a *opaqueAgent, from netip.AddrPort, b []byte) {
+	m := conntrack.EntryMessage{
+		From: from,
+	}
+	if err := m.Message.Decode(b); err != nil {
+		w.t.Fatal(err)
+	}
+	if len(m.Message.Packet) > 0 {
+		m.Segment = w.decode(m.Message.Packet)
+	}
+	w.agentUpdate(a, &m)
+}
+
+func (w *opaqueWorld) decode(b []byte) segment.Segment {
+	s, err := platform.FromCaller(b)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+
+	return s
+}
+
+func (w *opaqueWorld) agentUpdate(a *opaqueAgent, m conntrack.Message) {
+	for _, c := range slices.Clone(a.core.Update(w.Now, m)) {
+		switch c := c.(type) {
+		case conntrack.ToTarget:
+			b := slices.Clone(c.Packet)
+			w.After(0, func() {
+				w.targetTakes(a, b)
+			})
+		case conntrack.ToCaller:
+			w.toCaller(a.zone, c.Key, slices.Clone(c.Packet))
+		case conntrack.ToEntry:
+			if c.Bounced {
+				platform.Restore(c.Message.Packet)
+			}
+			w.toEntry(a, c.To, c.Message)
+		case conntrack.Reset:
+			w.toCaller(a.zone, c.Key, platform.AppendReset(nil, c.Key, c.Seq))
+		case conntrack.Note:
+			w.notes = append(w.notes, fmt.Sprintf("%v agent %v %v %v %v heard %v count %d %v", w.Now, a.addr, c.Decision, c.Key, c.Entry, c.Age, c.Count, c.Reason))
+		}
+	}
+}
+
+func (w *opaqueWorld) toEntry(a *opaqueAgent, to netip.AddrPort, m relay.Message) {
+	if m.Kind == relay.Stopping && w.without == opaqueAnnouncement {
+		return
+	}
+	b := m.Append(nil)
+	for _, e := range w.entries {
+		if e.addr != to {
+			continue
+		}
+		w.carry(w.delay(e.zone, a.zone), func() {
+			if e.down {
+				return
+			}
+			m := steer.AgentMessage{
+				From: a.addr,
+			}
+			if err := m.Message.Decode(b); err != nil {
+				w.t.Fatal(err)
+			}
+			if len(m.Message.Packet) > 0 {
+				m.Segment = w.decode(m.Message.Packet)
+			}
+			w.entryUpdate(e, &m)
+		})
+	}
+}
+
+// toRouters passes a caller's packet to an entry of its zone in rotation.
+func (w *opaqueWorld) toRouters(zone string, k segment.Key, b []byte) {
+	near := []*opaqueEntry{}
+	for _, e := range w.entries {
+		if e.zone == zone && !e.rotated {
+			near = append(near, e)
+		}
+	}
+	if len(near) == 0 {
+		return
+	}
+	e := near[k.Hash()%uint64(len(near))]
+	w.After(time.Millisecond, func() {
+		if !e.down {
+			w.entryUpdate(e, &steer.CallerPacket{
+				Segment: w.decode(b),
+				Packet:  b,
+			})
+		}
+	})
+}
--- a/proof/opaque_test.go
+++ b/proof/opaque_test.go
@@ -13,8 +13,8 @@
 	"ibisfold.example/platform"
 )
 
-// slowest returns the longest answer, the resets and the timeouts of callers
-// since the last call.
+// opaqueTotals returns the longest answer, and the answers, resets and timeouts of
+// callers since the last call.
 func opaqueTotals(callers []*opaqueCaller) (slowest time.Duration, answers, resets, timeouts int) {
 	for _, c := range callers {
 		slowest = max(slowest, c.slowest)
@@ -30,13 +30,20 @@
 	return slowest, answers, resets, timeouts
 }
 
+// opaqueServing returns a site whose callers have been served for a while.
+func opaqueServing(t testing.TB, seed uint64, targets, callers int, pause time.Duration) (*opaqueWorld, []*opaqueCaller) {
+	w := opaqueSite(t, seed, targets)
+	list := w.addCallers(callers, pause)
+	w.Run(2 * time.Second)
+
+	return w, list
+}
+
 // Guards against flows that end, or wait, because the entry that opened them
 // is replaced after the targets have changed.
 func TestOpaqueEntryReplaced(t *testing.T) {
 	is := is.New(t)
-	w := opaqueSite(t, 1, 3)
-	callers := w.addCallers(60, 50*time.Millisecond)
-	w.Run(2 * time.Second)
+	w, callers := opaqueServing(t, 1, 3, 60, 50*time.Millisecond)
 	w.addAgent("a", "10.0.2.9:7720", opaqueService, false)
 	w.agents[0].target.draining = true
 	w.publish()
@@ -56,9 +63,7 @@
 // know what their targets hold.
 func TestOpaqueAgentsRestarted(t *testing.T) {
 	is := is.New(t)
-	w := opaqueSite(t, 2, 3)
-	callers := w.addCallers(60, 50*time.Millisecond)
-	w.Run(2 * time.Second)
+	w, callers := opaqueServing(t, 2, 3, 60, 50*time.Millisecond)
 	opaqueTotals(callers)
 	for _, a := range w.agents {
 		w.stopAgent(a, 150*time.Millisecond)
@@ -74,9 +79,7 @@
 // processes of the system were killed at once while the targets live on.
 func TestOpaqueAllKilled(t *testing.T) {
 	is := is.New(t)
-	w := opaqueSite(t, 3, 3)
-	callers := w.addCallers(60, 50*time.Millisecond)
-	w.Run(2 * time.Second)
+	w, callers := opaqueServing(t, 3, 3, 60, 50*time.Millisecond)
 	w.restartProcesses()
 	opaqueTotals(callers)
 	w.Run(2 * time.Second)
@@ -91,9 +94,7 @@
 // though nothing holds their flows any more.
 func TestOpaquePowerLost(t *testing.T) {
 	is := is.New(t)
-	w := opaqueSite(t, 4, 3)
-	callers := w.addCallers(60, 50*time.Millisecond)
-	w.Run(2 * time.Second)
+	w, callers := opaqueServing(t, 4, 3, 60, 50*time.Millisecond)
 	w.restartTargets()
 	w.restartProcesses()
 	opaqueTotals(callers)
@@ -108,9 +109,7 @@
 // notice, and against new flows that go there.
 func TestOpaqueTargetSilent(t *testing.T) {
 	is := is.New(t)
-	w := opaqueSite(t, 5, 3)
-	callers := w.addCallers(60, 20*time.Millisecond)
-	w.Run(2 * time.Second)
+	w, callers := opaqueServing(t, 5, 3, 60, 20*time.Millisecond)
 	w.agents[0].target.silent = true
 	w.Run(700 * time.Millisecond)
 	opaqueTotals(callers)
@@ -124,9 +123,7 @@
 // Guards against callers that wait for a target whose port is closed.
 func TestOpaqueTargetRefuses(t *testing.T) {
 	is := is.New(t)
-	w := opaqueSite(t, 6, 3)
-	callers := w.addCallers(60, 20*time.Millisecond)
-	w.Run(2 * time.Second)
+	w, callers := opaqueServing(t, 6, 3, 60, 20*time.Millisecond)
 	opaqueTotals(callers)
 	w.agents[0].target.refusing = true
 	w.Run(2 * time.Second)
@@ -140,9 +137,7 @@
 // target lost power or was cut off.
 func TestOpaqueVMSilent(t *testing.T) {
 	is := is.New(t)
-	w := opaqueSite(t, 7, 3)
-	callers := w.addCallers(60, 20*time.Millisecond)
-	w.Run(2 * time.Second)
+	w, callers := opaqueServing(t, 7, 3, 60, 20*time.Millisecond)
 	opaqueTotals(callers)
 	w.agents[0].down = true
 	w.agents[0].target.silent = true
@@ -156,9 +151,7 @@
 // Guards against resets of living flows while an agent stops as planned and
 // the entry that was told of it is replaced.
 func TestOpaquePlannedStops(t *testing.T) {
-	w := opaqueSite(t, 8, 2)
-	callers := w.addCallers(60, 20*time.Millisecond)
-	w.Run(2 * time.Second)
+	w, callers := opaqueServing(t, 8, 2, 60, 20*time.Millisecond)
 	for i, a := range w.agents {
 		w.stopAgent(a, 700*time.Millisecond)
 		w.Run(100 * time.Millisecond)
@@ -234,9 +227,7 @@
 // has just started waits for a slow configuration service.
 func TestOpaqueEarlyPackets(t *testing.T) {
 	is := is.New(t)
-	w := opaqueSite(t, 12, 2)
-	callers := w.addCallers(60, 20*time.Millisecond)
-	w.Run(2 * time.Second)
+	w, callers := opaqueServing(t, 12, 2, 60, 20*time.Millisecond)
 	opaqueTotals(callers)
 	for _, e := range w.entries {
 		w.startBlindEntry(e)
@@ -258,9 +249,7 @@
 // callers come back at once before 51 targets that have all started anew.
 func TestOpaquePowerLostAtScale(t *testing.T) {
 	is := is.New(t)
-	w := opaqueSite(t, 13, 17)
-	callers := w.addCallers(480, 200*time.Millisecond)
-	w.Run(2 * time.Second)
+	w, callers := opaqueServing(t, 13, 17, 480, 200*time.Millisecond)
 	for _, a := range w.agents {
 		a.target.restart()
 		a.target.born = w.wall()
@@ -284,9 +273,7 @@
 // yet: the packets that are passed on in search of owners are bounded.
 func TestOpaqueProbesAreBounded(t *testing.T) {
 	is := is.New(t)
-	w := opaqueSite(t, 14, 17)
-	callers := w.addCallers(480, 200*time.Millisecond)
-	w.Run(2 * time.Second)
+	w, callers := opaqueServing(t, 14, 17, 480, 200*time.Millisecond)
 	w.restartTargets()
 	w.restartProcesses()
 	opaqueTotals(callers)
@@ -339,9 +326,7 @@
 // 480 flows have to be found again and no agent is sure.
 func TestOpaqueAllKilledAtScale(t *testing.T) {
 	is := is.New(t)
-	w := opaqueSite(t, 16, 17)
-	callers := w.addCallers(480, 200*time.Millisecond)
-	w.Run(2 * time.Second)
+	w, callers := opaqueServing(t, 16, 17, 480, 200*time.Millisecond)
 	w.restartProcesses()
 	opaqueTotals(callers)
 	w.probed = 0
