Let new flows wait at the agent, the newest first

Change: an agent passes a SYN on while its target has less than 1.5 requests a slot in progress or expected; others wait and go newest first, by the number of copies that the SYN tells. A SYN whose caller has given up goes back to the entry. The reported load counts what is expected and waits. The thresholds of steer and conntrack become fields of a Policy, with their former values.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -16,6 +16,8 @@
 	Address netip.AddrPort
 	// Splits has at least one element.
 	Splits []Split
+	// Timeout is how long callers wait for an answer; zero if it is not known.
+	Timeout time.Duration
 }
 
 // Split is a service's share of a route.
--- /dev/null
+++ b/core/conntrack/backlog.go
@@ -0,0 +1,135 @@
+package conntrack
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// maxBacklog bounds the SYNs that wait at an agent: what the callers of the busiest
+// target send before they give up.
+const maxBacklog = 1024
+
+// backlog holds the SYNs that wait until the target has room for their requests.
+// After an outage all callers come back at once. In the order of arrival each of them
+// would be served too late; the newest first, those that still can be are in time.
+type backlog struct {
+	// opens is sorted by began, the latest last.
+	opens []waitingOpen
+}
+
+// waitingOpen is the SYN of a flow that waits.
+type waitingOpen struct {
+	message EntryMessage
+	// began is when the caller sent the first SYN, expires when it gives up.
+	began   time.Duration
+	expires time.Duration
+}
+
+// size returns the number of flows that wait.
+func (b *backlog) size() int {
+	return len(b.opens)
+}
+
+// put adds a SYN, or takes note of a copy of one that waits. It returns false if
+// the backlog is full.
+func (b *backlog) put(now time.Duration, m *EntryMessage) bool {
+	if i := b.index(m.Message.Key); i >= 0 {
+		b.opens[i].message.From = m.From
+
+		return true
+	}
+	if len(b.opens) >= maxBacklog {
+		return false
+	}
+	w := waitingOpen{
+		message: *m,
+		began:   now - time.Duration(m.Message.Age)*time.Millisecond,
+	}
+	w.message.Message.Packet = slices.Clone(m.Message.Packet)
+	w.expires = w.began + patience(&m.Message)
+	i, _ := slices.BinarySearchFunc(b.opens, w.began, func(o waitingOpen, began time.Duration) int {
+		return cmp.Compare(o.began, began)
+	})
+	b.opens = slices.Insert(b.opens, i, w)
+
+	return true
+}
+
+// patience is how long after its first SYN a caller gives up.
+func patience(m *relay.Message) time.Duration {
+	if m.Timeout == 0 {
+		return segment.OpenTime
+	}
+
+	return min(segment.OpenTime, time.Duration(m.Timeout)*time.Millisecond)
+}
+
+func (b *backlog) index(k segment.Key) int {
+	return slices.IndexFunc(b.opens, func(w waitingOpen) bool {
+		return w.message.Message.Key == k
+	})
+}
+
+// remove forgets a flow whose caller chose another target.
+func (b *backlog) remove(k segment.Key) {
+	if i := b.index(k); i >= 0 {
+		b.opens = slices.Delete(b.opens, i, i+1)
+	}
+}
+
+// newest takes out the SYN that was sent last.
+func (b *backlog) newest() (waitingOpen, bool) {
+	if len(b.opens) == 0 {
+		return waitingOpen{}, false
+	}
+	last := len(b.opens) - 1
+	w := b.opens[last]
+	b.opens = b.opens[:last]
+
+	return w, true
+}
+
+// expired takes out the SYNs whose callers have given up.
+func (b *backlog) expired(now time.Duration) []waitingOpen {
+	list := []waitingOpen{}
+	b.opens = slices.DeleteFunc(b.opens, func(w waitingOpen) bool {
+		if now < w.expires {
+			return false
+		}
+		list = append(list, w)
+
+		return true
+	})
+
+	return list
+}
+
+// room reports whether the target can begin the first request of another flow soon.
+// Flows that are open may keep it busy for ever, so new flows have a share of it.
+func (c *Core) room() bool {
+	limit := c.Policy.QueueSlots * float64(c.slots)
+	share := max(1, c.Policy.NewShare*float64(c.slots))
+	expected := len(c.work.expected)
+
+	return limit == 0 || float64(c.work.progress+expected) < limit || float64(c.work.firsts+expected) < share
+}
+
+// admitWaiting passes SYNs to the target while it has room, the newest first.
+func (c *Core) admitWaiting(now time.Duration) {
+	for c.backlog.size() > 0 && c.room() {
+		w, _ := c.backlog.newest()
+		c.measure(WaitTime, now-w.began)
+		c.admit(now, &w.message)
+	}
+}
+
+// expireWaiting refuses the SYNs whose callers have given up.
+func (c *Core) expireWaiting(now time.Duration) {
+	for _, w := range c.backlog.expired(now) {
+		c.refuse(now, &w.message, relay.ReasonFull)
+	}
+}
--- a/core/conntrack/command.go
+++ b/core/conntrack/command.go
@@ -69,12 +69,15 @@
 	AnswerTime Measure = iota
 	// AcceptTime: from a SYN to the target's answer.
 	AcceptTime
+	// WaitTime: from a caller's first SYN to its way to the target, of those that waited.
+	WaitTime
 	measures
 )
 
 var measureNames = [measures]string{
 	AnswerTime: "target_answer",
 	AcceptTime: "target_accept",
+	WaitTime:   "flow_wait",
 }
 
 // MeasureNames returns the names of all measures, in the order of their values.
--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -24,6 +24,8 @@
 	activeTime = 5 * time.Second
 	// sweepTime is the time between two passes over all flows.
 	sweepTime = time.Second
+	// maxLoad bounds the load in a message, in hundredths of a request.
+	maxLoad = 60000
 	// probeTime is how long a target that reacts may take to bounce a packet of a
 	// flow that it does not hold.
 	probeTime = 40 * time.Millisecond
@@ -31,8 +33,6 @@
 	// hold no flow that the agent missed. A process that ended is started again
 	// after about 0.5 s, so no earlier agent can have opened one meanwhile.
 	freshTime = 400 * time.Millisecond
-	// loadTime is the time over which the load is averaged.
-	loadTime = 500 * time.Millisecond
 )
 
 // Core decides for one agent. Set the exported fields before the first Update.
@@ -48,6 +48,8 @@
 	// Started is when the process started, in Unix milliseconds on the clock that
 	// the target's start is told by.
 	Started int64
+	// Policy is by default DefaultPolicy.
+	Policy *Policy
 
 	flows map[segment.Key]*flow
 	// probes holds the flows whose packet the target has not reacted to yet.
@@ -58,6 +60,10 @@
 	cold    coldStart
 	work    work
 	flaps   flapDamping
+	// slots is the number of requests that the target works on at once; zero if it is
+	// not known.
+	slots   int
+	backlog backlog
 	// now is the time of the Update that runs.
 	now time.Duration
 	// load is the mean number of requests in progress, active the number of flows
@@ -111,6 +117,10 @@
 		c.flows = map[segment.Key]*flow{}
 		c.probes = map[segment.Key]*flow{}
 		c.entries = map[netip.AddrPort]time.Duration{}
+		if c.Policy == nil {
+			p := DefaultPolicy()
+			c.Policy = &p
+		}
 		if c.MaxFlowAge == 0 {
 			c.MaxFlowAge = defaultMaxAge
 		}
@@ -132,6 +142,8 @@
 	case Tick:
 		c.tick(now)
 	}
+	c.admitWaiting(now)
+
 	return c.commands
 }
 
@@ -141,9 +153,11 @@
 }
 
 func (c *Core) tick(now time.Duration) {
-	share := float64(TickTime) / float64(loadTime)
+	share := float64(TickTime) / float64(c.Policy.LoadTime)
 	c.load += share * (float64(c.work.progress) - c.load)
 	c.work.expire(now)
+	c.work.expireExpected(now, c.Policy.ExpectTime)
+	c.expireWaiting(now)
 	c.checkTarget(now)
 	c.tickProbes(now)
 	if now-c.swept >= sweepTime {
@@ -199,13 +213,19 @@
 }
 
 func (c *Core) withLoad(m relay.Message) relay.Message {
-	m.Load = uint16(min(c.load*100, 60000))
+	m.Load = uint16(min(100*max(c.load, c.demand()), maxLoad))
 	m.Unstable = c.flaps.unstable(c.now)
 	m.Flows = uint16(min(c.active, 60000))
 
 	return m
 }
 
+// demand is the number of requests that the target has, that it is about to get and
+// that wait for it.
+func (c *Core) demand() float64 {
+	return float64(c.work.progress + len(c.work.expected) + c.backlog.size())
+}
+
 func (c *Core) measure(m Measure, d time.Duration) {
 	c.commands = append(c.commands, Measured{
 		Measure: m,
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -26,11 +26,38 @@
 // open passes a SYN to the target, unless the target can't take it now.
 func (c *Core) open(now time.Duration, m *EntryMessage) {
 	k := m.Message.Key
+	c.slots = int(m.Message.Slots)
 	if reason := c.refusal(now, m); reason != relay.ReasonNone {
 		c.refuse(now, m, reason)
 
 		return
 	}
+	if f, ok := c.flows[k]; ok && f.opening() {
+		f.entry = m.From
+		f.used = now
+		c.toTarget(now, m.Message.Packet, true)
+
+		return
+	}
+	if c.room() {
+		c.backlog.remove(k)
+		c.admit(now, m)
+
+		return
+	}
+	if !c.backlog.put(now, m) {
+		c.refuse(now, m, relay.ReasonFull)
+	}
+}
+
+// admit passes the SYN of a flow that is not known here to the target.
+func (c *Core) admit(now time.Duration, m *EntryMessage) {
+	k := m.Message.Key
+	if !c.cold.allow(now, float64(m.Message.ColdRate)/10) {
+		c.refuse(now, m, relay.ReasonCold)
+
+		return
+	}
 	f, ok := c.flows[k]
 	if !ok || !f.opening() {
 		f = &flow{
@@ -40,6 +67,7 @@
 	}
 	f.entry = m.From
 	f.used = now
+	c.work.expect(now, k)
 	c.toTarget(now, m.Message.Packet, true)
 }
 
@@ -55,13 +83,6 @@
 	if c.target.down && !c.target.tryAgain(now) {
 		return relay.ReasonTargetDown
 	}
-	if f, ok := c.flows[m.Message.Key]; ok && f.opening() {
-		// A copy. To refuse it would end a flow that the target may have opened.
-		return relay.ReasonNone
-	}
-	if !c.cold.allow(now, float64(m.Message.ColdRate)/10) {
-		return relay.ReasonCold
-	}
 
 	return relay.ReasonNone
 }
@@ -90,6 +111,7 @@
 // missed the flow's beginning.
 func (c *Core) deliver(now time.Duration, m *EntryMessage) {
 	k := m.Message.Key
+	c.backlog.remove(k)
 	f, ok := c.flows[k]
 	if !ok {
 		if c.Complete {
@@ -103,6 +125,7 @@
 		c.flows[k] = f
 	}
 	if !f.takes(&m.Segment) {
+		c.work.met(k)
 		c.refuse(now, m, relay.ReasonNotHeld)
 
 		return
--- /dev/null
+++ b/core/conntrack/policy.go
@@ -0,0 +1,68 @@
+package conntrack
+
+import (
+	"time"
+
+	"ibisfold.example/core/document"
+)
+
+// Policy holds the thresholds of an agent's decisions. Ablations and experiments
+// change them; the zero value is not valid, DefaultPolicy is.
+type Policy struct {
+	// QueueSlots is the number of requests for each of the target's slots that may be
+	// in progress or expected when a new flow is passed to the target. Others wait at
+	// the agent, which lets the newest in first. Zero passes all of them on.
+	QueueSlots float64 `yaml:"QueueSlots,omitempty"`
+	// NewShare is the share of the slots that the first requests of new flows may have
+	// however busy the target is with those of others.
+	NewShare float64 `yaml:"NewShare,omitempty"`
+	// ExpectTime is how long after a SYN was passed on its flow counts as a request
+	// that is about to come.
+	ExpectTime time.Duration `yaml:"ExpectTime,omitempty"`
+	// LoadTime is the time over which the reported load is averaged.
+	LoadTime time.Duration `yaml:"LoadTime,omitempty"`
+	// DownTime is how long a target may not send anything while packets that ask for
+	// an answer wait. Work takes up to about 100 ms before its answer.
+	DownTime time.Duration `yaml:"DownTime,omitempty"`
+}
+
+// DefaultPolicy returns the policy of a Core that is given none.
+func DefaultPolicy() Policy {
+	p := Policy{}
+	p.SetDefaults()
+
+	return p
+}
+
+// SetDefaults implements document.Defaulter.
+func (p *Policy) SetDefaults() {
+	*p = Policy{
+		QueueSlots: 1.5,
+		NewShare:   0.5,
+		ExpectTime: 100 * time.Millisecond,
+		LoadTime:   500 * time.Millisecond,
+		DownTime:   400 * time.Millisecond,
+	}
+}
+
+// Bounds of a policy.
+const (
+	// maxQueueSlots is the greatest number of requests for each slot.
+	maxQueueSlots = 100
+	// maxWait is the longest of all times.
+	maxWait = 10 * time.Second
+)
+
+// Check reports the fields that are out of range. Errors of the fields:
+// document.CodeOutOfRange.
+func (p *Policy) Check(c *document.Checker) {
+	document.Between(c, "QueueSlots", p.QueueSlots, 0, maxQueueSlots)
+	document.Between(c, "NewShare", p.NewShare, 0, 1)
+	document.Between(c, "LoadTime", p.LoadTime, TickTime, maxWait)
+	for name, d := range map[string]time.Duration{
+		"ExpectTime": p.ExpectTime,
+		"DownTime":   p.DownTime,
+	} {
+		document.Between(c, name, d, 0, maxWait)
+	}
+}
--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -8,10 +8,8 @@
 )
 
 const (
-	// downTime is how long a target may not send anything while packets that ask
-	// for an answer wait. Work takes up to about 100 ms before its answer.
-	downTime = 400 * time.Millisecond
-	// downPackets is the number of such packets.
+	// downPackets is the number of packets that ask for an answer which a target leaves
+	// unanswered before it counts as down.
 	downPackets = 3
 	// retryTime is the time between two SYNs that try a target that is down.
 	retryTime = 100 * time.Millisecond
@@ -61,7 +59,7 @@
 }
 
 // silent reports whether the target leaves packets without any reaction.
-func (t *target) silent(now time.Duration) bool {
+func (t *target) silent(now, downTime time.Duration) bool {
 	if t.refusal {
 		return true
 	}
@@ -73,7 +71,7 @@
 // callers can go to another target. A caller whose flow is idle then opens
 // another one for its next request, which it may be unable to repeat.
 func (c *Core) checkTarget(now time.Duration) {
-	if c.target.down || !c.target.silent(now) {
+	if c.target.down || !c.target.silent(now, c.Policy.DownTime) {
 		return
 	}
 	c.target.down = true
--- a/core/document/checker.go
+++ b/core/document/checker.go
@@ -121,8 +121,13 @@
 
 // Range checks that n is between low and high.
 func (c *Checker) Range(path string, n, low, high int) {
-	if n < low || n > high {
-		c.Add(path, CodeOutOfRange, "%d is not between %d and %d", n, low, high)
+	Between(c, path, n, low, high)
+}
+
+// Between checks that x is between low and high, for any ordered type.
+func Between[T cmp.Ordered](c *Checker, path string, x, low, high T) {
+	if !(x >= low && x <= high) {
+		c.Add(path, CodeOutOfRange, "%v is not between %v and %v", x, low, high)
 	}
 }
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -113,9 +113,9 @@
 }
 
 // HeaderBytes is the length of the header.
-const HeaderBytes = 4 + 8 + 12 + 6
+const HeaderBytes = 4 + 8 + 12 + 6 + 6
 
-const version = 1
+const version = 2
 
 // flagUnstable is the bit of Unstable in the fourth byte.
 const flagUnstable = 1
@@ -141,6 +141,15 @@
 	// ColdRate is, in Open, the new flows that a cold target bears in a second,
 	// times 10; zero is no bound.
 	ColdRate uint16
+	// Slots is, in Open, the number of requests that the target works on at once; zero
+	// if it is not known.
+	Slots uint16
+	// Age is, in Open, how long ago the caller sent its first SYN of the flow, in
+	// milliseconds.
+	Age uint16
+	// Timeout is, in Open, how long callers of the route wait for an answer, in
+	// milliseconds; zero if it is not known.
+	Timeout uint16
 	// Load is, in messages of agents, the mean number of requests in progress at
 	// the target, times 100.
 	Load uint16
@@ -168,6 +177,9 @@
 	b = binary.LittleEndian.AppendUint16(b, m.ColdRate)
 	b = binary.LittleEndian.AppendUint16(b, m.Load)
 	b = binary.LittleEndian.AppendUint16(b, m.Flows)
+	b = binary.LittleEndian.AppendUint16(b, m.Slots)
+	b = binary.LittleEndian.AppendUint16(b, m.Age)
+	b = binary.LittleEndian.AppendUint16(b, m.Timeout)
 
 	return m.appendBody(b)
 }
@@ -211,6 +223,9 @@
 	m.ColdRate = binary.LittleEndian.Uint16(b[24:])
 	m.Load = binary.LittleEndian.Uint16(b[26:])
 	m.Flows = binary.LittleEndian.Uint16(b[28:])
+	m.Slots = binary.LittleEndian.Uint16(b[30:])
+	m.Age = binary.LittleEndian.Uint16(b[32:])
+	m.Timeout = binary.LittleEndian.Uint16(b[34:])
 
 	return m.decodeBody(b[HeaderBytes:])
 }
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -22,6 +22,9 @@
 		Load:     4,
 		Unstable: true,
 		Flows:    5,
+		Slots:    6,
+		Age:      7,
+		Timeout:  8,
 		Packet:   []byte("packet"),
 	}
 	got := Message{}
--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -15,43 +15,24 @@
 	askAfter = 60 * time.Millisecond
 	// askAgain is the time until a question is repeated.
 	askAgain = 40 * time.Millisecond
-	// silentTime is how long an agent does not answer before it counts as silent.
-	// A VM whose share of a core is used up stands still for up to 100 ms.
-	silentTime = 180 * time.Millisecond
 	// silentAsks is the number of questions that it has to leave unanswered: where 1% of
 	// the datagrams are lost, a living agent does so once in 300 million times.
 	silentAsks = 5
-	// strangerTime is silentTime for an agent that this entry has not heard for
-	// acquaintedTime before it asked: its process may have been replaced since, and
-	// have announced another stop to the entries that it had heard only.
-	strangerTime   = 3 * time.Second
+	// acquaintedTime is how lately an agent has to be heard for its silence to mean
+	// that its process was not replaced.
 	acquaintedTime = time.Second
-	// stopTime is how long an agent may be away after it announced its stop.
-	stopTime = 5 * time.Second
 	// lateTime is how long after the announcement messages from before it may arrive.
 	// A process that ended is started again after about 0.5 s.
 	lateTime = 200 * time.Millisecond
 	// awayTime is how long an agent leaves a question unanswered from which it may
 	// have missed what was sent since. The way to another zone and back is shorter.
 	awayTime = 40 * time.Millisecond
-	// resendTime is the age to which packets are sent again. Callers repeat older
-	// ones themselves, or have given up; all at once would overrun the target.
-	resendTime = 250 * time.Millisecond
 	// backTime is the time between two questions to an agent that owes an answer. A
 	// belief that nothing renews would end flows long after the agent is back.
 	backTime = 300 * time.Millisecond
 	// maxUnheard bounds the packets that are kept for an agent: those that its
 	// callers send within a second at most.
 	maxUnheard = 128
-	// spreadTime is how long after its first listing here a target that has just started
-	// gets no new flow if there is another: other entries may learn of it later, by 0.7 s
-	// as a rule and by 1.5 s where the source that they follow fails. One that gets a
-	// packet of a flow of a target that it has never heard of would find that no target
-	// holds the flow. Targets that only come back to the list, after an outage of the
-	// configuration service, do not wait: those before them would be overrun.
-	spreadTime = 2 * time.Second
-	// slowTime is how long an agent may not answer before new flows avoid it.
-	slowTime = 80 * time.Millisecond
 )
 
 // agent is what an entry knows of an agent and of the target beside it.
@@ -178,26 +159,26 @@
 
 // lost reports whether the agent's silence shows that it can't serve its flows
 // without planned work being the cause.
-func (a *agent) lost(now time.Duration) bool {
-	if a.asks < silentAsks || a.stops(now) {
+func (c *Core) lost(now time.Duration, a *agent) bool {
+	if a.asks < silentAsks || c.stops(now, a) {
 		return false
 	}
 	if !a.known || a.asked-a.heard > acquaintedTime {
-		return now-a.asked >= strangerTime
+		return now-a.asked >= c.Policy.StrangerTime
 	}
 
-	return now-a.asked >= silentTime
+	return now-a.asked >= c.Policy.SilentTime
 }
 
 // slow reports whether new flows should avoid the agent.
-func (a *agent) slow(now time.Duration) bool {
-	return a.silent || a.stops(now) || now < a.avoid || a.asks > 1 && now-a.asked >= slowTime
+func (c *Core) slow(now time.Duration, a *agent) bool {
+	return a.silent || c.stops(now, a) || now < a.avoid || a.asks > 1 && now-a.asked >= c.Policy.SlowTime
 }
 
 // stops reports whether the agent is away as it announced. One that came back has
 // nothing to tell an entry from which it gets nothing.
-func (a *agent) stops(now time.Duration) bool {
-	return a.stopping > 0 && now-a.stopping < stopTime
+func (c *Core) stops(now time.Duration, a *agent) bool {
+	return a.stopping > 0 && now-a.stopping < c.Policy.StopTime
 }
 
 // tickAgents repeats questions, and resets the flows of agents that are lost.
@@ -210,7 +191,7 @@
 		if !a.waits || now-a.since < askAfter {
 			continue
 		}
-		if a.lost(now) {
+		if c.lost(now, a) {
 			c.lose(now, addr, a)
 			continue
 		}
@@ -226,7 +207,7 @@
 func (c *Core) resend(now time.Duration, to netip.AddrPort, a *agent, k relay.Kind) {
 	if k != relay.Stopping && a.asks > 0 && now-a.asked > awayTime {
 		for _, h := range a.unheard {
-			if now-h.at > resendTime {
+			if now-h.at > c.Policy.ResendTime {
 				continue
 			}
 			c.send(to, relay.Message{
--- a/core/steer/ask.go
+++ b/core/steer/ask.go
@@ -9,11 +9,11 @@
 )
 
 // otherTargets is the number of preferred targets that are asked of each service
-// that the flow's hash does not draw, and maxPreferred of the one that it does:
-// the set of targets may have changed since the flow was placed.
+// that the flow's hash does not draw, and moreTargets what is added for the one that
+// it does: the set of targets may have changed since the flow was placed.
 const (
 	otherTargets = 2
-	maxPreferred = preferredTargets + 1
+	moreTargets  = 1
 )
 
 // isAny takes every target: one that may get no new flow may hold old ones.
@@ -27,7 +27,7 @@
 	if !ok {
 		return
 	}
-	n := maxPreferred
+	n := c.Policy.Preferred + moreTargets
 	for _, service := range splitOrder(route.Splits, k.Hash()) {
 		for _, m := range c.preferred(k, c.snapshot.Groups[service], n, isAny) {
 			c.askOnce(now, k, s, c.agentOf(m))
@@ -72,7 +72,7 @@
 	}
 	s.asked[a] = answerNone
 	s.order = append(s.order, a)
-	if !c.agent(a).lost(now) {
+	if !c.lost(now, c.agent(a)) {
 		s.waiting++
 	}
 	if s.stage == stageAll && now-c.agent(a).lastAsk < TickTime {
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -41,7 +41,9 @@
 	LinkRate int
 	// MaxFlowAge is the age from which the ends discard a flow, by default 60 s.
 	MaxFlowAge time.Duration
-	Random     *rand.Rand
+	// Policy is by default DefaultPolicy.
+	Policy *Policy
+	Random *rand.Rand
 
 	snapshot *catalog.Snapshot
 	// listed holds the agents of all targets in the snapshot, listing their order.
@@ -84,7 +86,9 @@
 	refused []netip.AddrPort
 	// first means that the first copy of the SYN came here.
 	first bool
-	// opened is when the SYN came, due when another target gets it if none has answered.
+	// began is when the caller sent the first SYN, opened when one came here, due when
+	// another target gets it if none has answered.
+	began  time.Duration
 	opened time.Duration
 	due    time.Duration
 	used   time.Duration
@@ -127,6 +131,10 @@
 	if c.MaxFlowAge == 0 {
 		c.MaxFlowAge = defaultMaxAge
 	}
+	if c.Policy == nil {
+		p := DefaultPolicy()
+		c.Policy = &p
+	}
 	c.probes = math.MaxInt32
 	c.probesAt = now
 }
@@ -141,8 +149,8 @@
 		g := n.Groups[service]
 		for i := range g {
 			a := c.agentOf(&g[i])
-			if _, ok := old[a]; !ok && m.fresh(now, &g[i]) {
-				c.agent(a).spread = now + spreadTime
+			if _, ok := old[a]; !ok && m.fresh(now, &g[i], c.Policy.SpreadTime) {
+				c.agent(a).spread = now + c.Policy.SpreadTime
 			}
 			c.listed[a] = &g[i]
 			c.listing = append(c.listing, a)
@@ -150,9 +158,9 @@
 	}
 }
 
-// fresh reports whether a target started a moment ago.
-func (m *CatalogChanged) fresh(now time.Duration, t *catalog.Member) bool {
-	return now < t.ColdUntil || t.Born != 0 && m.Wall-t.Born < spreadTime.Milliseconds()
+// fresh reports whether a target started within the last d.
+func (m *CatalogChanged) fresh(now time.Duration, t *catalog.Member, d time.Duration) bool {
+	return now < t.ColdUntil || t.Born != 0 && m.Wall-t.Born < d.Milliseconds()
 }
 
 // agentOf returns the address of the agent beside a target.
@@ -227,7 +235,7 @@
 		}
 	}
 	for _, f := range c.opening {
-		f.due = now + acceptTime
+		f.due = now + c.Policy.AcceptTime
 	}
 	for _, s := range c.searches {
 		s.since = now
--- a/core/steer/open.go
+++ b/core/steer/open.go
@@ -11,20 +11,8 @@
 	"ibisfold.example/core/segment"
 )
 
-const (
-	// acceptTime is how long a target may take to answer a SYN before another one
-	// gets a copy. Targets answer within a millisecond; the rest is the way to
-	// another zone and back, and VMs that stand still for a moment.
-	acceptTime = 60 * time.Millisecond
-	// maxTried bounds the targets that get the SYN of one flow.
-	maxTried = 4
-	// fullTime is how long new flows avoid a target that did not accept one.
-	fullTime = 100 * time.Millisecond
-	// downTime is the same for a target that does not react.
-	downTime = 300 * time.Millisecond
-	// wrongTime is the same for a VM whose target serves another service.
-	wrongTime = time.Second
-)
+// wrongTime is how long new flows avoid a VM whose target serves another service.
+const wrongTime = time.Second
 
 // open handles a caller's SYN: the first one or a copy.
 func (c *Core) open(now time.Duration, m *CallerPacket) {
@@ -49,6 +37,9 @@
 	}
 	// In a SYN, Ack counts the copies that were sent before.
 	f.first = f.first || m.Segment.Ack == 0
+	if !ok {
+		f.began = now - segment.SYNAge(m.Segment.Ack)
+	}
 	f.used = now
 	f.syn = slices.Clone(m.Packet)
 	c.place(now, k, f)
@@ -74,7 +65,7 @@
 		decision = PlacedAgain
 	}
 	f.tried = append(f.tried, addr)
-	f.due = now + acceptTime
+	f.due = now + c.Policy.AcceptTime
 	c.flows[k] = f
 	c.opening[k] = f
 	c.agent(addr).opened++
@@ -88,6 +79,10 @@
 }
 
 func (c *Core) sendOpen(now time.Duration, addr netip.AddrPort, k segment.Key, f *flow, m *catalog.Member) {
+	timeout := time.Duration(0)
+	if r := c.routeOf(k); r != nil {
+		timeout = r.Timeout
+	}
 	rate := uint16(0)
 	if now < m.ColdUntil {
 		rate = uint16(min(math.MaxUint16, 10*c.snapshot.Config.Services[m.Service].ColdRate))
@@ -98,10 +93,18 @@
 		Service:  m.Service,
 		Key:      k,
 		ColdRate: rate,
+		Slots:    uint16(min(math.MaxUint16, max(0, m.Slots))),
+		Age:      milliseconds(now - f.began),
+		Timeout:  milliseconds(timeout),
 		Packet:   f.syn,
 	})
 }
 
+// milliseconds returns a time as messages carry it.
+func milliseconds(d time.Duration) uint16 {
+	return uint16(min(math.MaxUint16, max(0, d.Milliseconds())))
+}
+
 // placeNowhere refuses a flow that no target has got. One that some target may
 // still answer goes to the last of them again.
 func (c *Core) placeNowhere(now time.Duration, k segment.Key, f *flow) {
@@ -111,7 +114,7 @@
 		return
 	}
 	addr := f.tried[len(f.tried)-1]
-	f.due = now + acceptTime
+	f.due = now + c.Policy.AcceptTime
 	if m, ok := c.listed[addr]; ok && m.Usable() {
 		c.sendOpen(now, addr, k, f, m)
 	}
@@ -133,11 +136,11 @@
 func (c *Core) refused(now time.Duration, m *AgentMessage, a *agent) {
 	switch m.Message.Reason {
 	case relay.ReasonTargetDown:
-		a.avoid = now + downTime
+		a.avoid = now + c.Policy.DownTime
 	case relay.ReasonWrongService:
 		a.avoid = now + wrongTime
 	default:
-		a.avoid = now + fullTime
+		a.avoid = now + c.Policy.FullTime
 	}
 	k := m.Message.Key
 	f, ok := c.flows[k]
@@ -163,7 +166,7 @@
 // placeRefused finds another target for a SYN that was handed back, or gives the
 // flow up if no target can have opened it.
 func (c *Core) placeRefused(now time.Duration, k segment.Key, f *flow) {
-	if _, left := c.choose(now, k, c.routeOf(k), f.tried); left && len(f.tried) < maxTried {
+	if _, left := c.choose(now, k, c.routeOf(k), f.tried); left && len(f.tried) < c.Policy.MaxTried {
 		c.place(now, k, f)
 
 		return
@@ -185,7 +188,7 @@
 		if now < f.due {
 			continue
 		}
-		if len(f.tried) >= maxTried {
+		if len(f.tried) >= c.Policy.MaxTried {
 			delete(c.opening, k)
 			continue
 		}
--- a/core/steer/open_test.go
+++ b/core/steer/open_test.go
@@ -78,11 +78,11 @@
 	is := is.New(t)
 	c := newTestCore(2)
 	first, _ := opened(c.Update(0, synPacket(0)))
-	second, _ := opened(c.Update(acceptTime, Tick{}))
+	second, _ := opened(c.Update(DefaultPolicy().AcceptTime, Tick{}))
 	is.Equal(len(second), 1)
-	_, reset := opened(c.Update(acceptTime+time.Millisecond, refusal(second[0])))
+	_, reset := opened(c.Update(DefaultPolicy().AcceptTime+time.Millisecond, refusal(second[0])))
 	is.True(!reset)
-	_, reset = opened(c.Update(acceptTime+2*time.Millisecond, refusal(first[0])))
+	_, reset = opened(c.Update(DefaultPolicy().AcceptTime+2*time.Millisecond, refusal(first[0])))
 	is.True(reset)
 }
 
@@ -115,8 +115,8 @@
 		},
 	})
 	m := &c.snapshot.Groups[c.routeOf(k).Splits[0].Service][0]
-	is.True(c.score(2*time.Millisecond, m, c.agent(to[0])) >= unstablePenalty)
-	is.True(c.score(unstableAge+2*time.Millisecond, m, c.agent(to[0])) < unstablePenalty)
+	is.True(c.score(2*time.Millisecond, m, c.agent(to[0])) >= DefaultPolicy().UnstablePenalty)
+	is.True(c.score(unstableAge+2*time.Millisecond, m, c.agent(to[0])) < DefaultPolicy().UnstablePenalty)
 }
 
 // Guards against a target that gets no flows any more because its agent announced a
@@ -132,8 +132,8 @@
 			Kind: relay.Stopping,
 		},
 	})
-	is.True(c.agent(to[0]).slow(2 * time.Millisecond))
-	is.True(!c.agent(to[0]).slow(stopTime + 2*time.Millisecond))
+	is.True(c.slow(2*time.Millisecond, c.agent(to[0])))
+	is.True(!c.slow(c.Policy.StopTime+2*time.Millisecond, c.agent(to[0])))
 }
 
 // Guards against targets that get no flows while others are overrun, because their
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -12,33 +12,11 @@
 )
 
 const (
-	// zonePenalty is how much busier, in requests a slot, a target of this zone may
-	// be before new flows go to another zone, over links that are slow and dear.
-	zonePenalty = 0.35
-	// flowLoad is the load, in requests a slot, that an open flow is expected to
-	// bring: the requests in progress now say little of long flows.
-	flowLoad = 0.02
-	// coldPenalty is added for a target that started a moment ago.
-	coldPenalty = 0.3
-	// unstablePenalty puts a target that lost its flows lately behind stable ones.
-	unstablePenalty = 10
 	// spreadPenalty puts a target that other entries may not know yet behind all that
 	// they know.
 	spreadPenalty = 100
 	// slowPenalty puts a target behind all that react: it is used if there is no other.
 	slowPenalty = 1000
-	// affinity is how much busier the best of a flow's preferred targets may be than
-	// the best of all. It has to be small against the load of a busy slot.
-	affinity = 0.25
-	// idle is the load, in requests a slot, up to which a preferred target is taken
-	// without a look at the others.
-	idle = 0.4
-	// preferredTargets is the number of targets of a service that a flow's hash
-	// prefers. The least busy of three is nearly as good as that of all, and an
-	// entry without memory of the flow finds its owner among them.
-	preferredTargets = 3
-	// reportHalfLife is the age at which a report of load counts half.
-	reportHalfLife = 2 * time.Second
 	// unstableAge is the age from which the word that a target is unstable no longer
 	// counts: an agent that gets no flows has no occasion to take it back.
 	unstableAge = 2 * time.Second
@@ -104,8 +82,8 @@
 	usable := func(m *catalog.Member) bool {
 		return m.Usable() && !slices.Contains(tried, c.agentOf(m))
 	}
-	preferred, high := c.leastOf(now, c.preferred(k, group, preferredTargets, usable))
-	if preferred != nil && high <= idle {
+	preferred, high := c.leastOf(now, c.preferred(k, group, c.Policy.Preferred, usable))
+	if preferred != nil && high <= c.Policy.IdleLoad {
 		return preferred
 	}
 	all := []*catalog.Member{}
@@ -115,7 +93,7 @@
 		}
 	}
 	best, low := c.leastOf(now, all)
-	if preferred != nil && high <= low+affinity {
+	if preferred != nil && high <= low+c.Policy.Affinity {
 		return preferred
 	}
 
@@ -140,7 +118,7 @@
 // change little of it.
 func (c *Core) preferred(k segment.Key, group []catalog.Member, n int, usable func(*catalog.Member) bool) []*catalog.Member {
 	flow := k.Hash()
-	first := make([]ranked, 0, maxPreferred+1)
+	first := make([]ranked, 0, n+1)
 	for i := range group {
 		m := &group[i]
 		if m.Zone != c.Zone {
@@ -157,7 +135,7 @@
 		first = first[:min(n, len(first))]
 	}
 
-	list := make([]*catalog.Member, 0, maxPreferred)
+	list := make([]*catalog.Member, 0, n)
 	for _, x := range first {
 		list = append(list, x.member)
 	}
@@ -188,20 +166,20 @@
 
 // score estimates how busy a target is, in requests a slot.
 func (c *Core) score(now time.Duration, m *catalog.Member, a *agent) float64 {
-	s := (a.reported(now) + flowLoad*float64(a.opened)) / float64(max(1, m.Slots))
+	s := (c.reported(now, a) + c.Policy.OpenedLoad*float64(a.opened)) / float64(max(1, m.Slots))
 	if m.Zone != c.Zone {
-		s += zonePenalty
+		s += c.Policy.ZonePenalty
 	}
 	if now < m.ColdUntil {
-		s += coldPenalty
+		s += c.Policy.ColdPenalty
 	}
 	if now < a.spread {
 		s += spreadPenalty
 	}
 	if a.unstable && now-a.heard < unstableAge {
-		s += unstablePenalty
+		s += c.Policy.UnstablePenalty
 	}
-	if a.slow(now) {
+	if c.slow(now, a) {
 		s += slowPenalty
 	}
 
@@ -210,8 +188,8 @@
 
 // reported is the load of the last report, which counts less the older it is:
 // an agent that gets no packets has none to report.
-func (a *agent) reported(now time.Duration) float64 {
+func (c *Core) reported(now time.Duration, a *agent) float64 {
 	age := now - a.heard
 
-	return (a.load + flowLoad*float64(a.flows)) * math.Exp2(-age.Seconds()/reportHalfLife.Seconds())
+	return (a.load + c.Policy.FlowLoad*float64(a.flows)) * math.Exp2(-age.Seconds()/c.Policy.ReportHalfLife.Seconds())
 }
--- a/core/steer/search.go
+++ b/core/steer/search.go
@@ -182,7 +182,7 @@
 		if s.asked[addr] != answerNone {
 			continue
 		}
-		if _, listed := c.listed[addr]; listed && !c.agent(addr).lost(now) {
+		if _, listed := c.listed[addr]; listed && !c.lost(now, c.agent(addr)) {
 			list = append(list, addr)
 		}
 	}
