Count the packets that stray for each flow, not for each search

All entries lost their memory at 24.9 s. At 33.28 s the agent 10.2.0.49 announced its stop; 20 ms later a caller sent on an idle flow of its target. The entry's search passed the packet to two unsure agents, as many as may get it while an owner may be silent, and ended open after a second. Each copy of the caller began another search, which passed it to two more: six packets in 2.6 s at other targets and none at its own.

Ruled out: an owner assumed wrongly (no "owner found"), a reset.

Change: the bound of two holds for the flow until its owner is found or the flow is reset. TestCopiesDoNotStray failed before.

--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -53,7 +53,10 @@
 	// opening holds the flows whose SYN no target has answered yet.
 	opening  map[segment.Key]*flow
 	searches map[segment.Key]*search
-	agents   map[netip.AddrPort]*agent
+	// strays counts the packets of each flow that went to targets which are probably
+	// not its own. It outlives the flow's searches.
+	strays map[segment.Key]stray
+	agents map[netip.AddrPort]*agent
 	// order holds the keys of agents, so that work over all has a fixed order.
 	order []netip.AddrPort
 	// early holds packets from before the first view.
@@ -124,6 +127,7 @@
 	c.flows = map[segment.Key]*flow{}
 	c.opening = map[segment.Key]*flow{}
 	c.searches = map[segment.Key]*search{}
+	c.strays = map[segment.Key]stray{}
 	c.agents = map[netip.AddrPort]*agent{}
 	c.questions = map[netip.AddrPort][]segment.Key{}
 	c.lastTick = now
@@ -254,4 +258,9 @@
 			delete(c.opening, k)
 		}
 	}
+	for k, x := range c.strays {
+		if now-x.at > c.MaxFlowAge {
+			delete(c.strays, k)
+		}
+	}
 }
--- a/core/steer/probe.go
+++ b/core/steer/probe.go
@@ -20,12 +20,19 @@
 	defaultLink = 10_000_000 / 8
 	// probeOverhead is the length of the headers around a packet.
 	probeOverhead = relay.HeaderBytes + 28
-	// blindProbes is the number of targets that may get a packet of a flow that
-	// is probably not theirs while the owner may be among the agents that do not
-	// answer. Three such packets within seconds would count as misrouted.
-	blindProbes = 2
+	// maxStrays is the number of targets that may get a packet of a flow that is
+	// probably not theirs while the owner may be among the agents that do not answer.
+	// Three such packets, however far apart, would count as misrouted.
+	maxStrays = 2
 )
 
+// stray counts the packets of a flow that went to targets which are probably not its
+// own, the last of them at at.
+type stray struct {
+	count int
+	at    time.Duration
+}
+
 // takeProbes reports whether a packet may be passed to n unsure agents now.
 func (c *Core) takeProbes(now time.Duration, packet []byte, n int) bool {
 	rate := float64(c.LinkRate) * probeShare
@@ -49,7 +56,7 @@
 func (c *Core) probeUnsure(now time.Duration, k segment.Key, s *search) {
 	unsure := c.nearFirst(s)
 	if len(c.unanswered(now, s)) > 0 {
-		unsure = unsure[:min(len(unsure), max(0, blindProbes-s.probed))]
+		unsure = unsure[:min(len(unsure), max(0, maxStrays-c.strays[k].count))]
 	}
 	if len(unsure) == 0 {
 		return
@@ -59,10 +66,13 @@
 
 		return
 	}
+	c.strays[k] = stray{
+		count: c.strays[k].count + len(unsure),
+		at:    now,
+	}
 	for _, a := range unsure {
 		s.asked[a] = answerProbed
 		s.waiting++
-		s.probed++
 		c.sendProbe(now, relay.Probe, a, k, s.held[0])
 	}
 }
--- /dev/null
+++ b/core/steer/probe_test.go
@@ -0,0 +1,131 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// unsureTargets answers for all agents but one that they do not know the flow, and
+// that their targets bounced its packet. It returns the number of packets that went
+// to them.
+func unsureTargets(c *Core, now time.Duration, commands []Command) int {
+	silent := c.listing[0]
+	probes := 0
+	for len(commands) > 0 {
+		asked := []AgentMessage{}
+		for _, x := range commands {
+			s, ok := x.(*Send)
+			if !ok || s.To == silent {
+				continue
+			}
+			switch s.Message.Kind {
+			case relay.Find:
+				asked = append(asked, unsure(s))
+			case relay.Probe:
+				probes++
+				asked = append(asked, bounce(s))
+			}
+		}
+		commands = []Command{}
+		for i := range asked {
+			for _, x := range c.Update(now, &asked[i]) {
+				if s, ok := x.(*Send); ok {
+					x = &Send{
+						To:      s.To,
+						Message: s.Message,
+					}
+				}
+				commands = append(commands, x)
+			}
+		}
+	}
+
+	return probes
+}
+
+func unsure(s *Send) AgentMessage {
+	return AgentMessage{
+		From: s.To,
+		Message: relay.Message{
+			Kind: relay.Unsure,
+			Key:  s.Message.Key,
+		},
+	}
+}
+
+func bounce(s *Send) AgentMessage {
+	return AgentMessage{
+		From: s.To,
+		Message: relay.Message{
+			Kind:   relay.Returned,
+			Reason: relay.ReasonNotHeld,
+			Key:    s.Message.Key,
+			Packet: s.Message.Packet,
+		},
+		Segment: segment.Segment{
+			Key:   s.Message.Key,
+			Flags: segment.ACK,
+		},
+	}
+}
+
+// Guards against a caller whose copies each start another search that passes its
+// packet to two more targets while the agent of its flow is away after an announced
+// stop: three packets at other targets and none at its own count as misrouted.
+// Pattern: all entries and most agents lose their memory, and one agent stops.
+func TestCopiesDoNotStray(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(12)
+	c.Update(0, &AgentMessage{
+		From: c.listing[0],
+		Message: relay.Message{
+			Kind: relay.Stopping,
+		},
+	})
+	probes := 0
+	copies := map[time.Duration]bool{
+		20 * time.Millisecond:   true,
+		1400 * time.Millisecond: true,
+		2800 * time.Millisecond: true,
+	}
+	for now := TickTime; now < 4*time.Second; now += TickTime {
+		if copies[now] {
+			probes += unsureTargets(c, now, c.Update(now, benchPacket(1, segment.ACK)))
+		}
+		probes += unsureTargets(c, now, c.Update(now, Tick{}))
+	}
+	is.True(probes > 0)
+	is.True(probes <= maxStrays)
+}
+
+// Guards against callers that wait in vain for a target that had ended before its agent
+// stopped, and against a reset where only the agent's process is replaced.
+func TestEndedTargetIsNotAwaited(t *testing.T) {
+	for _, reason := range []relay.Reason{relay.ReasonTargetDown, relay.ReasonNone} {
+		is := is.New(t)
+		c := newTestCore(3)
+		owner := c.listing[0]
+		c.Update(0, benchPacket(1, segment.ACK))
+		c.Update(time.Millisecond, &AgentMessage{
+			From: owner,
+			Message: relay.Message{
+				Kind: relay.Owned,
+				Key:  benchPacket(1, segment.ACK).Segment.Key,
+			},
+		})
+		c.Update(time.Second, &AgentMessage{
+			From: owner,
+			Message: relay.Message{
+				Kind:   relay.Stopping,
+				Reason: reason,
+			},
+		})
+		_, reset := opened(c.Update(time.Second+time.Millisecond, benchPacket(1, segment.ACK)))
+		is.Equal(reset, reason == relay.ReasonTargetDown)
+	}
+}
--- a/core/steer/search.go
+++ b/core/steer/search.go
@@ -54,10 +54,9 @@
 type search struct {
 	stage stage
 	// probing means that the stage has come to unsure agents, paused that the
-	// bound on packets for them was reached, probed counts those that got one.
+	// bound on packets for them was reached.
 	probing bool
 	paused  bool
-	probed  int
 	// began is when the search began, since when the stage did.
 	began   time.Duration
 	since   time.Duration
@@ -132,6 +131,7 @@
 	c.measure(SearchTime, now-s.began)
 	probed := s.asked[owner] == answerProbed
 	delete(c.searches, k)
+	delete(c.strays, k)
 	c.remember(now, k, owner)
 	c.note(now, Note{
 		Decision: SearchFound,
@@ -215,6 +215,7 @@
 
 		return
 	}
+	delete(c.strays, k)
 	c.measure(MissTime, now-s.began)
 	c.note(now, Note{
 		Decision: NotHeld,
