Read the thresholds of decisions from a policy file

-policy names a YAML file with the sections Entry and Agent; what it leaves out has its default. Values are checked, errors say line, field and reason, and the log line at the start names the fields that differ.

--- a/core/conntrack/policy.go
+++ b/core/conntrack/policy.go
@@ -53,16 +53,16 @@
 	maxWait = 10 * time.Second
 )
 
-// Check reports the fields that are out of range. Errors of the fields:
-// document.CodeOutOfRange.
-func (p *Policy) Check(c *document.Checker) {
-	document.Between(c, "QueueSlots", p.QueueSlots, 0, maxQueueSlots)
-	document.Between(c, "NewShare", p.NewShare, 0, 1)
-	document.Between(c, "LoadTime", p.LoadTime, TickTime, maxWait)
+// Check reports the fields that are out of range. Section is the path of the policy
+// in the document, with a dot at its end.
+func (p *Policy) Check(c *document.Checker, section string) {
+	document.Between(c, section+"QueueSlots", p.QueueSlots, 0, maxQueueSlots)
+	document.Between(c, section+"NewShare", p.NewShare, 0, 1)
+	document.Between(c, section+"LoadTime", p.LoadTime, TickTime, maxWait)
 	for name, d := range map[string]time.Duration{
 		"ExpectTime": p.ExpectTime,
 		"DownTime":   p.DownTime,
 	} {
-		document.Between(c, name, d, 0, maxWait)
+		document.Between(c, section+name, d, 0, maxWait)
 	}
 }
--- a/core/document/decode.go
+++ b/core/document/decode.go
@@ -285,11 +285,29 @@
 		v.SetBool(b.Value)
 	case reflect.Int, reflect.Int64, reflect.Uint64:
 		c.decodeInteger(n, v, p)
+	case reflect.Float64:
+		c.decodeFloat(n, v, p)
 	default:
 		c.add(p.problem("field has a type that documents can't hold", CodeWrongType))
 	}
 }
 
+// decodeFloat decodes a number that is finite.
+func (c *decoder) decodeFloat(n ast.Node, v reflect.Value, p *path) {
+	s := ""
+	switch n.(type) {
+	case *ast.IntegerNode, *ast.FloatNode:
+		s = n.GetToken().Value
+	}
+	f, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		c.add(p.wrongType(n, "a decimal number"))
+
+		return
+	}
+	v.SetFloat(f)
+}
+
 func (c *decoder) decodeInteger(n ast.Node, v reflect.Value, p *path) {
 	i, ok := n.(*ast.IntegerNode)
 	if !ok {
--- /dev/null
+++ b/core/opaque/policy_test.go
@@ -0,0 +1,48 @@
+package opaque
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a policy that is used with a value that was not meant, and against
+// an error that does not say where it is.
+func TestLoadPolicies(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "policy.yaml")
+	is.NoErr(os.WriteFile(path, []byte("Entry:\n  AcceptTime: 80ms\nAgent:\n  QueueSlots: 2\n"), 0o600))
+	p, err := LoadPolicies(path)
+	is.NoErr(err)
+	is.Equal(p.Entry.AcceptTime, 80*time.Millisecond)
+	is.Equal(p.Entry.MaxTried, 4)
+	is.Equal(p.Changes(), "Entry.AcceptTime=80ms Agent.QueueSlots=2")
+
+	for text, field := range map[string]string{
+		"Entry:\n  AcceptTime: 80\n":   "Entry.AcceptTime",
+		"Entry:\n  MaxTried: 0\n":      "Entry.MaxTried",
+		"Agent:\n  NewShare: 1.5\n":    "Agent.NewShare",
+		"Agent:\n  NewShare: some\n":   "Agent.NewShare",
+		"Agent:\n  AcceptTime: 80ms\n": "Agent.AcceptTime",
+	} {
+		is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+		_, err := LoadPolicies(path)
+		is.True(errors.Is(err, ErrPolicy))
+		is.True(strings.Contains(err.Error(), field))
+		is.True(strings.Contains(err.Error(), "2"))
+	}
+}
+
+// Guards against a process without a policy file whose policy is all zeros.
+func TestNoPolicyFile(t *testing.T) {
+	is := is.New(t)
+	p, err := LoadPolicies("")
+	is.NoErr(err)
+	is.Equal(p.Changes(), "")
+	is.True(p.Entry.AcceptTime > 0)
+}
--- a/core/program/program.go
+++ b/core/program/program.go
@@ -20,15 +20,16 @@
 	// Run serves callers that carry tokens. It gets the path of the settings and a
 	// context that is done at SIGTERM or SIGINT.
 	Run func(term context.Context, path string, l *log.Logger) error
-	// RunOpaque serves opaque flows on the users' platform, which tells the
-	// process where its settings are.
-	RunOpaque func(term context.Context) error
+	// RunOpaque serves opaque flows on the users' platform, which tells the process
+	// where its settings are. It gets the path of a policy file, empty for none.
+	RunOpaque func(term context.Context, policy string) error
 }
 
 // Main runs a process and ends the program with status 1 if it fails.
 func Main(p Process) {
 	path := flag.String("settings", "", "file with the settings of the process (YAML)")
 	opaque := flag.Bool("platform", false, "serve opaque flows on the users' platform, with the settings that it gives")
+	policy := flag.String("policy", "", "file with the thresholds of decisions on opaque flows (YAML); only with -platform")
 	flag.Parse()
 
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -39,7 +40,7 @@
 	}
 	if *opaque {
 		run = func() error {
-			return p.RunOpaque(term)
+			return p.RunOpaque(term, *policy)
 		}
 	}
 	if err := run(); err != nil {
--- a/core/steer/policy.go
+++ b/core/steer/policy.go
@@ -113,9 +113,9 @@
 	maxWait = 10 * time.Second
 )
 
-// Check reports the fields that are out of range. Errors of the fields:
-// document.CodeOutOfRange.
-func (p *Policy) Check(c *document.Checker) {
+// Check reports the fields that are out of range. Section is the path of the policy
+// in the document, with a dot at its end.
+func (p *Policy) Check(c *document.Checker, section string) {
 	for name, x := range map[string]float64{
 		"ZonePenalty":     p.ZonePenalty,
 		"FlowLoad":        p.FlowLoad,
@@ -125,10 +125,10 @@
 		"Affinity":        p.Affinity,
 		"IdleLoad":        p.IdleLoad,
 	} {
-		document.Between(c, name, x, 0, maxPenalty)
+		document.Between(c, section+name, x, 0, maxPenalty)
 	}
-	c.Range("Preferred", p.Preferred, 1, mostTried)
-	c.Range("MaxTried", p.MaxTried, 1, mostTried)
+	c.Range(section+"Preferred", p.Preferred, 1, mostTried)
+	c.Range(section+"MaxTried", p.MaxTried, 1, mostTried)
 	for name, d := range map[string]time.Duration{
 		"AcceptTime":   p.AcceptTime,
 		"FullTime":     p.FullTime,
@@ -140,7 +140,7 @@
 		"ResendTime":   p.ResendTime,
 		"SpreadTime":   p.SpreadTime,
 	} {
-		document.Between(c, name, d, 0, maxWait)
+		document.Between(c, section+name, d, 0, maxWait)
 	}
-	document.Between(c, "ReportHalfLife", p.ReportHalfLife, TickTime, maxWait)
+	document.Between(c, section+"ReportHalfLife", p.ReportHalfLife, TickTime, maxWait)
 }
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -21,6 +21,7 @@
 // opaqueAgent is an agent for opaque flows: one goroutine owns all state.
 type opaqueAgent struct {
 	settings *platform.Settings
+	policies *opaque.Policies
 	*opaque.Process
 	relays   *udp.Socket
 	outbound *udp.Socket
@@ -34,12 +35,16 @@
 	times     []*metrics.Histogram
 }
 
-func runOpaque(term context.Context) error {
+func runOpaque(term context.Context, policy string) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return err
 	}
-	p, err := newOpaqueAgent(s)
+	policies, err := opaque.LoadPolicies(policy)
+	if err != nil {
+		return err
+	}
+	p, err := newOpaqueAgent(s, policies)
 	if err != nil {
 		return err
 	}
@@ -47,7 +52,7 @@
 	return p.run(term)
 }
 
-func newOpaqueAgent(s *platform.Settings) (*opaqueAgent, error) {
+func newOpaqueAgent(s *platform.Settings, policies *opaque.Policies) (*opaqueAgent, error) {
 	relays, err := udp.Listen(s.Relay)
 	if err != nil {
 		return nil, errors.Annotate(err, "entries")
@@ -62,6 +67,7 @@
 	}
 	p := &opaqueAgent{
 		settings: s,
+		policies: policies,
 		Process:  opaque.New(s.Name),
 		relays:   relays,
 		outbound: outbound,
@@ -74,6 +80,7 @@
 			Complete:   s.FirstStart || !listens(s.Target),
 			Started:    time.Now().UnixMilli(),
 			MaxFlowAge: s.MaxFlowAge,
+			Policy:     &policies.Agent,
 		},
 	}
 	p.decisions = p.DecisionCounters(conntrack.DecisionNames())
@@ -154,7 +161,7 @@
 // save, so it tells the entries and makes room for its next start.
 func (p *opaqueAgent) run(term context.Context) error {
 	p.Log.Info("agent started", "service", p.settings.Service, "target", p.settings.Target, "relay", p.settings.Relay,
-		"first", p.settings.FirstStart)
+		"first", p.settings.FirstStart, "policy", p.policies.Changes())
 
 	return p.Run(term, func() {
 		done := make(chan struct{})
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -24,6 +24,7 @@
 // opaqueEntry is an entry for opaque flows: one goroutine owns all state.
 type opaqueEntry struct {
 	settings *platform.Settings
+	policies *opaque.Policies
 	*opaque.Process
 	callers  *udp.Socket
 	relays   *udp.Socket
@@ -45,12 +46,16 @@
 	sourceCalls *metrics.Counter
 }
 
-func runOpaque(term context.Context) error {
+func runOpaque(term context.Context, policy string) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return err
 	}
-	p, err := newOpaqueEntry(s)
+	policies, err := opaque.LoadPolicies(policy)
+	if err != nil {
+		return err
+	}
+	p, err := newOpaqueEntry(s, policies)
 	if err != nil {
 		return err
 	}
@@ -58,7 +63,7 @@
 	return p.run(term)
 }
 
-func newOpaqueEntry(s *platform.Settings) (*opaqueEntry, error) {
+func newOpaqueEntry(s *platform.Settings, policies *opaque.Policies) (*opaqueEntry, error) {
 	callers, err := udp.Listen(s.Packets)
 	if err != nil {
 		return nil, errors.Annotate(err, "callers")
@@ -69,6 +74,7 @@
 	}
 	p := &opaqueEntry{
 		settings: s,
+		policies: policies,
 		Process:  opaque.New(s.Name),
 		callers:  callers,
 		relays:   relays,
@@ -79,6 +85,7 @@
 			RelayPort:  s.Relay.Port(),
 			LinkRate:   s.LinkRate,
 			MaxFlowAge: s.MaxFlowAge,
+			Policy:     &policies.Entry,
 			Random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 	}
@@ -236,7 +243,7 @@
 // sending packets here.
 func (p *opaqueEntry) run(term context.Context) error {
 	p.Log.Info("entry started", "zone", p.settings.Zone, "callers", p.settings.Packets, "relay", p.settings.Relay,
-		"store", p.settings.Store, "first", p.settings.FirstStart)
+		"store", p.settings.Store, "first", p.settings.FirstStart, "policy", p.policies.Changes())
 
 	return p.Run(term, func() {
 		p.Post(func() {
