Tell callers and entries when a target has ended before its agent stops

Cause: where targets are replaced one after the other, the agent stops after its target has ended. Callers of idle flows learned it with their next request, which some can't repeat.

Change: at its stop the agent looks whether its target's port is closed. If it is, it resets the flows that the target held and says so to the entries, which reset at once what comes later.

Ruled out: the list of targets as evidence; entries of ended targets stay listed while the store is away.

Kept for the final answer that callers get at once.

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -138,7 +138,7 @@
 	case ServiceChanged:
 		c.Service = m.Service
 	case Stop:
-		c.stop()
+		c.stop(now, m)
 	case Tick:
 		c.tick(now)
 	}
@@ -195,11 +195,19 @@
 	delete(c.probes, k)
 }
 
-// stop tells all entries that the coming silence is planned.
-func (c *Core) stop() {
+// stop tells all entries that the coming silence is planned. Where the target has
+// ended, callers are told too: those of idle flows open another one before their next
+// request, which they may be unable to repeat.
+func (c *Core) stop(now time.Duration, m Stop) {
+	reason := relay.ReasonNone
+	if m.TargetEnded {
+		reason = relay.ReasonTargetDown
+		c.loseAll(now)
+	}
 	for _, a := range slices.SortedFunc(maps.Keys(c.entries), netip.AddrPort.Compare) {
 		c.answer(a, relay.Message{
-			Kind: relay.Stopping,
+			Kind:   relay.Stopping,
+			Reason: reason,
 		})
 	}
 }
--- a/core/conntrack/message.go
+++ b/core/conntrack/message.go
@@ -36,7 +36,10 @@
 }
 
 // Stop announces that the process stops as planned.
-type Stop struct{}
+type Stop struct {
+	// TargetEnded means that nothing listens at the target's address any more.
+	TargetEnded bool
+}
 
 // Tick lets time pass. It comes every TickTime.
 type Tick struct{}
--- /dev/null
+++ b/core/conntrack/stop_test.go
@@ -0,0 +1,47 @@
+package conntrack
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// Guards against callers that lose a request which they can't repeat, because nobody
+// tells them that the target of their idle flow has ended. Pattern: the targets of a
+// service are replaced one after the other.
+func TestStopBesideEndedTarget(t *testing.T) {
+	for _, ended := range []bool{true, false} {
+		is := is.New(t)
+		c := Core{
+			Complete: true,
+		}
+		c.Update(0, openMessage(testKey, 0))
+		c.Update(time.Millisecond, &TargetPacket{
+			Segment: segment.Segment{
+				Key:        testKey,
+				FromTarget: true,
+				Flags:      segment.ACK,
+				Len:        1,
+			},
+		})
+		resets := 0
+		reason := relay.ReasonNone
+		for _, x := range c.Update(time.Second, Stop{
+			TargetEnded: ended,
+		}) {
+			switch x := x.(type) {
+			case Reset:
+				resets++
+			case ToEntry:
+				is.Equal(x.Message.Kind, relay.Stopping)
+				reason = x.Message.Reason
+			}
+		}
+		is.Equal(resets == 1, ended)
+		is.Equal(reason == relay.ReasonTargetDown, ended)
+	}
+}
--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -81,6 +81,11 @@
 		Decision: TargetDown,
 		Count:    c.target.waiting,
 	})
+	c.loseAll(now)
+}
+
+// loseAll resets the flows that the target held.
+func (c *Core) loseAll(now time.Duration) {
 	for _, k := range segment.SortedKeys(c.flows) {
 		if f := c.flows[k]; f.state == stateHeld {
 			c.loseFlow(now, k, f, f.ack)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -45,7 +45,7 @@
 	// target bounced it. Reason says why.
 	Returned
 	// Stopping tells entries that the agent stops as planned: its silence does
-	// not mean that its target is gone.
+	// not mean that its target is gone, unless Reason is ReasonTargetDown.
 	Stopping
 	kinds
 )
--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -47,7 +47,9 @@
 	asks    int
 	// stopping is when the agent announced its stop; zero if it did not.
 	stopping time.Duration
-	silent   bool
+	// ended means that the target beside it had ended when the agent announced its stop.
+	ended  bool
+	silent bool
 	// pending is the flow of the first packet that was passed on since the agent
 	// was heard, at since; waits is false if there is none.
 	pending segment.Key
@@ -147,6 +149,7 @@
 	a.silent = false
 	if now-a.stopping > lateTime {
 		a.stopping = 0
+		a.ended = false
 	}
 	a.waits = false
 	a.load = float64(m.Load) / 100
@@ -160,6 +163,9 @@
 // lost reports whether the agent's silence shows that it can't serve its flows
 // without planned work being the cause.
 func (c *Core) lost(now time.Duration, a *agent) bool {
+	if a.ended {
+		return true
+	}
 	if a.asks < silentAsks || c.stops(now, a) {
 		return false
 	}
@@ -320,6 +326,7 @@
 		c.returned(now, m, a)
 	case relay.Stopping:
 		a.stopping = max(now, 1)
+		a.ended = a.ended || m.Message.Reason == relay.ReasonTargetDown
 		c.note(now, Note{
 			Decision: AgentStopping,
 			Agent:    m.From,
--- a/core/steer/forward.go
+++ b/core/steer/forward.go
@@ -80,8 +80,12 @@
 	})
 }
 
-// left reports whether the agent stopped and its target is no longer listed.
+// left reports whether the agent stopped and its target has ended or is no longer
+// listed.
 func (c *Core) left(now time.Duration, to netip.AddrPort, a *agent) bool {
+	if a.ended {
+		return true
+	}
 	if a.stopping == 0 || now <= a.stopping {
 		return false
 	}
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -184,9 +184,13 @@
 const stopCopies = 3
 
 func (p *opaqueAgent) announceStop() {
+	ended := !listens(p.settings.Target)
+	p.Log.Info("stop announced", "flows", p.core.Flows(), "target ended", ended)
 	for range stopCopies {
-		p.execute(p.core.Update(p.Clock(), conntrack.Stop{}))
-		p.toEntry.Flush()
+		p.execute(p.core.Update(p.Clock(), conntrack.Stop{
+			TargetEnded: ended,
+		}))
+		p.flush()
 	}
 }
 
