Be sure that a target whose port is closed holds no unknown flow

Change: the word that nothing listens at the target's address makes the agent certain, as at its start. TestClosedPortHoldsNothing failed before.

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -135,6 +135,7 @@
 	case TargetRefused:
 		c.target.refusal = true
 		c.checkTarget(now)
+		c.becomeComplete(now, netip.AddrPort{})
 	case ServiceChanged:
 		c.Service = m.Service
 	case Stop:
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -1,6 +1,7 @@
 package conntrack
 
 import (
+	"net/netip"
 	"time"
 
 	"ibisfold.example/core/relay"
@@ -179,10 +180,19 @@
 	if c.Complete || m.Message.Born == 0 || m.Message.Born < c.Started-freshTime.Milliseconds() {
 		return
 	}
+	c.becomeComplete(now, m.From)
+}
+
+// becomeComplete notes that the target holds no flow that is not known here: it has
+// just started, or nothing listens at its address any more.
+func (c *Core) becomeComplete(now time.Duration, entry netip.AddrPort) {
+	if c.Complete {
+		return
+	}
 	c.Complete = true
 	c.note(now, Note{
 		Decision: TargetFresh,
-		Entry:    m.From,
+		Entry:    entry,
 	})
 }
 
--- a/core/conntrack/stop_test.go
+++ b/core/conntrack/stop_test.go
@@ -45,3 +45,32 @@
 		is.Equal(reason == relay.ReasonTargetDown, ended)
 	}
 }
+
+// Guards against searches that each pass a packet to a target whose port is closed:
+// what is not known of it can't be held by it. Pattern: all callers return after a
+// loss of power from which one target does not come back.
+func TestClosedPortHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	c := Core{}
+	find := &EntryMessage{
+		From: testEntry,
+		Message: relay.Message{
+			Kind: relay.Find,
+			Key:  testKey,
+		},
+	}
+	is.Equal(answerOf(c.Update(0, find)), relay.Unsure)
+	c.Update(time.Millisecond, TargetRefused{})
+	is.Equal(answerOf(c.Update(2*time.Millisecond, find)), relay.NotOwned)
+}
+
+// answerOf returns the kind of the message to an entry.
+func answerOf(commands []Command) relay.Kind {
+	for _, x := range commands {
+		if x, ok := x.(ToEntry); ok {
+			return x.Message.Kind
+		}
+	}
+
+	return 0
+}
