Bound the questions of an entry by a share of its link

Nothing came back for half a second at a time, and entries took up to 25 living agents for silent and reset their flows.

Change: questions have a quarter of the link, as the packets in search of owners have; those that find no share wait for the next tick and go on where the last one ended, in messages for many flows. Waits of searches stand still meanwhile, and repeated questions double their wait. Silence of an agent counts only while some agent is heard: an entry that hears nobody has lost its own link.

--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -21,6 +21,9 @@
 	// acquaintedTime is how lately an agent has to be heard for its silence to mean
 	// that its process was not replaced.
 	acquaintedTime = time.Second
+	// hearingTime is how long no agent at all may be heard before the cause is probably
+	// this entry's own link, whose silence says nothing of a single agent.
+	hearingTime = 60 * time.Millisecond
 	// lateTime is how long after the announcement messages from before it may arrive.
 	// A process that ended is started again after about 0.5 s.
 	lateTime = 200 * time.Millisecond
@@ -107,23 +110,6 @@
 	return 0
 }
 
-// flushQuestions sends the questions that were collected since the last tick:
-// after a loss of power an entry asks all agents for hundreds of flows a second,
-// which would fill a link of 10 Mbit/s with single questions and answers.
-func (c *Core) flushQuestions(now time.Duration) {
-	for _, to := range c.order {
-		for keys := range slices.Chunk(c.questions[to], relay.MaxKeys) {
-			c.asking(now, c.agent(to))
-			c.send(to, relay.Message{
-				Kind: relay.FindMany,
-				Keys: keys,
-				Born: c.bornOf(to),
-			})
-		}
-	}
-	clear(c.questions)
-}
-
 // asking notes that the agent was sent something that it answers.
 func (c *Core) asking(now time.Duration, a *agent) {
 	if a.asks == 0 {
@@ -145,6 +131,7 @@
 	c.resend(now, from, a, m.Kind)
 	a.known = true
 	a.heard = now
+	c.lastHeard = now
 	a.asks = 0
 	a.silent = false
 	if now-a.stopping > lateTime {
@@ -169,6 +156,9 @@
 	if a.asks < silentAsks || c.stops(now, a) {
 		return false
 	}
+	if now-c.lastHeard > hearingTime {
+		return now-a.asked >= c.Policy.StrangerTime
+	}
 	if !a.known || a.asked-a.heard > acquaintedTime {
 		return now-a.asked >= c.Policy.StrangerTime
 	}
--- a/core/steer/ask.go
+++ b/core/steer/ask.go
@@ -75,11 +75,7 @@
 	if !c.lost(now, c.agent(a)) {
 		s.waiting++
 	}
-	if s.stage == stageAll && now-c.agent(a).lastAsk < TickTime {
-		c.questions[a] = append(c.questions[a], k)
-	} else {
-		c.ask(now, a, k)
-	}
+	c.question(now, k, s.stage, a)
 }
 
 // askAgain repeats the question to the agents that did not answer.
@@ -87,8 +83,9 @@
 	s.stage = min(s.stage, stageAll)
 	s.probing = false
 	s.waiting = len(open)
+	s.rounds++
 	for _, a := range open {
 		s.asked[a] = answerNone
-		c.questions[a] = append(c.questions[a], k)
+		c.questions.add(a, k)
 	}
 }
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -5,7 +5,6 @@
 
 import (
 	"maps"
-	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -60,13 +59,13 @@
 	// order holds the keys of agents, so that work over all has a fixed order.
 	order []netip.AddrPort
 	// early holds packets from before the first view.
-	early []earlyPacket
-	// questions holds the flows that agents are to be asked for at the next tick.
-	questions map[netip.AddrPort][]segment.Key
-	// probes is the number of bytes that may go to unsure agents, as of probesAt.
-	probes   float64
-	probesAt time.Duration
-	commands []Command
+	early     []earlyPacket
+	questions questions
+	// probes bounds the packets that go to unsure agents.
+	probes budget
+	// lastHeard is when any agent was heard last.
+	lastHeard time.Duration
+	commands  []Command
 	// sends holds the Sends of all Updates, used again by each; sent counts those of
 	// this one. A known flow's packet costs no allocation.
 	sends    []*Send
@@ -129,7 +128,11 @@
 	c.searches = map[segment.Key]*search{}
 	c.strays = map[segment.Key]stray{}
 	c.agents = map[netip.AddrPort]*agent{}
-	c.questions = map[netip.AddrPort][]segment.Key{}
+	c.questions = questions{
+		waiting: map[netip.AddrPort][]segment.Key{},
+		budget:  newBudget(now, c.LinkRate, questionShare),
+	}
+	c.probes = newBudget(now, c.LinkRate, probeShare)
 	c.lastTick = now
 	c.swept = now
 	if c.MaxFlowAge == 0 {
@@ -139,8 +142,6 @@
 		p := DefaultPolicy()
 		c.Policy = &p
 	}
-	c.probes = math.MaxInt32
-	c.probesAt = now
 }
 
 func (c *Core) setSnapshot(now time.Duration, m CatalogChanged) {
--- a/core/steer/probe.go
+++ b/core/steer/probe.go
@@ -9,15 +9,6 @@
 )
 
 const (
-	// probeShare is the share of the entry's link that packets may take which are
-	// passed to agents in search of an owner. After a loss of power all callers come
-	// back to agents that are unsure: 60 flows times 50 agents of 1 KB each would
-	// fill a link of 10 Mbit/s for seconds.
-	probeShare = 0.25
-	// probeBurst is the part of a second's share that may be sent at once.
-	probeBurst = 0.5
-	// defaultLink is the speed of a link that is not known, in bytes a second.
-	defaultLink = 10_000_000 / 8
 	// probeOverhead is the length of the headers around a packet.
 	probeOverhead = relay.HeaderBytes + 28
 	// maxStrays is the number of targets that may get a packet of a flow that is
@@ -33,24 +24,6 @@
 	at    time.Duration
 }
 
-// takeProbes reports whether a packet may be passed to n unsure agents now.
-func (c *Core) takeProbes(now time.Duration, packet []byte, n int) bool {
-	rate := float64(c.LinkRate) * probeShare
-	if rate == 0 {
-		rate = defaultLink * probeShare
-	}
-	burst := rate * probeBurst
-	c.probes = min(burst, c.probes+rate*(now-c.probesAt).Seconds())
-	c.probesAt = now
-	bytes := float64(n * (len(packet) + probeOverhead))
-	if bytes > c.probes && c.probes < burst {
-		return false
-	}
-	c.probes -= bytes
-
-	return true
-}
-
 // probeUnsure passes the packet to the agents that started after the flow may
 // have begun.
 func (c *Core) probeUnsure(now time.Duration, k segment.Key, s *search) {
@@ -61,7 +34,7 @@
 	if len(unsure) == 0 {
 		return
 	}
-	if !c.takeProbes(now, s.held[0], len(unsure)) {
+	if !c.probes.take(now, len(unsure)*(len(s.held[0])+probeOverhead)) {
 		s.paused = true
 
 		return
--- /dev/null
+++ b/core/steer/question.go
@@ -0,0 +1,92 @@
+package steer
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+const (
+	// questionBytes is the length of a question for one flow, with the headers around it.
+	questionBytes = relay.HeaderBytes + 28
+	// questionKeyBytes is what each flow adds to a question for many.
+	questionKeyBytes = 12
+)
+
+// questions holds the flows that agents are to be asked for. After a loss of power an
+// entry asks all agents for hundreds of flows a second, which would fill a link of
+// 10 Mbit/s with single questions and their answers.
+type questions struct {
+	// waiting holds the flows for each agent in the order in which they came.
+	waiting map[netip.AddrPort][]segment.Key
+	budget  budget
+	// next is the place in the order of agents from which the next tick goes on.
+	next int
+	// held means that questions wait for their share of the link.
+	held bool
+}
+
+func (q *questions) add(to netip.AddrPort, k segment.Key) {
+	q.waiting[to] = append(q.waiting[to], k)
+}
+
+// question asks an agent for a flow: at once if it is the first within a tick, otherwise
+// together with those that come until the next tick.
+func (c *Core) question(now time.Duration, k segment.Key, at stage, to netip.AddrPort) {
+	single := at == stagePreferred || now-c.agent(to).lastAsk >= TickTime
+	if single && !c.questions.held && c.questions.budget.take(now, questionBytes) {
+		c.ask(now, to, k)
+
+		return
+	}
+	c.questions.add(to, k)
+}
+
+// flushQuestions sends the questions that were collected, as many as the link's share
+// allows.
+func (c *Core) flushQuestions(now time.Duration) {
+	q := &c.questions
+	q.held = false
+	for i := range c.order {
+		place := (q.next + i) % len(c.order)
+		to := c.order[place]
+		if !c.flushTo(now, to) {
+			q.next = place
+			q.held = true
+
+			return
+		}
+	}
+}
+
+// flushTo sends the questions for one agent and reports whether all could be sent.
+// Flows whose search has ended are left out.
+func (c *Core) flushTo(now time.Duration, to netip.AddrPort) bool {
+	q := &c.questions
+	keys := slices.DeleteFunc(q.waiting[to], func(k segment.Key) bool {
+		_, ok := c.searches[k]
+
+		return !ok
+	})
+	for len(keys) > 0 {
+		n := min(len(keys), relay.MaxKeys)
+		if !q.budget.take(now, questionBytes+n*questionKeyBytes) {
+			q.waiting[to] = keys
+
+			return false
+		}
+		c.asking(now, c.agent(to))
+		c.send(to, relay.Message{
+			Kind: relay.FindMany,
+			Keys: keys[:n:n],
+			Born: c.bornOf(to),
+		})
+		keys = keys[n:]
+	}
+	delete(q.waiting, to)
+
+	return true
+}
--- /dev/null
+++ b/core/steer/question_test.go
@@ -0,0 +1,110 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// Guards against an entry that fills its own link with questions, hears nothing because
+// of it, and then takes all agents for silent. Pattern: all callers return over a link
+// of 10 Mbit/s while no agent answers.
+func TestQuestionsKeepToTheirShare(t *testing.T) {
+	is := is.New(t)
+	const flows = 400
+	c := newTestCore(70)
+	c.Update(TickTime, Tick{})
+	bytes := 0
+	count := func(commands []Command) {
+		for _, x := range commands {
+			s, ok := x.(*Send)
+			if !ok {
+				continue
+			}
+			switch s.Message.Kind {
+			case relay.Find, relay.FindMany:
+				bytes += questionBytes + questionKeyBytes*len(s.Message.Keys)
+			}
+		}
+	}
+	for now := 2 * TickTime; now < 2*time.Second; now += TickTime {
+		if now < time.Second {
+			for i := range flows / 50 {
+				count(c.Update(now, benchPacket(int(now/TickTime)*100+i, segment.ACK)))
+			}
+		}
+		for _, x := range c.Update(now, Tick{}) {
+			count([]Command{x})
+		}
+	}
+	// The budget holds for two seconds and a burst of half a second. What is sent
+	// besides asks each agent that owes an answer whether it is there.
+	share := 2.5 * defaultLink * questionShare
+	renewals := 70 * questionBytes * 2 * float64(time.Second) / float64(backTime)
+	is.True(float64(bytes) <= share+renewals)
+}
+
+// Guards against an entry that takes all agents for silent, and resets their flows, when
+// its own link is cut or full: it hears nobody then. An agent that is silent alone is
+// still found out.
+func TestSilenceOfAllIsNoEvidence(t *testing.T) {
+	for _, alone := range []bool{true, false} {
+		is := is.New(t)
+		c := newTestCore(6)
+		tell := func(now time.Duration, i int, kind relay.Kind) {
+			c.Update(now, &AgentMessage{
+				From: c.listing[i],
+				Message: relay.Message{
+					Kind: kind,
+					Key:  benchPacket(i, segment.ACK).Segment.Key,
+				},
+			})
+		}
+		for i := range c.listing {
+			c.Update(0, benchPacket(i, segment.ACK))
+			tell(0, i, relay.Owned)
+		}
+		silent := 0
+		for now := TickTime; now < time.Second; now += TickTime {
+			for i := range c.listing {
+				c.Update(now, benchPacket(i, segment.ACK))
+				if alone && i > 0 {
+					tell(now, i, relay.Owned)
+				}
+			}
+			for _, x := range c.Update(now, Tick{}) {
+				if n, ok := x.(Note); ok && n.Decision == AgentSilent {
+					silent++
+				}
+			}
+		}
+		if alone {
+			is.Equal(silent, 1)
+		} else {
+			is.Equal(silent, 0)
+		}
+	}
+}
+
+// Guards against questions for agents late in the order that never get their share.
+func TestQuestionsTakeTurns(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(60)
+	c.questions.budget = newBudget(0, 10*questionBytes*int(time.Second/TickTime), 1)
+	asked := map[string]bool{}
+	for now := TickTime; now < 600*time.Millisecond; now += TickTime {
+		for i := range 4 {
+			c.Update(now, benchPacket(int(now/TickTime)*10+i, segment.ACK))
+		}
+		for _, x := range c.Update(now, Tick{}) {
+			if s, ok := x.(*Send); ok && s.Message.Kind == relay.FindMany {
+				asked[s.To.String()] = true
+			}
+		}
+	}
+	is.Equal(len(asked), 60)
+}
--- a/core/steer/search.go
+++ b/core/steer/search.go
@@ -18,6 +18,9 @@
 	// searchTime is how long a search asks agents again that do not answer: long
 	// enough for one whose process is replaced, and about the time that callers have.
 	searchTime = time.Second
+	// maxDoublings bounds the growth of the waits for agents that do not answer, so
+	// that a full link gets a chance to become free.
+	maxDoublings = 3
 	// maxHeld bounds the packets that wait for the end of a search.
 	maxHeld = 4
 	// probeWait is the time until a search that found the bound reached asks again:
@@ -57,6 +60,8 @@
 	// bound on packets for them was reached.
 	probing bool
 	paused  bool
+	// rounds is the number of times that agents were asked again.
+	rounds int
 	// began is when the search began, since when the stage did.
 	began   time.Duration
 	since   time.Duration
@@ -242,11 +247,11 @@
 }
 
 func (s *search) waveTime() time.Duration {
-	if s.stage == stageAll {
-		return farWaveTime
+	if s.stage != stageAll {
+		return waveTime
 	}
 
-	return waveTime
+	return farWaveTime << min(s.rounds, maxDoublings)
 }
 
 // tickSearches ends the stages whose answers are overdue.
@@ -257,6 +262,9 @@
 			c.resume(now, k, s)
 			continue
 		}
+		if c.questions.held {
+			s.since = now
+		}
 		if now-s.since < s.waveTime() {
 			continue
 		}
