Let urgent routes go first at the agent, and hand waiting flows back at a stop

The order of newest first ignores that routes tell which requests are urgent: under overload a request of a route with a lower Priority may take the slot that an urgent one waits for. The backlog is now sorted by priority, then by age.

A planned stop lost the SYNs that waited at the agent without a word (found while looking for the failure that other operators told of; TestStopHandsWaitingFlowsBack failed before). They go back to their entries, which place them elsewhere.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -18,6 +18,8 @@
 	Splits []Split
 	// Timeout is how long callers wait for an answer; zero if it is not known.
 	Timeout time.Duration
+	// Priority orders the requests of routes under overload; zero is the most urgent.
+	Priority int
 }
 
 // Split is a service's share of a route.
--- a/core/conntrack/backlog.go
+++ b/core/conntrack/backlog.go
@@ -16,8 +16,9 @@
 // backlog holds the SYNs that wait until the target has room for their requests.
 // After an outage all callers come back at once. In the order of arrival each of them
 // would be served too late; the newest first, those that still can be are in time.
+// Routes tell which requests are urgent.
 type backlog struct {
-	// opens is sorted by began, the latest last.
+	// opens is sorted: the most urgent last, of equal ones the latest.
 	opens []waitingOpen
 }
 
@@ -51,14 +52,20 @@
 	}
 	w.message.Message.Packet = slices.Clone(m.Message.Packet)
 	w.expires = w.began + patience(&m.Message)
-	i, _ := slices.BinarySearchFunc(b.opens, w.began, func(o waitingOpen, began time.Duration) int {
-		return cmp.Compare(o.began, began)
-	})
+	i, _ := slices.BinarySearchFunc(b.opens, w, waitingOpen.compare)
 	b.opens = slices.Insert(b.opens, i, w)
 
 	return true
 }
 
+// compare orders SYNs as backlog keeps them.
+func (w waitingOpen) compare(o waitingOpen) int {
+	return cmp.Or(
+		cmp.Compare(o.message.Message.Priority, w.message.Message.Priority),
+		cmp.Compare(w.began, o.began),
+	)
+}
+
 // patience is how long after its first SYN a caller gives up.
 func patience(m *relay.Message) time.Duration {
 	if m.Timeout == 0 {
@@ -81,7 +88,7 @@
 	}
 }
 
-// newest takes out the SYN that was sent last.
+// newest takes out the most urgent SYN, of equal ones the one that was sent last.
 func (b *backlog) newest() (waitingOpen, bool) {
 	if len(b.opens) == 0 {
 		return waitingOpen{}, false
@@ -93,6 +100,14 @@
 	return w, true
 }
 
+// all takes out every SYN.
+func (b *backlog) all() []waitingOpen {
+	list := b.opens
+	b.opens = nil
+
+	return list
+}
+
 // expired takes out the SYNs whose callers have given up.
 func (b *backlog) expired(now time.Duration) []waitingOpen {
 	list := []waitingOpen{}
--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -196,7 +196,8 @@
 	delete(c.probes, k)
 }
 
-// stop tells all entries that the coming silence is planned. Where the target has
+// stop tells all entries that the coming silence is planned, and hands the SYNs that
+// wait back to them. Where the target has
 // ended, callers are told too: those of idle flows open another one before their next
 // request, which they may be unable to repeat.
 func (c *Core) stop(now time.Duration, m Stop) {
@@ -205,6 +206,9 @@
 		reason = relay.ReasonTargetDown
 		c.loseAll(now)
 	}
+	for _, w := range c.backlog.all() {
+		c.refuse(now, &w.message, relay.ReasonFull)
+	}
 	for _, a := range slices.SortedFunc(maps.Keys(c.entries), netip.AddrPort.Compare) {
 		c.answer(a, relay.Message{
 			Kind:   relay.Stopping,
--- a/core/conntrack/return_test.go
+++ b/core/conntrack/return_test.go
@@ -235,3 +235,21 @@
 	_, ok := b.newest()
 	is.True(!ok)
 }
+
+// Guards against urgent requests that wait behind others which are newer. Pattern:
+// return of all callers, of routes of several priorities.
+func TestUrgentFlowsGoFirst(t *testing.T) {
+	is := is.New(t)
+	b := backlog{}
+	for i, priority := range []uint8{2, 1, 2, 1} {
+		m := openMessage(testKey, 0)
+		m.Message.Key.CallerPort = uint16(i)
+		m.Message.Priority = priority
+		is.True(b.put(time.Duration(i)*time.Millisecond, m))
+	}
+	for _, port := range []uint16{3, 1, 2, 0} {
+		w, ok := b.newest()
+		is.True(ok)
+		is.Equal(w.message.Message.Key.CallerPort, port)
+	}
+}
--- a/core/conntrack/stop_test.go
+++ b/core/conntrack/stop_test.go
@@ -74,3 +74,28 @@
 
 	return 0
 }
+
+// Guards against new flows that wait at an agent and are lost with it when it stops as
+// planned. Pattern: planned stop under load.
+func TestStopHandsWaitingFlowsBack(t *testing.T) {
+	is := is.New(t)
+	c := Core{
+		Complete: true,
+	}
+	for i := range 10 {
+		m := openMessage(testKey, 0)
+		m.Message.Key.CallerPort += uint16(i)
+		m.Message.Slots = 2
+		c.Update(0, m)
+	}
+	waiting := c.backlog.size()
+	is.True(waiting > 0)
+	returned := 0
+	for _, x := range c.Update(time.Millisecond, Stop{}) {
+		if x, ok := x.(ToEntry); ok && x.Message.Kind == relay.Returned {
+			returned++
+		}
+	}
+	is.Equal(returned, waiting)
+	is.Equal(c.backlog.size(), 0)
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -75,6 +75,16 @@
 	return kindNames[k]
 }
 
+// CarriesPacket reports whether messages of the kind hold a packet of their flow.
+func (k Kind) CarriesPacket() bool {
+	switch k {
+	case Open, Deliver, Confirm, Probe, Returned:
+		return true
+	default:
+		return false
+	}
+}
+
 // Reason says why an agent returned a packet, or what state its target is in.
 type Reason uint8
 
@@ -113,7 +123,7 @@
 }
 
 // HeaderBytes is the length of the header.
-const HeaderBytes = 4 + 8 + 12 + 6 + 6
+const HeaderBytes = 4 + 8 + 12 + 6 + 7
 
 const version = 2
 
@@ -150,6 +160,8 @@
 	// Timeout is, in Open, how long callers of the route wait for an answer, in
 	// milliseconds; zero if it is not known.
 	Timeout uint16
+	// Priority is, in Open, that of the route; zero is the most urgent.
+	Priority uint8
 	// Load is, in messages of agents, the mean number of requests in progress at
 	// the target, times 100.
 	Load uint16
@@ -180,6 +192,7 @@
 	b = binary.LittleEndian.AppendUint16(b, m.Slots)
 	b = binary.LittleEndian.AppendUint16(b, m.Age)
 	b = binary.LittleEndian.AppendUint16(b, m.Timeout)
+	b = append(b, m.Priority)
 
 	return m.appendBody(b)
 }
@@ -226,6 +239,7 @@
 	m.Slots = binary.LittleEndian.Uint16(b[30:])
 	m.Age = binary.LittleEndian.Uint16(b[32:])
 	m.Timeout = binary.LittleEndian.Uint16(b[34:])
+	m.Priority = b[36]
 
 	return m.decodeBody(b[HeaderBytes:])
 }
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -25,6 +25,7 @@
 		Slots:    6,
 		Age:      7,
 		Timeout:  8,
+		Priority: 9,
 		Packet:   []byte("packet"),
 	}
 	got := Message{}
--- a/core/steer/open.go
+++ b/core/steer/open.go
@@ -79,9 +79,9 @@
 }
 
 func (c *Core) sendOpen(now time.Duration, addr netip.AddrPort, k segment.Key, f *flow, m *catalog.Member) {
-	timeout := time.Duration(0)
-	if r := c.routeOf(k); r != nil {
-		timeout = r.Timeout
+	route := c.routeOf(k)
+	if route == nil {
+		route = &catalog.Route{}
 	}
 	rate := uint16(0)
 	if now < m.ColdUntil {
@@ -95,7 +95,8 @@
 		ColdRate: rate,
 		Slots:    uint16(min(math.MaxUint16, max(0, m.Slots))),
 		Age:      milliseconds(now - f.began),
-		Timeout:  milliseconds(timeout),
+		Timeout:  milliseconds(route.Timeout),
+		Priority: uint8(min(math.MaxUint8, max(0, route.Priority))),
 		Packet:   f.syn,
 	})
 }
