Survive malformed messages and errors of sockets

Looked for, after the report of other operators that one message or error took a process down:

- A target without an IPv4 address in a batch of a source ended the entry at the next new flow (As4 of an invalid address).
The batch is refused; TestDecodeBatchRefusesAddresses.
- Any error of a socket but a refused datagram ended agents and entries of both kinds of flow.
Only a closed socket does; others are logged and counted.
- A message whose packet is missing or belongs to another flow was used.
It counts as malformed.
- Random messages with contradicting fields, 20 seeds of 2,000, end neither core; TestAnyMessageIsSurvived in steer and conntrack.

--- /dev/null
+++ b/core/conntrack/malformed_test.go
@@ -0,0 +1,89 @@
+package conntrack
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// Guards against a message that no entry or target would send and that ends the
+// process. The oracle is that the agent goes on: it still opens a flow.
+func TestAnyMessageIsSurvived(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		c := Core{
+			Complete: seed%2 == 0,
+		}
+		now := time.Duration(0)
+		for range 2000 {
+			now += time.Duration(r.Int64N(int64(40 * time.Millisecond)))
+			c.Update(now, anyMessage(r))
+		}
+		now += time.Hour
+		c.Update(now, Tick{})
+		c.Update(now, &TargetPacket{
+			Segment: anySegment(r),
+		})
+		k := testKey
+		k.CallerPort = 9
+		if !passed(c.Update(now, openMessage(k, 0))) {
+			t.Errorf("seed %d: the agent no longer opens flows", seed)
+		}
+	}
+}
+
+// anyMessage returns any message with fields that may contradict each other.
+func anyMessage(r *rand.Rand) Message {
+	switch r.IntN(6) {
+	case 0:
+		return Tick{}
+	case 1:
+		return &TargetPacket{
+			Segment: anySegment(r),
+			Packet:  make([]byte, r.IntN(40)),
+		}
+	case 2:
+		return TargetRefused{}
+	case 3:
+		return Stop{
+			TargetEnded: r.IntN(2) == 0,
+		}
+	default:
+		s := anySegment(r)
+
+		return &EntryMessage{
+			From: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(r.IntN(3))}), 7720),
+			Message: relay.Message{
+				Kind:     relay.Kind(r.IntN(20)),
+				Reason:   relay.Reason(r.IntN(20)),
+				Born:     r.Int64(),
+				Key:      s.Key,
+				ColdRate: uint16(r.IntN(3)),
+				Slots:    uint16(r.IntN(3)),
+				Age:      uint16(r.Uint32()),
+				Timeout:  uint16(r.Uint32()),
+				Priority: uint8(r.Uint32()),
+				Keys:     []segment.Key{s.Key, testKey},
+				Found:    []relay.Kind{relay.Kind(r.IntN(20))},
+			},
+			Segment: s,
+		}
+	}
+}
+
+func anySegment(r *rand.Rand) segment.Segment {
+	k := testKey
+	k.CallerPort = uint16(r.IntN(8))
+
+	return segment.Segment{
+		Key:   k,
+		Flags: segment.Flags(r.IntN(256)),
+		Seq:   r.Uint32(),
+		Ack:   uint32(r.IntN(4)),
+		Len:   r.IntN(3) * 600,
+	}
+}
--- a/core/feed/body.go
+++ b/core/feed/body.go
@@ -83,7 +83,22 @@
 		default:
 			return Batch{}, errors.Annotate(ErrAnswer, "a change is empty")
 		}
+		if err := c.check(); err != nil {
+			return Batch{}, err
+		}
 	}
 
 	return b, nil
 }
+
+// check reports what placement can't use. Error: ErrAnswer.
+func (c *bodyChange) check() error {
+	if c.Target == nil {
+		return nil
+	}
+	if !c.Target.Address.Addr().Is4() || c.Target.Address.Port() == 0 {
+		return errors.Annotatef(ErrAnswer, "target %q has no IPv4 address", c.Target.ID)
+	}
+
+	return nil
+}
--- a/core/feed/log_test.go
+++ b/core/feed/log_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 
 	"ibisfold.example/core/catalog"
@@ -186,6 +187,20 @@
 	is.True(all.Changes[0].(catalog.TargetChange).Target.ColdLeft < time.Second)
 }
 
+// Guards against a target without an address, or with one of another family, that ends
+// the process as soon as a flow is placed.
+func TestDecodeBatchRefusesAddresses(t *testing.T) {
+	is := is.New(t)
+	for _, address := range []string{`""`, `"[2001:db8::1]:80"`, `"10.0.0.1:0"`} {
+		_, err := decodeBatch([]byte(`{"Changes":[{"Target":{"ID":"x","Address":` + address + `}}]}`))
+		is.True(errors.Is(err, ErrAnswer))
+	}
+	_, err := decodeBatch([]byte(`{"Changes":[{"Target":{"ID":"x"}}]}`))
+	is.True(errors.Is(err, ErrAnswer))
+	_, err = decodeBatch([]byte(`{"Changes":[{"Target":{"ID":"x","Address":"10.0.0.1:80"}}]}`))
+	is.NoErr(err)
+}
+
 // FuzzDecodeBatch guards against an answer that ends the process.
 func FuzzDecodeBatch(f *testing.F) {
 	f.Add([]byte(`{"Revision":1,"Changes":[{"Gone":{"ID":"x"}}]}`))
--- a/core/opaque/process.go
+++ b/core/opaque/process.go
@@ -24,6 +24,8 @@
 	Kernel  kernel.Kernel
 	// Malformed counts datagrams that can't be read.
 	Malformed *metrics.Counter
+	// SocketErrors counts errors of sockets that did not end them.
+	SocketErrors *metrics.Counter
 
 	started  time.Time
 	calls    chan func()
@@ -41,6 +43,7 @@
 		ended:   make(chan struct{}),
 	}
 	p.Malformed = p.Metrics.NewCounter("ibisfold_packets_malformed_total")
+	p.SocketErrors = p.Metrics.NewCounter("ibisfold_socket_errors_total")
 
 	return p
 }
@@ -109,6 +112,15 @@
 	return p.Kernel.Run(ctx)
 }
 
+// logError writes a line for an error of a socket that goes on.
+func (p *Process) logError(err error) {
+	if err == nil {
+		return
+	}
+	p.SocketErrors.Inc()
+	p.Log.Info("socket error", "error", err)
+}
+
 // Input is a socket and what takes its batches. Take calls Done on each.
 type Input struct {
 	Socket *udp.Socket
@@ -144,6 +156,7 @@
 	for {
 		select {
 		case b := <-batches:
+			l.Process.logError(b.batch.Err)
 			b.input.Take(b.batch)
 		case f := <-l.Process.calls:
 			f()
--- /dev/null
+++ b/core/steer/malformed_test.go
@@ -0,0 +1,71 @@
+package steer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// Guards against a message that no caller or agent would send and that ends the
+// process. The oracle is that the entry goes on: it still places a flow.
+func TestAnyMessageIsSurvived(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		c := newTestCore(5)
+		now := time.Duration(0)
+		for range 2000 {
+			now += time.Duration(r.Int64N(int64(30 * time.Millisecond)))
+			c.Update(now, anyMessage(c, r))
+		}
+		to, _ := opened(c.Update(now+time.Hour, benchPacket(9999, segment.SYN)))
+		if len(to) != 1 {
+			t.Errorf("seed %d: the entry no longer places flows", seed)
+		}
+	}
+}
+
+// anyMessage returns any message with fields that may contradict each other.
+func anyMessage(c *Core, r *rand.Rand) Message {
+	k := benchPacket(r.IntN(6), 0).Segment.Key
+	s := segment.Segment{
+		Key:   k,
+		Flags: segment.Flags(r.IntN(256)),
+		Seq:   r.Uint32(),
+		Ack:   r.Uint32(),
+		Len:   r.IntN(1200),
+	}
+	switch r.IntN(5) {
+	case 0:
+		return Tick{}
+	case 1, 2:
+		return &CallerPacket{
+			Segment: s,
+			Packet:  make([]byte, r.IntN(40)),
+		}
+	default:
+		from := netip.MustParseAddrPort("10.9.9.9:7720")
+		if r.IntN(4) > 0 {
+			from = c.listing[r.IntN(len(c.listing))]
+		}
+
+		return &AgentMessage{
+			From: from,
+			Message: relay.Message{
+				Kind:     relay.Kind(r.IntN(20)),
+				Reason:   relay.Reason(r.IntN(20)),
+				Key:      k,
+				Load:     uint16(r.Uint32()),
+				Unstable: r.IntN(2) == 0,
+				Flows:    uint16(r.Uint32()),
+				Keys:     []segment.Key{k},
+				Found:    []relay.Kind{relay.Kind(r.IntN(20))},
+				Packet:   []byte{1},
+			},
+			Segment: s,
+		}
+	}
+}
--- a/core/udp/pump.go
+++ b/core/udp/pump.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"net"
 	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 )
 
-// pumpDeadline bounds the time until Pump notices that its context is done.
-const pumpDeadline = 200 * time.Millisecond
+const (
+	// pumpDeadline bounds the time until Pump notices that its context is done.
+	pumpDeadline = 200 * time.Millisecond
+	// errorPause is the wait after an error of a socket, which may come again at once.
+	errorPause = 10 * time.Millisecond
+)
 
 // Batch is what one Read returned. The receiver calls Done when it no longer
 // needs the bytes.
@@ -19,7 +24,9 @@
 	Count int
 	// Refused tells that the peer of a connected socket refused a datagram.
 	Refused bool
-	free    chan<- *Reader
+	// Err is an error of the socket that does not end it; Count is then zero.
+	Err  error
+	free chan<- *Reader
 }
 
 // Done gives the buffers back.
@@ -27,8 +34,29 @@
 	b.free <- b.Reader
 }
 
+// Transient reports whether a socket goes on after an error of Read, such as a lack of
+// buffers or a host that is out of reach. It waits for a moment then, as the error may
+// come again at once.
+func Transient(err error) bool {
+	if err == nil || errors.Is(err, net.ErrClosed) {
+		return false
+	}
+	time.Sleep(errorPause)
+
+	return true
+}
+
+func unlessRefused(err error, refused bool) error {
+	if refused {
+		return nil
+	}
+
+	return err
+}
+
 // Pump reads batches and sends them to out until ctx is done, so that one
-// goroutine can own the state that packets of several sockets change.
+// goroutine can own the state that packets of several sockets change. Only a closed
+// socket ends it early; other errors are told in a batch.
 func (s *Socket) Pump(ctx context.Context, out chan<- Batch) error {
 	free := make(chan *Reader, 2)
 	free <- s.NewReader()
@@ -38,10 +66,10 @@
 		r := <-free
 		n, err := r.Read(time.Now().Add(pumpDeadline))
 		refused := errors.Is(err, syscall.ECONNREFUSED)
-		if err != nil && !refused && ctx.Err() == nil {
+		if err != nil && !refused && !Transient(err) && ctx.Err() == nil {
 			return errors.Annotate(err, "read")
 		}
-		if n == 0 && !refused {
+		if n == 0 && err == nil {
 			free <- r
 
 			continue
@@ -50,6 +78,7 @@
 			Reader:  r,
 			Count:   n,
 			Refused: refused,
+			Err:     unlessRefused(err, refused),
 			free:    free,
 		}
 		select {
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -14,6 +14,7 @@
 	"ibisfold.example/core/conntrack"
 	"ibisfold.example/core/kernel"
 	"ibisfold.example/core/opaque"
+	"ibisfold.example/core/segment"
 	"ibisfold.example/core/udp"
 	"ibisfold.example/platform"
 )
@@ -214,9 +215,10 @@
 			p.Malformed.Inc()
 			continue
 		}
-		if len(m.Message.Packet) > 0 {
+		m.Segment = segment.Segment{}
+		if m.Message.Kind.CarriesPacket() {
 			s, err := platform.FromCaller(m.Message.Packet)
-			if err != nil {
+			if err != nil || s.Key != m.Message.Key {
 				p.Malformed.Inc()
 				continue
 			}
--- a/ibisfold-agent/traffic.go
+++ b/ibisfold-agent/traffic.go
@@ -91,9 +91,11 @@
 		case <-ctx.Done():
 			return
 		case b := <-fromProcesses:
+			t.logError(b.Err)
 			t.takeView()
 			t.processBatch(b)
 		case b := <-fromTarget:
+			t.logError(b.Err)
 			t.takeView()
 			t.targetBatch(b)
 		case <-tick.C:
@@ -105,6 +107,13 @@
 	}
 }
 
+// logError writes a line for an error of a socket that goes on.
+func (t *traffic) logError(err error) {
+	if err != nil {
+		t.process.log.Warn("socket error", "error", err)
+	}
+}
+
 // takeView passes on a new view before the packets that follow it, so that a
 // packet is never judged by a view older than the last published one.
 func (t *traffic) takeView() {
--- a/ibisfold-entry/downstream.go
+++ b/ibisfold-entry/downstream.go
@@ -9,6 +9,7 @@
 	"ibisfold.example/core/control"
 	"ibisfold.example/core/kernel"
 	"ibisfold.example/core/packet"
+	"ibisfold.example/core/udp"
 )
 
 // downstream takes what other processes send: packets for callers, which it
@@ -34,6 +35,11 @@
 			if ctx.Err() != nil {
 				return nil
 			}
+			if udp.Transient(err) {
+				d.process.log.Warn("socket error", "error", err)
+
+				continue
+			}
 
 			return errors.Annotate(err, "read processes")
 		}
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -14,7 +14,7 @@
 	"ibisfold.example/core/feed"
 	"ibisfold.example/core/kernel"
 	"ibisfold.example/core/opaque"
-	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
 	"ibisfold.example/core/steer"
 	"ibisfold.example/core/ticket"
 	"ibisfold.example/core/udp"
@@ -316,9 +316,10 @@
 			p.Malformed.Inc()
 			continue
 		}
-		if m.Message.Kind == relay.Returned {
+		m.Segment = segment.Segment{}
+		if m.Message.Kind.CarriesPacket() {
 			s, err := platform.FromCaller(m.Message.Packet)
-			if err != nil {
+			if err != nil || s.Key != m.Message.Key {
 				p.Malformed.Inc()
 				continue
 			}
--- a/ibisfold-entry/upstream.go
+++ b/ibisfold-entry/upstream.go
@@ -83,6 +83,11 @@
 			if ctx.Err() != nil {
 				return nil
 			}
+			if udp.Transient(err) {
+				t.process.log.Warn("socket error", "error", err)
+
+				continue
+			}
 
 			return errors.Annotate(err, "read callers")
 		}
