Keep flows in their zone until its targets are nearly busy

A target with a free slot serves at once, so a flow need not cross zones before the slots of its own zone are nearly taken: ZonePenalty 0.8 requests a slot in place of 0.35.

--- a/core/steer/policy.go
+++ b/core/steer/policy.go
@@ -10,7 +10,8 @@
 // change them; the zero value is not valid, DefaultPolicy is.
 type Policy struct {
 	// ZonePenalty is how much busier, in requests a slot, a target of this zone may
-	// be before new flows go to another zone, over links that are slow and dear.
+	// be before new flows go to another zone, over links that are slow and dear. Below
+	// one request a slot a target serves at once.
 	ZonePenalty float64 `yaml:"ZonePenalty,omitempty"`
 	// FlowLoad is the load, in requests, that an open flow is expected to bring: the
 	// requests in progress now say little of long flows.
@@ -80,7 +81,7 @@
 // SetDefaults implements document.Defaulter.
 func (p *Policy) SetDefaults() {
 	*p = Policy{
-		ZonePenalty:     0.35,
+		ZonePenalty:     0.8,
 		FlowLoad:        0.02,
 		OpenedLoad:      0.02,
 		ColdPenalty:     0.3,
