Refuse new flows that the target can't get to, and give them a slot's share

New flows had half a request a slot and opened at 75 a second; the others waited for 1.4 s until their callers gave up.

Change: new flows may have one request a slot, and the backlog holds no more than the target can serve before their callers give up, by the mean time of its answers; the last in order is refused at once.

--- a/core/conntrack/backlog.go
+++ b/core/conntrack/backlog.go
@@ -9,9 +9,14 @@
 	"ibisfold.example/core/segment"
 )
 
-// maxBacklog bounds the SYNs that wait at an agent: what the callers of the busiest
-// target send before they give up.
-const maxBacklog = 1024
+const (
+	// maxBacklog bounds the SYNs that wait at an agent whose target has answered nothing
+	// yet.
+	maxBacklog = 1024
+	// leastBacklog is the number of SYNs for each slot that may wait however slow the
+	// target is.
+	leastBacklog = 2
+)
 
 // backlog holds the SYNs that wait until the target has room for their requests.
 // After an outage all callers come back at once. In the order of arrival each of them
@@ -35,16 +40,12 @@
 	return len(b.opens)
 }
 
-// put adds a SYN, or takes note of a copy of one that waits. It returns false if
-// the backlog is full.
-func (b *backlog) put(now time.Duration, m *EntryMessage) bool {
+// put adds a SYN, or takes note of a copy of one that waits.
+func (b *backlog) put(now time.Duration, m *EntryMessage) {
 	if i := b.index(m.Message.Key); i >= 0 {
 		b.opens[i].message.From = m.From
 
-		return true
-	}
-	if len(b.opens) >= maxBacklog {
-		return false
+		return
 	}
 	w := waitingOpen{
 		message: *m,
@@ -54,8 +55,6 @@
 	w.expires = w.began + patience(&m.Message)
 	i, _ := slices.BinarySearchFunc(b.opens, w, waitingOpen.compare)
 	b.opens = slices.Insert(b.opens, i, w)
-
-	return true
 }
 
 // compare orders SYNs as backlog keeps them.
@@ -108,6 +107,14 @@
 	return list
 }
 
+// last takes out the SYN that would be the last to go. The backlog is not empty.
+func (b *backlog) last() waitingOpen {
+	w := b.opens[0]
+	b.opens = slices.Delete(b.opens, 0, 1)
+
+	return w
+}
+
 // expired takes out the SYNs whose callers have given up.
 func (b *backlog) expired(now time.Duration) []waitingOpen {
 	list := []waitingOpen{}
@@ -133,6 +140,17 @@
 	return limit == 0 || float64(c.work.progress+expected) < limit || float64(c.work.firsts+expected) < share
 }
 
+// reachable is the number of waiting flows that the target can get to before their
+// callers give up, if no more come. Others are refused at once.
+func (c *Core) reachable() int {
+	if c.work.mean == 0 {
+		return maxBacklog
+	}
+	rate := float64(c.slots) / c.work.mean.Seconds()
+
+	return max(leastBacklog*c.slots, min(maxBacklog, int(rate*segment.OpenTime.Seconds())))
+}
+
 // admitWaiting passes SYNs to the target while it has room, the newest first.
 func (c *Core) admitWaiting(now time.Duration) {
 	for c.backlog.size() > 0 && c.room() {
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -46,8 +46,10 @@
 
 		return
 	}
-	if !c.backlog.put(now, m) {
-		c.refuse(now, m, relay.ReasonFull)
+	c.backlog.put(now, m)
+	if c.backlog.size() > c.reachable() {
+		w := c.backlog.last()
+		c.refuse(now, &w.message, relay.ReasonFull)
 	}
 }
 
--- a/core/conntrack/policy.go
+++ b/core/conntrack/policy.go
@@ -13,8 +13,8 @@
 	// in progress or expected when a new flow is passed to the target. Others wait at
 	// the agent, which lets the newest in first. Zero passes all of them on.
 	QueueSlots float64 `yaml:"QueueSlots,omitempty"`
-	// NewShare is the share of the slots that the first requests of new flows may have
-	// however busy the target is with those of others.
+	// NewShare is the number of first requests of new flows for each slot that may be
+	// in progress or expected however busy the target is with those of open flows.
 	NewShare float64 `yaml:"NewShare,omitempty"`
 	// ExpectTime is how long after a SYN was passed on its flow counts as a request
 	// that is about to come.
@@ -38,7 +38,7 @@
 func (p *Policy) SetDefaults() {
 	*p = Policy{
 		QueueSlots: 1.5,
-		NewShare:   0.5,
+		NewShare:   1,
 		ExpectTime: 100 * time.Millisecond,
 		LoadTime:   500 * time.Millisecond,
 		DownTime:   400 * time.Millisecond,
@@ -57,7 +57,7 @@
 // in the document, with a dot at its end.
 func (p *Policy) Check(c *document.Checker, section string) {
 	document.Between(c, section+"QueueSlots", p.QueueSlots, 0, maxQueueSlots)
-	document.Between(c, section+"NewShare", p.NewShare, 0, 1)
+	document.Between(c, section+"NewShare", p.NewShare, 0, maxQueueSlots)
 	document.Between(c, section+"LoadTime", p.LoadTime, TickTime, maxWait)
 	for name, d := range map[string]time.Duration{
 		"ExpectTime": p.ExpectTime,
