--- a/core/opaque/policy_test.go
+++ b/core/opaque/policy_test.go
@@ -26,7 +26,7 @@
 	for text, field := range map[string]string{
 		"Entry:\n  AcceptTime: 80\n":   "Entry.AcceptTime",
 		"Entry:\n  MaxTried: 0\n":      "Entry.MaxTried",
-		"Agent:\n  NewShare: 1.5\n":    "Agent.NewShare",
+		"Agent:\n  NewShare: 150\n":    "Agent.NewShare",
 		"Agent:\n  NewShare: some\n":   "Agent.NewShare",
 		"Agent:\n  AcceptTime: 80ms\n": "Agent.AcceptTime",
 	} {
--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -21,9 +21,6 @@
 	// acquaintedTime is how lately an agent has to be heard for its silence to mean
 	// that its process was not replaced.
 	acquaintedTime = time.Second
-	// hearingTime is how long no agent at all may be heard before the cause is probably
-	// this entry's own link, whose silence says nothing of a single agent.
-	hearingTime = 60 * time.Millisecond
 	// lateTime is how long after the announcement messages from before it may arrive.
 	// A process that ended is started again after about 0.5 s.
 	lateTime = 200 * time.Millisecond
@@ -156,7 +153,7 @@
 	if a.asks < silentAsks || c.stops(now, a) {
 		return false
 	}
-	if now-c.lastHeard > hearingTime {
+	if now-c.lastHeard > c.Policy.HearingTime {
 		return now-a.asked >= c.Policy.StrangerTime
 	}
 	if !a.known || a.asked-a.heard > acquaintedTime {
--- a/core/steer/budget.go
+++ b/core/steer/budget.go
@@ -3,15 +3,6 @@
 import "time"
 
 const (
-	// probeShare is the share of the entry's link that packets may take which are
-	// passed to agents in search of an owner. After a loss of power all callers come
-	// back to agents that are unsure: 60 flows times 50 agents of 1 KB each would
-	// fill a link of 10 Mbit/s for seconds.
-	probeShare = 0.25
-	// questionShare is the same for questions to agents, whose answers take as much in
-	// the other direction. A link that is full of questions loses the answers, and the
-	// questions are asked again.
-	questionShare = 0.25
 	// budgetBurst is the part of a second's share that may be sent at once.
 	budgetBurst = 0.5
 	// defaultLink is the speed of a link that is not known, in bytes a second.
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -128,20 +128,20 @@
 	c.searches = map[segment.Key]*search{}
 	c.strays = map[segment.Key]stray{}
 	c.agents = map[netip.AddrPort]*agent{}
+	if c.Policy == nil {
+		p := DefaultPolicy()
+		c.Policy = &p
+	}
 	c.questions = questions{
 		waiting: map[netip.AddrPort][]segment.Key{},
-		budget:  newBudget(now, c.LinkRate, questionShare),
+		budget:  newBudget(now, c.LinkRate, c.Policy.QuestionShare),
 	}
-	c.probes = newBudget(now, c.LinkRate, probeShare)
+	c.probes = newBudget(now, c.LinkRate, c.Policy.ProbeShare)
 	c.lastTick = now
 	c.swept = now
 	if c.MaxFlowAge == 0 {
 		c.MaxFlowAge = defaultMaxAge
 	}
-	if c.Policy == nil {
-		p := DefaultPolicy()
-		c.Policy = &p
-	}
 }
 
 func (c *Core) setSnapshot(now time.Duration, m CatalogChanged) {
--- a/core/steer/policy.go
+++ b/core/steer/policy.go
@@ -68,6 +68,18 @@
 	// after an outage of the configuration service, do not wait: those before them
 	// would be overrun.
 	SpreadTime time.Duration `yaml:"SpreadTime,omitempty"`
+	// ProbeShare is the share of the entry's link that packets may take which are
+	// passed to agents in search of an owner. After a loss of power all callers come
+	// back to agents that are unsure: 60 flows times 50 agents of 1 KB each would
+	// fill a link of 10 Mbit/s for seconds.
+	ProbeShare float64 `yaml:"ProbeShare,omitempty"`
+	// QuestionShare is the same for questions to agents, whose answers take as much in
+	// the other direction. A link that is full of questions loses the answers, and the
+	// questions are asked again.
+	QuestionShare float64 `yaml:"QuestionShare,omitempty"`
+	// HearingTime is how long no agent at all may be heard before the cause is probably
+	// this entry's own link, whose silence says nothing of a single agent.
+	HearingTime time.Duration `yaml:"HearingTime,omitempty"`
 }
 
 // DefaultPolicy returns the policy of a Core that is given none.
@@ -100,6 +112,9 @@
 		StopTime:        5 * time.Second,
 		ResendTime:      250 * time.Millisecond,
 		SpreadTime:      2 * time.Second,
+		ProbeShare:      0.25,
+		QuestionShare:   0.25,
+		HearingTime:     60 * time.Millisecond,
 	}
 }
 
@@ -110,6 +125,9 @@
 	// mostTried is the greatest number of targets that may get one SYN, and of
 	// targets that a flow may prefer.
 	mostTried = 16
+	// leastShare and mostShare bound a share of the link; more than 1 is no bound.
+	leastShare = 0.01
+	mostShare  = 100
 	// maxWait is the longest of all times.
 	maxWait = 10 * time.Second
 )
@@ -128,6 +146,8 @@
 	} {
 		document.Between(c, section+name, x, 0, maxPenalty)
 	}
+	document.Between(c, section+"ProbeShare", p.ProbeShare, leastShare, mostShare)
+	document.Between(c, section+"QuestionShare", p.QuestionShare, leastShare, mostShare)
 	c.Range(section+"Preferred", p.Preferred, 1, mostTried)
 	c.Range(section+"MaxTried", p.MaxTried, 1, mostTried)
 	for name, d := range map[string]time.Duration{
@@ -140,6 +160,7 @@
 		"StopTime":     p.StopTime,
 		"ResendTime":   p.ResendTime,
 		"SpreadTime":   p.SpreadTime,
+		"HearingTime":  p.HearingTime,
 	} {
 		document.Between(c, section+name, d, 0, maxWait)
 	}
--- a/core/steer/question_test.go
+++ b/core/steer/question_test.go
@@ -43,7 +43,7 @@
 	}
 	// The budget holds for two seconds and a burst of half a second. What is sent
 	// besides asks each agent that owes an answer whether it is there.
-	share := 2.5 * defaultLink * questionShare
+	share := 2.5 * defaultLink * DefaultPolicy().QuestionShare
 	renewals := 70 * questionBytes * 2 * float64(time.Second) / float64(backTime)
 	is.True(float64(bytes) <= share+renewals)
 }
