Check waiting flows again before they reach the target, and hear others before judging one

- A flow that waited at an agent would have reached its target also after the target's service had changed or the target had gone down.
It is handed back; TestWaitingFlowsLeaveAnotherTarget.
- A wait of 1.4 s after a placement on a view 1.5 s old could end 3 s after the target began to leave.
It ends after 1 s.
- An entry with traffic for one agent only heard nobody when that agent was lost, took that for a loss of its own link and waited 3 s.
It asks others first; TestSilentAgentAtLowTraffic.

--- a/core/conntrack/backlog.go
+++ b/core/conntrack/backlog.go
@@ -13,6 +13,10 @@
 	// maxBacklog bounds the SYNs that wait at an agent whose target has answered nothing
 	// yet.
 	maxBacklog = 1024
+	// maxWaitTime is the longest wait at an agent. A flow that was placed before its
+	// target began to leave has to reach it within 3 s of that; entries may learn of it
+	// after 1.5 s.
+	maxWaitTime = time.Second
 	// leastBacklog is the number of SYNs for each slot that may wait however slow the
 	// target is.
 	leastBacklog = 2
@@ -52,7 +56,7 @@
 		began:   now - time.Duration(m.Message.Age)*time.Millisecond,
 	}
 	w.message.Message.Packet = slices.Clone(m.Message.Packet)
-	w.expires = w.began + patience(&m.Message)
+	w.expires = min(w.began+patience(&m.Message), now+maxWaitTime)
 	i, _ := slices.BinarySearchFunc(b.opens, w, waitingOpen.compare)
 	b.opens = slices.Insert(b.opens, i, w)
 }
@@ -155,11 +159,23 @@
 func (c *Core) admitWaiting(now time.Duration) {
 	for c.backlog.size() > 0 && c.room() {
 		w, _ := c.backlog.newest()
+		if reason := c.refusal(now, &w.message); reason != relay.ReasonNone {
+			c.refuse(now, &w.message, reason)
+
+			continue
+		}
 		c.measure(WaitTime, now-w.began)
 		c.admit(now, &w.message)
 	}
 }
 
+// handBack refuses all SYNs that wait, so that they go to other targets.
+func (c *Core) handBack(now time.Duration, reason relay.Reason) {
+	for _, w := range c.backlog.all() {
+		c.refuse(now, &w.message, reason)
+	}
+}
+
 // expireWaiting refuses the SYNs whose callers have given up.
 func (c *Core) expireWaiting(now time.Duration) {
 	for _, w := range c.backlog.expired(now) {
--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -138,6 +138,7 @@
 		c.becomeComplete(now, netip.AddrPort{})
 	case ServiceChanged:
 		c.Service = m.Service
+		c.handBack(now, relay.ReasonWrongService)
 	case Stop:
 		c.stop(now, m)
 	case Tick:
@@ -197,18 +198,15 @@
 }
 
 // stop tells all entries that the coming silence is planned, and hands the SYNs that
-// wait back to them. Where the target has
-// ended, callers are told too: those of idle flows open another one before their next
-// request, which they may be unable to repeat.
+// wait back to them. Where the target has ended, callers are told too: those of idle
+// flows open another one before their next request, which they may be unable to repeat.
 func (c *Core) stop(now time.Duration, m Stop) {
 	reason := relay.ReasonNone
 	if m.TargetEnded {
 		reason = relay.ReasonTargetDown
 		c.loseAll(now)
 	}
-	for _, w := range c.backlog.all() {
-		c.refuse(now, &w.message, relay.ReasonFull)
-	}
+	c.handBack(now, relay.ReasonFull)
 	for _, a := range slices.SortedFunc(maps.Keys(c.entries), netip.AddrPort.Compare) {
 		c.answer(a, relay.Message{
 			Kind:   relay.Stopping,
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -26,26 +26,28 @@
 
 // open passes a SYN to the target, unless the target can't take it now.
 func (c *Core) open(now time.Duration, m *EntryMessage) {
-	k := m.Message.Key
 	c.slots = int(m.Message.Slots)
 	if reason := c.refusal(now, m); reason != relay.ReasonNone {
 		c.refuse(now, m, reason)
 
 		return
 	}
-	if f, ok := c.flows[k]; ok && f.opening() {
-		f.entry = m.From
-		f.used = now
-		c.toTarget(now, m.Message.Packet, true)
-
-		return
-	}
-	if c.room() {
-		c.backlog.remove(k)
+	f, ok := c.flows[m.Message.Key]
+	switch {
+	case ok && f.opening():
+		// A copy. To refuse it would end a flow that the target may have opened.
+		c.passOpen(now, f, m)
+	case c.room():
+		c.backlog.remove(m.Message.Key)
 		c.admit(now, m)
-
-		return
+	default:
+		c.wait(now, m)
 	}
+}
+
+// wait puts a SYN into the backlog. The one that would be the last to go is refused if
+// the target can't get to it in time.
+func (c *Core) wait(now time.Duration, m *EntryMessage) {
 	c.backlog.put(now, m)
 	if c.backlog.size() > c.reachable() {
 		w := c.backlog.last()
@@ -53,24 +55,24 @@
 	}
 }
 
-// admit passes the SYN of a flow that is not known here to the target.
+// admit passes the first SYN of a flow to the target.
 func (c *Core) admit(now time.Duration, m *EntryMessage) {
-	k := m.Message.Key
 	if !c.cold.allow(now, float64(m.Message.ColdRate)/10) {
 		c.refuse(now, m, relay.ReasonCold)
 
 		return
 	}
-	f, ok := c.flows[k]
-	if !ok || !f.opening() {
-		f = &flow{
-			opened: now,
-		}
-		c.flows[k] = f
+	f := &flow{
+		opened: now,
 	}
+	c.flows[m.Message.Key] = f
+	c.work.expect(now, m.Message.Key)
+	c.passOpen(now, f, m)
+}
+
+func (c *Core) passOpen(now time.Duration, f *flow, m *EntryMessage) {
 	f.entry = m.From
 	f.used = now
-	c.work.expect(now, k)
 	c.toTarget(now, m.Message.Packet, true)
 }
 
--- a/core/conntrack/stop_test.go
+++ b/core/conntrack/stop_test.go
@@ -79,7 +79,26 @@
 // planned. Pattern: planned stop under load.
 func TestStopHandsWaitingFlowsBack(t *testing.T) {
 	is := is.New(t)
-	c := Core{
+	c, waiting := waitingCore(is)
+	is.Equal(returnedBy(c.Update(time.Millisecond, Stop{}), relay.ReasonFull), waiting)
+	is.Equal(c.backlog.size(), 0)
+}
+
+// Guards against flows that wait for a target and reach another service, which has taken
+// its place, or wait on for one that is down.
+func TestWaitingFlowsLeaveAnotherTarget(t *testing.T) {
+	is := is.New(t)
+	c, waiting := waitingCore(is)
+	is.Equal(returnedBy(c.Update(time.Millisecond, ServiceChanged{
+		Service: 1,
+	}), relay.ReasonWrongService), waiting)
+	c, waiting = waitingCore(is)
+	is.Equal(returnedBy(c.Update(time.Millisecond, TargetRefused{}), relay.ReasonTargetDown), waiting)
+}
+
+// waitingCore returns an agent with flows that wait, and their number.
+func waitingCore(is *is.I) (*Core, int) {
+	c := &Core{
 		Complete: true,
 	}
 	for i := range 10 {
@@ -88,14 +107,19 @@
 		m.Message.Slots = 2
 		c.Update(0, m)
 	}
-	waiting := c.backlog.size()
-	is.True(waiting > 0)
-	returned := 0
-	for _, x := range c.Update(time.Millisecond, Stop{}) {
-		if x, ok := x.(ToEntry); ok && x.Message.Kind == relay.Returned {
-			returned++
+	is.True(c.backlog.size() > 0)
+
+	return c, c.backlog.size()
+}
+
+// returnedBy counts the packets that are handed back for a reason.
+func returnedBy(commands []Command, reason relay.Reason) int {
+	n := 0
+	for _, x := range commands {
+		if x, ok := x.(ToEntry); ok && x.Message.Kind == relay.Returned && x.Message.Reason == reason {
+			n++
 		}
 	}
-	is.Equal(returned, waiting)
-	is.Equal(c.backlog.size(), 0)
+
+	return n
 }
--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -82,6 +82,7 @@
 		Count:    c.target.waiting,
 	})
 	c.loseAll(now)
+	c.handBack(now, relay.ReasonTargetDown)
 }
 
 // loseAll resets the flows that the target held.
--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -21,6 +21,9 @@
 	// acquaintedTime is how lately an agent has to be heard for its silence to mean
 	// that its process was not replaced.
 	acquaintedTime = time.Second
+	// hearingAsks is the number of agents that are asked in a tick to see whether any
+	// agent is heard.
+	hearingAsks = 2
 	// lateTime is how long after the announcement messages from before it may arrive.
 	// A process that ended is started again after about 0.5 s.
 	lateTime = 200 * time.Millisecond
@@ -174,8 +177,28 @@
 	return a.stopping > 0 && now-a.stopping < c.Policy.StopTime
 }
 
+// checkHearing asks a few other agents while one owes an answer and none is heard:
+// whether they answer tells the silence of that agent from a loss of this entry's link.
+func (c *Core) checkHearing(now time.Duration) {
+	if now-c.lastHeard <= c.Policy.HearingTime/2 || len(c.listing) == 0 {
+		return
+	}
+	for _, addr := range c.order {
+		if a := c.agents[addr]; !a.waits || a.asks == 0 {
+			continue
+		}
+		for range hearingAsks {
+			c.nextHearing = (c.nextHearing + 1) % len(c.listing)
+			c.ask(now, c.listing[c.nextHearing], c.agents[addr].pending)
+		}
+
+		return
+	}
+}
+
 // tickAgents repeats questions, and resets the flows of agents that are lost.
 func (c *Core) tickAgents(now time.Duration) {
+	c.checkHearing(now)
 	for _, addr := range c.order {
 		a := c.agents[addr]
 		if c.renews(now, addr, a) {
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -65,7 +65,10 @@
 	probes budget
 	// lastHeard is when any agent was heard last.
 	lastHeard time.Duration
-	commands  []Command
+	// nextHearing is the place in listing of the last agent that was asked to see
+	// whether any is heard.
+	nextHearing int
+	commands    []Command
 	// sends holds the Sends of all Updates, used again by each; sent counts those of
 	// this one. A known flow's packet costs no allocation.
 	sends    []*Send
--- a/core/steer/question_test.go
+++ b/core/steer/question_test.go
@@ -90,6 +90,43 @@
 	}
 }
 
+// Guards against an agent whose loss is noticed late because the entry has no traffic
+// with others that would show its own link to be well.
+func TestSilentAgentAtLowTraffic(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	lost := c.listing[0]
+	packet := benchPacket(0, segment.ACK)
+	c.Update(0, packet)
+	c.Update(0, &AgentMessage{
+		From: lost,
+		Message: relay.Message{
+			Kind: relay.Owned,
+			Key:  packet.Segment.Key,
+		},
+	})
+	found := time.Duration(0)
+	for now := TickTime; now < time.Second && found == 0; now += TickTime {
+		c.Update(now, packet)
+		for _, x := range c.Update(now, Tick{}) {
+			switch x := x.(type) {
+			case *Send:
+				if x.To != lost && x.Message.Kind == relay.Find {
+					c.hear(now, x.To, &relay.Message{
+						Kind: relay.NotOwned,
+					})
+				}
+			case Note:
+				if x.Decision == AgentSilent {
+					found = now
+				}
+			}
+		}
+	}
+	is.True(found > 0)
+	is.True(found <= 2*c.Policy.SilentTime)
+}
+
 // Guards against questions for agents late in the order that never get their share.
 func TestQuestionsTakeTurns(t *testing.T) {
 	is := is.New(t)
