--- a/core/conntrack/return_test.go
+++ b/core/conntrack/return_test.go
@@ -233,7 +233,7 @@
 		b.put(time.Second, m)
 	}
 	is.Equal(b.size(), 3)
-	is.Equal(len(b.expired(time.Second+segment.OpenTime-600*time.Millisecond)), 1)
+	is.Equal(len(b.expired(time.Second+segment.OpenTime-500*time.Millisecond)), 1)
 	for _, port := range []uint16{0, 2} {
 		w, ok := b.newest()
 		is.True(ok)
--- a/core/steer/question_test.go
+++ b/core/steer/question_test.go
@@ -105,6 +105,11 @@
 			Key:  packet.Segment.Key,
 		},
 	})
+	for _, other := range c.listing[1:] {
+		c.hear(0, other, &relay.Message{
+			Kind: relay.NotOwned,
+		})
+	}
 	found := time.Duration(0)
 	for now := TickTime; now < time.Second && found == 0; now += TickTime {
 		c.Update(now, packet)
