Work out the ceiling of a recovery

ibisfold-standin ceiling FILE... gives, for the description of an outage, what a schedule with perfect knowledge could serve in each window: requests that can be in time first, those due first before others, targets cold, first requests of lost flows lost where they can't be repeated.

--- a/ibisfold-standin/main.go
+++ b/ibisfold-standin/main.go
@@ -12,6 +12,7 @@
 	"github.com/google/subcommands"
 
 	"ibisfold.example/ibisfold-standin/callers"
+	"ibisfold.example/ibisfold-standin/ceiling"
 	"ibisfold.example/ibisfold-standin/config"
 	"ibisfold.example/ibisfold-standin/demo"
 	"ibisfold.example/ibisfold-standin/fabric"
@@ -23,6 +24,7 @@
 
 var commands = []subcommands.Command{
 	&callers.Command{},
+	&ceiling.Command{},
 	&config.Command{},
 	&demo.Command{},
 	&fabric.Command{},
