--- a/core/conntrack/stop_test.go
+++ b/core/conntrack/stop_test.go
@@ -123,3 +123,34 @@
 
 	return n
 }
+
+// Guards against an answer that breaks off halfway and looks complete to its caller: a
+// target that ends in the middle of it is told with a reset, never with an end of the
+// flow that its target did not send.
+func TestBrokenAnswerEndsInReset(t *testing.T) {
+	is := is.New(t)
+	c := Core{
+		Complete: true,
+	}
+	part := &TargetPacket{
+		Segment: segment.Segment{
+			Key:        testKey,
+			FromTarget: true,
+			Flags:      segment.ACK,
+			Len:        1200,
+		},
+		Packet: []byte{1},
+	}
+	c.Update(0, openMessage(testKey, 0))
+	c.Update(time.Millisecond, part)
+	resets := 0
+	for _, x := range c.Update(2*time.Millisecond, TargetRefused{}) {
+		switch x.(type) {
+		case Reset:
+			resets++
+		case ToCaller:
+			t.Error("a packet that no target sent")
+		}
+	}
+	is.Equal(resets, 1)
+}
