Bound the number of questions that wait for their share of the link

Found in the read-through: before 3,700 agents a few hundred searches would have held 12 bytes for each flow and agent, 1.2 GB for 27,000 flows, where they were sent at the next tick before. TestQuestionsAreBoundedInNumber.

--- a/core/steer/question.go
+++ b/core/steer/question.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"ibisfold.example/core/relay"
@@ -14,6 +13,9 @@
 	questionBytes = relay.HeaderBytes + 28
 	// questionKeyBytes is what each flow adds to a question for many.
 	questionKeyBytes = 12
+	// maxQuestions bounds the questions that wait, to about 1 MB. Before 3,700 agents the
+	// searches of a few hundred flows would take more.
+	maxQuestions = 80_000
 )
 
 // questions holds the flows that agents are to be asked for. After a loss of power an
@@ -23,16 +25,34 @@
 	// waiting holds the flows for each agent in the order in which they came.
 	waiting map[netip.AddrPort][]segment.Key
 	budget  budget
+	// count is the number of all flows in waiting.
+	count int
 	// next is the place in the order of agents from which the next tick goes on.
 	next int
 	// held means that questions wait for their share of the link.
 	held bool
 }
 
+// add takes a question, unless too many wait: the search then has no answer from that
+// agent and ends open.
 func (q *questions) add(to netip.AddrPort, k segment.Key) {
+	if q.count >= maxQuestions {
+		return
+	}
+	q.count++
 	q.waiting[to] = append(q.waiting[to], k)
 }
 
+// keep leaves the last of the questions for an agent to the next tick.
+func (q *questions) keep(to netip.AddrPort, keys []segment.Key) {
+	q.count -= len(q.waiting[to]) - len(keys)
+	if len(keys) == 0 {
+		delete(q.waiting, to)
+	} else {
+		q.waiting[to] = keys
+	}
+}
+
 // question asks an agent for a flow: at once if it is the first within a tick, otherwise
 // together with those that come until the next tick.
 func (c *Core) question(now time.Duration, k segment.Key, at stage, to netip.AddrPort) {
@@ -66,15 +86,16 @@
 // Flows whose search has ended are left out.
 func (c *Core) flushTo(now time.Duration, to netip.AddrPort) bool {
 	q := &c.questions
-	keys := slices.DeleteFunc(q.waiting[to], func(k segment.Key) bool {
-		_, ok := c.searches[k]
-
-		return !ok
-	})
+	keys := []segment.Key{}
+	for _, k := range q.waiting[to] {
+		if _, ok := c.searches[k]; ok {
+			keys = append(keys, k)
+		}
+	}
 	for len(keys) > 0 {
 		n := min(len(keys), relay.MaxKeys)
 		if !q.budget.take(now, questionBytes+n*questionKeyBytes) {
-			q.waiting[to] = keys
+			q.keep(to, keys)
 
 			return false
 		}
@@ -86,7 +107,7 @@
 		})
 		keys = keys[n:]
 	}
-	delete(q.waiting, to)
+	q.keep(to, nil)
 
 	return true
 }
--- a/core/steer/question_test.go
+++ b/core/steer/question_test.go
@@ -132,6 +132,28 @@
 	is.True(found <= 2*c.Policy.SilentTime)
 }
 
+// Guards against an entry that runs out of memory, because each of many flows is to be
+// asked for at thousands of agents over a slow link.
+func TestQuestionsAreBoundedInNumber(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(3700)
+	c.Update(0, benchPacket(1, segment.ACK))
+	k := benchPacket(1, segment.ACK).Segment.Key
+	for i := range 2 * maxQuestions {
+		c.questions.add(c.listing[i%len(c.listing)], k)
+	}
+	is.Equal(c.questions.count, maxQuestions)
+	for now := TickTime; now < 200*time.Millisecond; now += TickTime {
+		c.Update(now, Tick{})
+	}
+	waiting := 0
+	for _, keys := range c.questions.waiting {
+		waiting += len(keys)
+	}
+	is.Equal(waiting, c.questions.count)
+	is.True(waiting < maxQuestions)
+}
+
 // Guards against questions for agents late in the order that never get their share.
 func TestQuestionsTakeTurns(t *testing.T) {
 	is := is.New(t)
