--- a/core/conntrack/backlog.go
+++ b/core/conntrack/backlog.go
@@ -44,12 +44,13 @@
 	return len(b.opens)
 }
 
-// put adds a SYN, or takes note of a copy of one that waits.
-func (b *backlog) put(now time.Duration, m *EntryMessage) {
+// put adds a SYN, or takes note of a copy of one that waits. It returns whether the
+// flow is new here.
+func (b *backlog) put(now time.Duration, m *EntryMessage) bool {
 	if i := b.index(m.Message.Key); i >= 0 {
 		b.opens[i].message.From = m.From
 
-		return
+		return false
 	}
 	w := waitingOpen{
 		message: *m,
@@ -59,6 +60,8 @@
 	w.expires = min(w.began+patience(&m.Message), now+maxWaitTime)
 	i, _ := slices.BinarySearchFunc(b.opens, w, waitingOpen.compare)
 	b.opens = slices.Insert(b.opens, i, w)
+
+	return true
 }
 
 // compare orders SYNs as backlog keeps them.
--- a/core/conntrack/command.go
+++ b/core/conntrack/command.go
@@ -50,7 +50,7 @@
 	Reason relay.Reason
 	// Age is how long ago the target was last heard.
 	Age time.Duration
-	// Count is the number of unanswered packets that decided.
+	// Count is the number of unanswered packets that decided, or of flows that wait.
 	Count int
 }
 
@@ -102,6 +102,8 @@
 	Opened
 	// Refused: the target does not take a new flow.
 	Refused
+	// Waiting: the target has no room for a new flow's request now.
+	Waiting
 	// NotHeld: a packet of a flow that the target does not hold went back.
 	NotHeld
 	// Adopted: a packet of the target shows a flow from before the agent's start.
@@ -124,6 +126,7 @@
 	DecisionNone: "none",
 	Opened:       "flow opened",
 	Refused:      "flow refused",
+	Waiting:      "flow waits for room at the target",
 	NotHeld:      "packet returned: flow not held",
 	Adopted:      "flow adopted",
 	FlowLost:     "flow reset: target no longer holds it",
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -48,7 +48,14 @@
 // wait puts a SYN into the backlog. The one that would be the last to go is refused if
 // the target can't get to it in time.
 func (c *Core) wait(now time.Duration, m *EntryMessage) {
-	c.backlog.put(now, m)
+	if c.backlog.put(now, m) {
+		c.note(now, Note{
+			Decision: Waiting,
+			Key:      m.Message.Key,
+			Entry:    m.From,
+			Count:    c.backlog.size(),
+		})
+	}
 	if c.backlog.size() > c.reachable() {
 		w := c.backlog.last()
 		c.refuse(now, &w.message, relay.ReasonFull)
