Use one size of a bare message, and say when a wait at the agent ends

Packets in search of owners and questions each had a constant for the same length, and the size of a flow in a question stood in core/relay too. Constants and comments only; behaviour as before.

--- a/core/conntrack/backlog.go
+++ b/core/conntrack/backlog.go
@@ -34,7 +34,8 @@
 // waitingOpen is the SYN of a flow that waits.
 type waitingOpen struct {
 	message EntryMessage
-	// began is when the caller sent the first SYN, expires when it gives up.
+	// began is when the caller sent the first SYN, expires when the wait ends: the caller
+	// gives up, or maxWaitTime has passed.
 	began   time.Duration
 	expires time.Duration
 }
@@ -122,7 +123,7 @@
 	return w
 }
 
-// expired takes out the SYNs whose callers have given up.
+// expired takes out the SYNs whose wait has ended.
 func (b *backlog) expired(now time.Duration) []waitingOpen {
 	list := []waitingOpen{}
 	b.opens = slices.DeleteFunc(b.opens, func(w waitingOpen) bool {
@@ -179,7 +180,7 @@
 	}
 }
 
-// expireWaiting refuses the SYNs whose callers have given up.
+// expireWaiting refuses the SYNs whose wait has ended.
 func (c *Core) expireWaiting(now time.Duration) {
 	for _, w := range c.backlog.expired(now) {
 		c.refuse(now, &w.message, relay.ReasonFull)
--- a/core/relay/keys.go
+++ b/core/relay/keys.go
@@ -10,7 +10,8 @@
 // not split on its way.
 const MaxKeys = 96
 
-const keyBytes = 12
+// KeyBytes is what each flow adds to a FindMany.
+const KeyBytes = 12
 
 func appendKey(b []byte, k segment.Key) []byte {
 	b = append(b, k.CallerIP[:]...)
@@ -52,7 +53,7 @@
 	m.Packet = nil
 	m.Keys = nil
 	m.Found = nil
-	size := keyBytes
+	size := KeyBytes
 	switch m.Kind {
 	case FindMany:
 	case Answers:
@@ -68,7 +69,7 @@
 	for ; len(b) > 0; b = b[size:] {
 		m.Keys = append(m.Keys, decodeKey(b))
 		if m.Kind == Answers {
-			m.Found = append(m.Found, Kind(b[keyBytes]))
+			m.Found = append(m.Found, Kind(b[KeyBytes]))
 		}
 	}
 
--- a/core/steer/probe.go
+++ b/core/steer/probe.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// probeOverhead is the length of the headers around a packet.
-	probeOverhead = relay.HeaderBytes + 28
 	// maxStrays is the number of targets that may get a packet of a flow that is
 	// probably not theirs while the owner may be among the agents that do not answer.
 	// Three such packets, however far apart, would count as misrouted.
@@ -34,7 +32,7 @@
 	if len(unsure) == 0 {
 		return
 	}
-	if !c.probes.take(now, len(unsure)*(len(s.held[0])+probeOverhead)) {
+	if !c.probes.take(now, len(unsure)*(len(s.held[0])+messageBytes)) {
 		s.paused = true
 
 		return
--- a/core/steer/question.go
+++ b/core/steer/question.go
@@ -9,10 +9,9 @@
 )
 
 const (
-	// questionBytes is the length of a question for one flow, with the headers around it.
-	questionBytes = relay.HeaderBytes + 28
-	// questionKeyBytes is what each flow adds to a question for many.
-	questionKeyBytes = 12
+	// messageBytes is the length of a message that carries nothing, with the headers
+	// around it.
+	messageBytes = relay.HeaderBytes + 28
 	// maxQuestions bounds the questions that wait, to about 1 MB. Before 3,700 agents the
 	// searches of a few hundred flows would take more.
 	maxQuestions = 80_000
@@ -57,7 +56,7 @@
 // together with those that come until the next tick.
 func (c *Core) question(now time.Duration, k segment.Key, at stage, to netip.AddrPort) {
 	single := at == stagePreferred || now-c.agent(to).lastAsk >= TickTime
-	if single && !c.questions.held && c.questions.budget.take(now, questionBytes) {
+	if single && !c.questions.held && c.questions.budget.take(now, messageBytes) {
 		c.ask(now, to, k)
 
 		return
@@ -94,7 +93,7 @@
 	}
 	for len(keys) > 0 {
 		n := min(len(keys), relay.MaxKeys)
-		if !q.budget.take(now, questionBytes+n*questionKeyBytes) {
+		if !q.budget.take(now, messageBytes+n*relay.KeyBytes) {
 			q.keep(to, keys)
 
 			return false
--- a/core/steer/question_test.go
+++ b/core/steer/question_test.go
@@ -27,7 +27,7 @@
 			}
 			switch s.Message.Kind {
 			case relay.Find, relay.FindMany:
-				bytes += questionBytes + questionKeyBytes*len(s.Message.Keys)
+				bytes += messageBytes + relay.KeyBytes*len(s.Message.Keys)
 			}
 		}
 	}
@@ -44,7 +44,7 @@
 	// The budget holds for two seconds and a burst of half a second. What is sent
 	// besides asks each agent that owes an answer whether it is there.
 	share := 2.5 * defaultLink * DefaultPolicy().QuestionShare
-	renewals := 70 * questionBytes * 2 * float64(time.Second) / float64(backTime)
+	renewals := 70 * messageBytes * 2 * float64(time.Second) / float64(backTime)
 	is.True(float64(bytes) <= share+renewals)
 }
 
@@ -158,7 +158,7 @@
 func TestQuestionsTakeTurns(t *testing.T) {
 	is := is.New(t)
 	c := newTestCore(60)
-	c.questions.budget = newBudget(0, 10*questionBytes*int(time.Second/TickTime), 1)
+	c.questions.budget = newBudget(0, 10*messageBytes*int(time.Second/TickTime), 1)
 	asked := map[string]bool{}
 	for now := TickTime; now < 600*time.Millisecond; now += TickTime {
 		for i := range 4 {
