Make the FLOW incident fail in the random worlds

The worlds had no oracle for misrouting, their callers gave a flow up after 0.5 s, and their lists of targets were never incomplete.

--- a/proof/opaque_fuzz_test.go
+++ b/proof/opaque_fuzz_test.go
@@ -170,12 +170,18 @@
 		w.skew = opaqueSkew
 		faults = slices.Concat(opaqueFaults, opaqueSkewedFaults)
 	}
+	if kind == opaqueDeparted {
+		faults = slices.Concat(opaqueFaults, opaqueDepartedFaults)
+	}
 	for z, zone := range []string{"a", "b", "c"} {
 		w.addAgent(zone, fmt.Sprintf("10.%d.3.1:%d", z, opaqueRelayPort), "kartendienst", true)
 	}
 	w.publish()
 	callers := w.addCallers(45, 30*time.Millisecond)
 	callers = append(callers, w.addCallers(15, 3*time.Second)...)
+	if kind == opaqueDeparted {
+		callers = append(callers, w.addPatient(15, time.Second)...)
+	}
 	w.Run(time.Second)
 	for w.Now < opaqueFuzzTime {
 		f := faults[w.random.IntN(len(faults))]
@@ -185,6 +191,7 @@
 	}
 	for _, a := range w.agents {
 		a.target.draining = false
+		a.lapsed = 0
 	}
 	w.publish()
 	w.judgeCalm(callers)
--- /dev/null
+++ b/proof/opaque_list_test.go
@@ -0,0 +1,160 @@
+package proof_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/catalog"
+	"ibisfold.example/core/steer"
+)
+
+// opaqueLapse is how long the entry of a living target may be missing from the list:
+// targets check in every 2 s, and lists are passed on within a second.
+const opaqueLapse = 3 * time.Second
+
+// inform hands an entry the view that its upstream has. It is the only way on which
+// an entry of a world learns of routes and targets.
+func (w *opaqueWorld) inform(e *opaqueEntry, n *catalog.Snapshot) {
+	w.entryUpdate(e, steer.CatalogChanged{
+		Snapshot: n,
+		Wall:     w.wall(),
+	})
+}
+
+// lapse drops the entries of living targets from the list for a while. Entries learn
+// of it by the next publish.
+func (w *opaqueWorld) lapse(d time.Duration, agents ...*opaqueAgent) {
+	for _, a := range agents {
+		w.notes = append(w.notes, fmt.Sprint(w.Now, " entry of ", a.addr, " lapses for ", d))
+		a.lapsed = w.Now + d
+	}
+	w.After(d, w.publish)
+}
+
+// firstOfZones returns the first VM with a target in each zone.
+func (w *opaqueWorld) firstOfZones() []*opaqueAgent {
+	list := []*opaqueAgent{}
+	seen := map[string]bool{}
+	for _, a := range w.agents {
+		if !seen[a.zone] {
+			list = append(list, a)
+		}
+		seen[a.zone] = true
+	}
+
+	return list
+}
+
+// oddEntries returns one of the two entries of each zone.
+func (w *opaqueWorld) oddEntries() []*opaqueEntry {
+	list := []*opaqueEntry{}
+	for i, e := range w.entries {
+		if i%2 == 1 {
+			list = append(list, e)
+		}
+	}
+
+	return list
+}
+
+// opaqueKept checks that no caller lost a flow.
+func opaqueKept(t *testing.T, w *opaqueWorld, callers []*opaqueCaller) {
+	t.Helper()
+	is := is.NewRelaxed(t)
+	_, answers, resets, timeouts := opaqueTotals(callers)
+	if len(w.broken) > 0 {
+		t.Errorf("%d broken, first: %s", len(w.broken), w.broken[0])
+	}
+	is.True(answers > len(callers))
+	is.Equal(resets, 0)
+	is.Equal(timeouts, 0)
+}
+
+// Guards against flows that are reset because the list of an entry lacks their living
+// target (docs/incidents/inc-21.md, hypothesis 2).
+func TestOpaqueListIncomplete(t *testing.T) {
+	t.Run("entry starts with a list that lacks targets", opaqueListAtStart)
+	t.Run("stale list lacks targets started since", opaqueListStale)
+	t.Run("agent stops while its target is missing", opaqueListBesideStop)
+}
+
+// opaqueListAtStart: entries of living targets expire, then an entry starts in each zone.
+func opaqueListAtStart(t *testing.T) {
+	w := opaqueSite(t, 31, 2)
+	callers := w.addPatient(60, 100*time.Millisecond)
+	w.Run(2 * time.Second)
+	opaqueTotals(callers)
+	w.lapse(opaqueLapse, w.firstOfZones()...)
+	w.publish()
+	w.Run(300 * time.Millisecond)
+	for _, e := range w.oddEntries() {
+		w.startEntry(e)
+	}
+	w.Run(2 * opaqueLapse)
+	opaqueKept(t, w, callers)
+}
+
+// opaqueListStale: targets start while some entries are cut off from the store, and
+// the entries that know them leave rotation after they placed flows there.
+func opaqueListStale(t *testing.T) {
+	w := opaqueSite(t, 32, 2)
+	callers := w.addPatient(30, 100*time.Millisecond)
+	w.Run(time.Second)
+	for _, e := range w.entries {
+		e.stale = true
+	}
+	ahead := w.oddEntries()
+	for _, e := range ahead {
+		e.stale = false
+	}
+	added := []*opaqueAgent{}
+	for z, zone := range []string{"a", "b", "c"} {
+		a := w.addAgent(zone, fmt.Sprintf("10.%d.2.9:%d", z, opaqueRelayPort), opaqueService, true)
+		a.target.born = w.wall()
+		added = append(added, a)
+	}
+	w.publish()
+	w.Run(opaqueLapse)
+	callers = append(callers, w.addPatient(90, 100*time.Millisecond)...)
+	w.Run(time.Second)
+	opaqueTotals(callers)
+	for _, a := range added {
+		if a.target.served == 0 {
+			t.Fatalf("no flow was placed on the new target at %v", a.addr)
+		}
+	}
+	for _, e := range ahead {
+		e.rotated = true
+	}
+	w.Run(time.Second)
+	for _, e := range w.entries {
+		e.stale = false
+	}
+	w.publish()
+	w.Run(opaqueLapse)
+	opaqueKept(t, w, callers)
+}
+
+// opaqueListBesideStop: agents stop as planned while the entries of their targets are
+// missing.
+func opaqueListBesideStop(t *testing.T) {
+	w := opaqueSite(t, 33, 2)
+	callers := w.addPatient(60, 100*time.Millisecond)
+	w.Run(2 * time.Second)
+	opaqueTotals(callers)
+	missing := w.firstOfZones()
+	w.lapse(opaqueLapse, missing...)
+	w.publish()
+	for _, a := range missing {
+		w.Run(300 * time.Millisecond)
+		w.stopAgent(a, opaqueRestart)
+	}
+	w.Run(2 * opaqueLapse)
+	opaqueKept(t, w, callers)
+	if silence := w.longestSilence(); silence > opaqueReachTime {
+		t.Errorf("packets of a flow did not reach its target for %v", silence)
+	}
+}
