--- a/core/catalog/snapshot.go
+++ b/core/catalog/snapshot.go
@@ -13,6 +13,10 @@
 	Config *Config
 	// Groups holds the targets of each service, sorted by ID.
 	Groups map[uint64][]Member
+	// Departed holds the targets that left the list within the age to which flows live.
+	// They get no new flow but may hold old ones: the entry of a living target expires
+	// during an outage of the configuration service.
+	Departed []Member
 }
 
 // Member is a target as the placement of new flows sees it.
--- a/core/steer/message.go
+++ b/core/steer/message.go
@@ -33,12 +33,20 @@
 	// Wall is the time of day in Unix milliseconds. It may be off by seconds; it only
 	// tells which targets started lately.
 	Wall int64
+	// Confirmed means that the upstream has just confirmed the list of targets, as
+	// CatalogConfirmed.
+	Confirmed bool
 }
 
+// CatalogConfirmed tells that the upstream has confirmed that the last view's list of
+// targets is current.
+type CatalogConfirmed struct{}
+
 // Tick lets time pass. It comes every TickTime.
 type Tick struct{}
 
-func (*CallerPacket) message()  {}
-func (*AgentMessage) message()  {}
-func (CatalogChanged) message() {}
-func (Tick) message()           {}
+func (*CallerPacket) message()    {}
+func (*AgentMessage) message()    {}
+func (CatalogChanged) message()   {}
+func (CatalogConfirmed) message() {}
+func (Tick) message()             {}
