Let a packet go on trial only when its owner gets one too, and reset only on evidence

Cause: two trials a flow were allowed, counted by each entry; two entries made four, and the owner got none as the bound was used up. A search and the reset of an owner took absence from the list of targets for proof, also after a stop that was announced long ago, and took the list itself as complete.

Now a packet goes on trial when every agent that may hold the flow has said no or is tried with it (decision 0027): those of listed and departed targets and those heard within the age of the oldest flow. The bytes of a whole trial are taken from the link's share first; preferred targets get the packet first, the others when those have bounced it. A waiting search goes on while its caller sends packets, and asks only the agents that are missing: one question in 40 ms for all searches, and one for each search once the agent is heard. A reset needs a list that was confirmed within SpreadTime (decision 0026). An announced stop with a target that is not listed is no evidence any more; that the target had ended is, until another one is listed at its address. Notes tell the numbers that decided.

TestCopiesDoNotStray allowed two strays while an agent was away; it now allows none, and wants all targets to be tried once the agent is back.

--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -50,7 +50,8 @@
 	asks    int
 	// stopping is when the agent announced its stop; zero if it did not.
 	stopping time.Duration
-	// ended means that the target beside it had ended when the agent announced its stop.
+	// ended means that the target beside it had ended when the agent announced its stop,
+	// and that no other target was listed at its address since.
 	ended  bool
 	silent bool
 	// pending is the flow of the first packet that was passed on since the agent
@@ -106,6 +107,9 @@
 	if t, ok := c.listed[a]; ok {
 		return t.Born
 	}
+	if t, ok := c.evidence.departed[a]; ok {
+		return t.Born
+	}
 
 	return 0
 }
@@ -129,6 +133,9 @@
 		})
 	}
 	c.resend(now, from, a, m.Kind)
+	if !a.known || now-a.heard >= c.MaxFlowAge {
+		c.evidence.generation++
+	}
 	a.known = true
 	a.heard = now
 	c.lastHeard = now
--- a/core/steer/ask.go
+++ b/core/steer/ask.go
@@ -52,40 +52,39 @@
 	}
 }
 
-// askAll asks all agents that are listed or were heard lately: a target may
-// hold flows of a route that now leads elsewhere, and after its entry expired.
-func (c *Core) askAll(now time.Duration, k segment.Key, s *search) {
-	for _, a := range c.listing {
-		c.askOnce(now, k, s, a)
-	}
-	for _, a := range c.order {
-		x := c.agents[a]
-		if x.known && now-x.heard < c.MaxFlowAge && !x.silent {
-			c.askOnce(now, k, s, a)
-		}
+// askNew asks all agents that may hold a flow and were not asked: a target may hold flows
+// of a route that now leads elsewhere, and after its entry expired.
+func (c *Core) askNew(now time.Duration, k segment.Key, s *search) {
+	if s.generation == c.evidence.generation {
+		return
 	}
+	s.generation = c.evidence.generation
+	c.mayHold(now, func(a netip.AddrPort) {
+		c.askOnce(now, k, s, a)
+	})
 }
 
 func (c *Core) askOnce(now time.Duration, k segment.Key, s *search, a netip.AddrPort) {
 	if _, ok := s.asked[a]; ok {
 		return
 	}
-	s.asked[a] = answerNone
-	s.order = append(s.order, a)
-	if !c.lost(now, c.agent(a)) {
+	r := &s.replies[c.enlist(s, a)]
+	r.at = now
+	r.preferred = s.stage == stagePreferred
+	if !c.lost(now, r.agent) {
 		s.waiting++
 	}
 	c.question(now, k, s.stage, a)
 }
 
-// askAgain repeats the question to the agents that did not answer.
-func (c *Core) askAgain(k segment.Key, s *search, open []netip.AddrPort) {
-	s.stage = min(s.stage, stageAll)
-	s.probing = false
-	s.waiting = len(open)
-	s.rounds++
-	for _, a := range open {
-		s.asked[a] = answerNone
-		c.questions.add(a, k)
-	}
+// enlist adds an agent to a search and returns its place.
+func (c *Core) enlist(s *search, a netip.AddrPort) int {
+	i := len(s.replies)
+	s.asked[a] = i
+	s.replies = append(s.replies, reply{
+		addr:  a,
+		agent: c.agent(a),
+	})
+
+	return i
 }
--- a/core/steer/bench_test.go
+++ b/core/steer/bench_test.go
@@ -53,7 +53,8 @@
 		Random:    rand.New(rand.NewPCG(1, 1)),
 	}
 	c.Update(0, CatalogChanged{
-		Snapshot: s.Snapshot(),
+		Snapshot:  s.Snapshot(),
+		Confirmed: true,
 	})
 
 	return c
@@ -148,6 +149,7 @@
 						})
 					}
 					now += TickTime
+					c.Update(now, CatalogConfirmed{})
 					sent = count(c.Update(now, Tick{}))
 				}
 			}
--- a/core/steer/budget.go
+++ b/core/steer/budget.go
@@ -33,6 +33,11 @@
 	}
 }
 
+// give takes back what was taken and not sent.
+func (b *budget) give(bytes int) {
+	b.tokens = min(b.rate*budgetBurst, b.tokens+float64(bytes))
+}
+
 // take reports whether so many bytes may be sent now, and counts them if they may. More
 // than the burst may be sent once the budget is full.
 func (b *budget) take(now time.Duration, bytes int) bool {
--- a/core/steer/command.go
+++ b/core/steer/command.go
@@ -41,6 +41,16 @@
 	Count int
 	// Reason is what the agent gave as its reason.
 	Reason relay.Reason
+	// Asked, Unsure and Unanswered are, at the end of a search, the numbers of agents
+	// that were asked, that did not know, and that did not answer and are not known to
+	// be gone; Tried is the number of packets that went on trial.
+	Asked      int
+	Unsure     int
+	Unanswered int
+	Tried      int
+	// ListAge is, at the end of a search, how long ago the list of targets was
+	// confirmed; negative if it never was.
+	ListAge time.Duration
 }
 
 // Measured is a time for the histograms.
@@ -99,7 +109,10 @@
 	SearchStarted
 	// SearchFound: an agent owns the flow.
 	SearchFound
-	// SearchOpen: not all agents answered; the caller's next copy starts again.
+	// OnTrial: packets were passed to agents that are unsure, so that their targets decide.
+	OnTrial
+	// SearchOpen: not all agents answered, or the list of targets is not current; the
+	// caller's next packet starts again.
 	SearchOpen
 	// NotHeld: no target holds the flow; it was reset.
 	NotHeld
@@ -123,7 +136,8 @@
 	NoCatalog:     "packet dropped: no catalog yet",
 	SearchStarted: "owner search started",
 	SearchFound:   "owner found",
-	SearchOpen:    "owner search open: agents silent",
+	OnTrial:       "packet on trial",
+	SearchOpen:    "owner search open",
 	NotHeld:       "flow reset: held by no target",
 	OwnerGone:     "flow reset: owner gone",
 	AgentSilent:   "agent silent",
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -4,10 +4,8 @@
 package steer
 
 import (
-	"maps"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"ibisfold.example/core/catalog"
@@ -52,9 +50,9 @@
 	// opening holds the flows whose SYN no target has answered yet.
 	opening  map[segment.Key]*flow
 	searches map[segment.Key]*search
-	// strays counts the packets of each flow that went to targets which are probably
-	// not its own. It outlives the flow's searches.
-	strays map[segment.Key]stray
+	evidence evidence
+	// views is used again by each review.
+	views  views
 	agents map[netip.AddrPort]*agent
 	// order holds the keys of agents, so that work over all has a fixed order.
 	order []netip.AddrPort
@@ -115,6 +113,8 @@
 	case CatalogChanged:
 		c.setSnapshot(now, m)
 		c.replayEarly(now)
+	case CatalogConfirmed:
+		c.listConfirmed(now)
 	case Tick:
 		c.tick(now)
 	}
@@ -129,7 +129,6 @@
 	c.flows = map[segment.Key]*flow{}
 	c.opening = map[segment.Key]*flow{}
 	c.searches = map[segment.Key]*search{}
-	c.strays = map[segment.Key]stray{}
 	c.agents = map[netip.AddrPort]*agent{}
 	if c.Policy == nil {
 		p := DefaultPolicy()
@@ -147,30 +146,6 @@
 	}
 }
 
-func (c *Core) setSnapshot(now time.Duration, m CatalogChanged) {
-	old := c.listed
-	n := m.Snapshot
-	c.snapshot = n
-	c.listed = map[netip.AddrPort]*catalog.Member{}
-	c.listing = c.listing[:0]
-	for _, service := range slices.Sorted(maps.Keys(n.Groups)) {
-		g := n.Groups[service]
-		for i := range g {
-			a := c.agentOf(&g[i])
-			if _, ok := old[a]; !ok && m.fresh(now, &g[i], c.Policy.SpreadTime) {
-				c.agent(a).spread = now + c.Policy.SpreadTime
-			}
-			c.listed[a] = &g[i]
-			c.listing = append(c.listing, a)
-		}
-	}
-}
-
-// fresh reports whether a target started within the last d.
-func (m *CatalogChanged) fresh(now time.Duration, t *catalog.Member, d time.Duration) bool {
-	return now < t.ColdUntil || t.Born != 0 && m.Wall-t.Born < d.Milliseconds()
-}
-
 // agentOf returns the address of the agent beside a target.
 func (c *Core) agentOf(m *catalog.Member) netip.AddrPort {
 	return netip.AddrPortFrom(m.Address.Addr(), c.RelayPort)
@@ -246,7 +221,7 @@
 		f.due = now + c.Policy.AcceptTime
 	}
 	for _, s := range c.searches {
-		s.since = now
+		s.forgive(now)
 	}
 }
 
@@ -262,9 +237,4 @@
 			delete(c.opening, k)
 		}
 	}
-	for k, x := range c.strays {
-		if now-x.at > c.MaxFlowAge {
-			delete(c.strays, k)
-		}
-	}
 }
--- /dev/null
+++ b/core/steer/evidence_test.go
@@ -0,0 +1,368 @@
+package steer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/catalog"
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// testAgents answers an entry's messages at once. Agents that say does not name are
+// silent; those that say Unsure bounce what is on trial unless they are the owner.
+type testAgents struct {
+	say   map[netip.AddrPort]relay.Kind
+	owner netip.AddrPort
+	// probes counts the packets on trial, delivered those that the owner got, reset the
+	// resets.
+	probes    int
+	delivered int
+	resets    int
+	notes     []Note
+}
+
+func newTestAgents(list []netip.AddrPort, x relay.Kind) *testAgents {
+	t := &testAgents{
+		say: map[netip.AddrPort]relay.Kind{},
+	}
+	for _, a := range list {
+		t.say[a] = x
+	}
+
+	return t
+}
+
+// update passes a message to the entry, and the agents' answers until there are none.
+func (t *testAgents) update(c *Core, now time.Duration, m Message) {
+	answers := t.take(c.Update(now, m))
+	for len(answers) > 0 {
+		next := answers[0]
+		answers = append(answers[1:], t.take(c.Update(now, &next))...)
+	}
+}
+
+func (t *testAgents) take(commands []Command) []AgentMessage {
+	answers := []AgentMessage{}
+	for _, x := range commands {
+		switch x := x.(type) {
+		case *Send:
+			if m, ok := t.answer(x); ok {
+				answers = append(answers, m)
+			}
+		case Reset:
+			t.resets++
+		case Note:
+			t.notes = append(t.notes, x)
+		}
+	}
+
+	return answers
+}
+
+func (t *testAgents) answer(s *Send) (AgentMessage, bool) {
+	owns := s.To == t.owner
+	if s.Message.Kind == relay.Probe {
+		t.probes++
+	}
+	said, ok := t.say[s.To]
+	if !ok {
+		return AgentMessage{}, false
+	}
+	m := AgentMessage{
+		From: s.To,
+		Message: relay.Message{
+			Kind: said,
+			Key:  s.Message.Key,
+		},
+	}
+	switch s.Message.Kind {
+	case relay.Find:
+	case relay.FindMany:
+		m.Message.Kind = relay.Answers
+		m.Message.Keys = slices.Clone(s.Message.Keys)
+		m.Message.Found = slices.Repeat([]relay.Kind{said}, len(s.Message.Keys))
+	case relay.Probe:
+		if !owns {
+			return bounce(s), true
+		}
+		t.delivered++
+		m.Message.Kind = relay.Owned
+	case relay.Deliver:
+		if owns {
+			t.delivered++
+		}
+
+		return AgentMessage{}, false
+	default:
+		return AgentMessage{}, false
+	}
+
+	return m, true
+}
+
+// run lets time pass, with a caller's packet at each of the moments.
+func (t *testAgents) run(c *Core, from, to time.Duration, confirmed bool, copies ...time.Duration) {
+	for now := from; now < to; now += TickTime {
+		if confirmed {
+			t.update(c, now, CatalogConfirmed{})
+		}
+		t.update(c, now, Tick{})
+		if slices.Contains(copies, now) {
+			t.update(c, now, benchPacket(1, segment.ACK))
+		}
+	}
+}
+
+// relist gives the entry a list without the targets of some agents, which are departed or
+// forgotten.
+func relist(c *Core, now time.Duration, departed bool, without ...netip.AddrPort) {
+	n := *c.snapshot
+	n.Groups = map[uint64][]catalog.Member{}
+	for service, group := range c.snapshot.Groups {
+		for i := range group {
+			switch {
+			case !slices.Contains(without, c.agentOf(&group[i])):
+				n.Groups[service] = append(n.Groups[service], group[i])
+			case departed:
+				n.Departed = append(n.Departed, group[i])
+			}
+		}
+	}
+	c.Update(now, CatalogChanged{
+		Snapshot:  &n,
+		Confirmed: true,
+	})
+}
+
+func hears(c *Core, now time.Duration, from netip.AddrPort, m relay.Message) {
+	c.Update(now, &AgentMessage{
+		From:    from,
+		Message: m,
+	})
+}
+
+// stopping announces a stop.
+func stopping(reason relay.Reason) relay.Message {
+	return relay.Message{
+		Kind:   relay.Stopping,
+		Reason: reason,
+	}
+}
+
+var flowOne = benchPacket(1, segment.ACK).Segment.Key
+
+// Guards against packets of a flow that reach many targets and not its own, because each
+// of two entries tries some while agents are replaced in turn. Issue 21.
+func TestRollingAgentsDoNotStray(t *testing.T) {
+	is := is.New(t)
+	const away = 500 * time.Millisecond
+	list := slices.Clone(newTestCore(9).listing)
+	agents := newTestAgents(list, relay.Unsure)
+	agents.owner = list[8]
+	for i := range list {
+		// The flow moves from one entry to the other, both without memory.
+		entries := [2]*Core{newTestCore(9), newTestCore(9)}
+		begin := time.Duration(i) * 2 * away
+		agents.probes = 0
+		agents.delivered = 0
+		delete(agents.say, list[i])
+		agents.run(entries[0], begin, begin+away/2, true, begin+60*time.Millisecond)
+		agents.run(entries[1], begin+away/2, begin+away, true, begin+away/2+20*time.Millisecond)
+		is.Equal(agents.probes, 0)
+		agents.say[list[i]] = relay.Unsure
+		agents.run(entries[1], begin+away, begin+2*away, true)
+		is.True(agents.delivered > 0)
+	}
+}
+
+// Guards against a reset of a flow whose target lives: its agent stops as planned while
+// the target's entry has expired, and later stays away without an announcement.
+func TestStoppedAndNotListedIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	owner := c.listing[0]
+	agents := newTestAgents(c.listing[1:], relay.NotOwned)
+	agents.owner = owner
+	agents.update(c, 0, benchPacket(1, segment.ACK))
+	hears(c, time.Millisecond, owner, relay.Message{
+		Kind: relay.Owned,
+		Key:  flowOne,
+	})
+	hears(c, time.Second, owner, stopping(relay.ReasonNone))
+	relist(c, 2*time.Second, false, owner)
+	agents.run(c, 2*time.Second, 5*time.Second, true, 2*time.Second, 3*time.Second, 4*time.Second)
+	is.Equal(agents.resets, 0)
+	agents.run(c, 5*time.Second, 12*time.Second, true, 5*time.Second)
+	is.Equal(agents.resets, 1)
+}
+
+// Guards against a reset of a flow because its agent announced a stop long ago: it is back
+// since and has had no message for this entry.
+func TestStaleAnnouncement(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	owner := c.listing[0]
+	agents := newTestAgents(c.listing, relay.Owned)
+	agents.owner = owner
+	hears(c, 0, owner, stopping(relay.ReasonNone))
+	c.remember(time.Second, flowOne, owner)
+	now := c.Policy.StopTime + time.Second
+	relist(c, now, false, owner)
+	agents.update(c, now, benchPacket(1, segment.ACK))
+	is.Equal(agents.resets, 0)
+	is.Equal(agents.delivered, 1)
+}
+
+// Guards against a reset because the agent of a flow said that an earlier target at its
+// address had ended.
+func TestEndedTargetIsReplaced(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	owner := c.listing[0]
+	agents := newTestAgents(c.listing, relay.NotOwned)
+	delete(agents.say, owner)
+	hears(c, 0, owner, stopping(relay.ReasonTargetDown))
+	old := c.snapshot
+	relist(c, time.Second, false, owner)
+	n := *old
+	n.Groups = map[uint64][]catalog.Member{}
+	for service, group := range old.Groups {
+		n.Groups[service] = slices.Clone(group)
+		for i := range group {
+			if c.agentOf(&group[i]) == owner {
+				n.Groups[service][i].ID = "new"
+			}
+		}
+	}
+	c.Update(2*time.Second, CatalogChanged{
+		Snapshot:  &n,
+		Confirmed: true,
+	})
+	agents.run(c, 2*time.Second, 2500*time.Millisecond, true, 2100*time.Millisecond)
+	is.Equal(agents.resets, 0)
+}
+
+// Guards against a reset of a flow whose agent is left out because its target is not
+// listed, though it was heard lately. Once its silence is evidence, the flow is reset.
+func TestHeardAgentIsAwaited(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	owner := c.listing[0]
+	agents := newTestAgents(c.listing[1:], relay.NotOwned)
+	hears(c, 0, owner, relay.Message{
+		Kind: relay.Accepted,
+		Key:  testKey,
+	})
+	relist(c, time.Second, false, owner)
+	agents.run(c, 2*time.Second, 4*time.Second, true, 2*time.Second, 2200*time.Millisecond, 2600*time.Millisecond)
+	is.Equal(agents.resets, 0)
+	agents.run(c, 4*time.Second, 8*time.Second, true, 6*time.Second)
+	is.Equal(agents.resets, 1)
+}
+
+// Guards against resets by an entry whose list of targets is old, or was never
+// confirmed: a target that it does not know may hold the flow. The search goes on, so
+// that the flow is reset once the list is confirmed.
+func TestStaleListIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	agents := newTestAgents(c.listing, relay.NotOwned)
+	begin := DefaultPolicy().SpreadTime + time.Second
+	agents.run(c, begin, begin+time.Second, false, begin, begin+200*time.Millisecond)
+	is.Equal(agents.resets, 0)
+	agents.run(c, begin+time.Second, begin+2*time.Second, true)
+	is.Equal(agents.resets, 1)
+
+	blind := &Core{
+		Zone:      "a",
+		RelayPort: c.RelayPort,
+		Random:    rand.New(rand.NewPCG(1, 1)),
+	}
+	blind.Update(0, CatalogChanged{
+		Snapshot: c.snapshot,
+	})
+	agents.resets = 0
+	agents.run(blind, TickTime, 3*time.Second, false, TickTime, time.Second)
+	is.Equal(agents.resets, 0)
+}
+
+// Guards against a reset of a flow whose target left the list while it lives, and against
+// new flows that go there.
+func TestDepartedTargetIsAsked(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(3)
+	owner := c.listing[0]
+	relist(c, 0, true, owner)
+	agents := newTestAgents(c.listing, relay.NotOwned)
+	agents.owner = owner
+	agents.run(c, 20*time.Millisecond, time.Second, true, 40*time.Millisecond)
+	is.Equal(agents.resets, 0)
+	agents.say[owner] = relay.Owned
+	agents.run(c, time.Second, 2*time.Second, true, time.Second)
+	is.Equal(agents.resets, 0)
+	is.True(agents.delivered > 0)
+	for i := range 50 {
+		to, _ := opened(c.Update(2*time.Second, benchPacket(100+i, segment.SYN)))
+		is.Equal(len(to), 1)
+		is.True(to[0] != owner)
+	}
+}
+
+// Guards against a flow that is not found although the agents that were missing are back:
+// the search has to go on while its caller sends copies.
+func TestSearchOutlastsMissingAgents(t *testing.T) {
+	for _, back := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second} {
+		t.Run(fmt.Sprint(back), func(t *testing.T) {
+			is := is.New(t)
+			c := newTestCore(12)
+			agents := newTestAgents(c.listing, relay.Unsure)
+			agents.owner = c.listing[11]
+			missing := c.listing[3]
+			delete(agents.say, missing)
+			const begin = TickTime
+			copies := []time.Duration{begin, begin + 200*time.Millisecond, begin + 600*time.Millisecond, begin + 1400*time.Millisecond}
+			agents.run(c, begin, back, true, copies...)
+			is.Equal(agents.probes, 0)
+			agents.say[missing] = relay.Unsure
+			agents.run(c, back, back+100*time.Millisecond, true, copies...)
+			is.True(agents.delivered > 0)
+		})
+	}
+}
+
+// Guards against a storm of questions while searches wait for one agent: it gets one
+// question for all of them at a time.
+func TestWaitingSearchesAskLittle(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(30)
+	agents := newTestAgents(c.listing, relay.Unsure)
+	missing := c.listing[3]
+	delete(agents.say, missing)
+	agents.update(c, TickTime, Tick{})
+	for i := range 200 {
+		agents.update(c, TickTime, benchPacket(i, segment.ACK))
+	}
+	agents.run(c, 2*TickTime, 200*time.Millisecond, true)
+	sent := 0
+	for now := 200 * time.Millisecond; now < 900*time.Millisecond; now += TickTime {
+		commands := c.Update(now, Tick{})
+		for _, x := range commands {
+			if s, ok := x.(*Send); ok && s.To == missing {
+				sent++
+			}
+		}
+		for _, m := range agents.take(commands) {
+			agents.update(c, now, &m)
+		}
+	}
+	is.Equal(len(c.searches), 200)
+	is.True(sent <= int(700*time.Millisecond/askAgain)+1)
+	is.Equal(agents.probes, 0)
+}
--- a/core/steer/forward.go
+++ b/core/steer/forward.go
@@ -46,7 +46,7 @@
 func (c *Core) confirm(now time.Duration, f *flow, m *CallerPacket) {
 	there := []netip.AddrPort{}
 	for _, to := range f.tried {
-		if a := c.agent(to); !a.silent && !c.left(now, to, a) {
+		if a := c.agent(to); !a.silent && !a.ended {
 			there = append(there, to)
 		}
 	}
@@ -66,7 +66,7 @@
 func (c *Core) forward(now time.Duration, to netip.AddrPort, m *CallerPacket) {
 	k := m.Segment.Key
 	a := c.agent(to)
-	if a.silent || c.left(now, to, a) {
+	if a.silent || a.ended {
 		c.ask(now, to, k)
 		c.endFlow(now, k, m.Segment.Ack, to)
 
@@ -80,20 +80,6 @@
 	})
 }
 
-// left reports whether the agent stopped and its target has ended or is no longer
-// listed.
-func (c *Core) left(now time.Duration, to netip.AddrPort, a *agent) bool {
-	if a.ended {
-		return true
-	}
-	if a.stopping == 0 || now <= a.stopping {
-		return false
-	}
-	_, listed := c.listed[to]
-
-	return !listed
-}
-
 // sendProbe passes a packet to an agent whose target may hold the flow, as a
 // Confirm or Probe; the answer tells.
 func (c *Core) sendProbe(now time.Duration, kind relay.Kind, to netip.AddrPort, k segment.Key, packet []byte) {
--- a/core/steer/probe_test.go
+++ b/core/steer/probe_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -10,11 +11,10 @@
 	"ibisfold.example/core/segment"
 )
 
-// unsureTargets answers for all agents but one that they do not know the flow, and
-// that their targets bounced its packet. It returns the number of packets that went
-// to them.
-func unsureTargets(c *Core, now time.Duration, commands []Command) int {
-	silent := c.listing[0]
+// unsureTargets answers for all agents but a silent one that they do not know the flow,
+// and that their targets bounced its packet. It returns the number of packets that went
+// to targets.
+func unsureTargets(c *Core, now time.Duration, silent netip.AddrPort, commands []Command) int {
 	probes := 0
 	for len(commands) > 0 {
 		asked := []AgentMessage{}
@@ -26,6 +26,8 @@
 			switch s.Message.Kind {
 			case relay.Find:
 				asked = append(asked, unsure(s))
+			case relay.FindMany:
+				asked = append(asked, unsureOfMany(s))
 			case relay.Probe:
 				probes++
 				asked = append(asked, bounce(s))
@@ -48,6 +50,22 @@
 	return probes
 }
 
+func unsureOfMany(s *Send) AgentMessage {
+	found := make([]relay.Kind, len(s.Message.Keys))
+	for i := range found {
+		found[i] = relay.Unsure
+	}
+
+	return AgentMessage{
+		From: s.To,
+		Message: relay.Message{
+			Kind:  relay.Answers,
+			Keys:  s.Message.Keys,
+			Found: found,
+		},
+	}
+}
+
 func unsure(s *Send) AgentMessage {
 	return AgentMessage{
 		From: s.To,
@@ -75,14 +93,16 @@
 }
 
 // Guards against a caller whose copies each start another search that passes its
-// packet to two more targets while the agent of its flow is away after an announced
+// packet to more targets while the agent of its flow is away after an announced
 // stop: three packets at other targets and none at its own count as misrouted.
-// Pattern: all entries and most agents lose their memory, and one agent stops.
+// Pattern: all entries and most agents lose their memory, and one agent stops. Once it
+// is back, all targets get the packet.
 func TestCopiesDoNotStray(t *testing.T) {
 	is := is.New(t)
 	c := newTestCore(12)
+	silent := c.listing[0]
 	c.Update(0, &AgentMessage{
-		From: c.listing[0],
+		From: silent,
 		Message: relay.Message{
 			Kind: relay.Stopping,
 		},
@@ -93,14 +113,20 @@
 		1400 * time.Millisecond: true,
 		2800 * time.Millisecond: true,
 	}
-	for now := TickTime; now < 4*time.Second; now += TickTime {
+	now := TickTime
+	for ; now < 4*time.Second; now += TickTime {
 		if copies[now] {
-			probes += unsureTargets(c, now, c.Update(now, benchPacket(1, segment.ACK)))
+			probes += unsureTargets(c, now, silent, c.Update(now, benchPacket(1, segment.ACK)))
 		}
-		probes += unsureTargets(c, now, c.Update(now, Tick{}))
+		probes += unsureTargets(c, now, silent, c.Update(now, Tick{}))
+	}
+	is.Equal(probes, 0)
+	probes += unsureTargets(c, now, netip.AddrPort{}, c.Update(now, benchPacket(1, segment.ACK)))
+	for range 10 {
+		now += TickTime
+		probes += unsureTargets(c, now, netip.AddrPort{}, c.Update(now, Tick{}))
 	}
-	is.True(probes > 0)
-	is.True(probes <= maxStrays)
+	is.Equal(probes, 12)
 }
 
 // Guards against callers that wait in vain for a target that had ended before its agent
--- a/core/steer/search.go
+++ b/core/steer/search.go
@@ -13,19 +13,14 @@
 	// waveTime is how long answers to one wave of questions are awaited. It covers
 	// the way to another zone and back.
 	waveTime = 40 * time.Millisecond
-	// farWaveTime is the same for questions that wait for the next tick.
-	farWaveTime = waveTime + TickTime
-	// searchTime is how long a search asks agents again that do not answer: long
-	// enough for one whose process is replaced, and about the time that callers have.
+	// searchTime is how long a search goes on after the last packet of its flow: about
+	// the time that callers have. Each copy that a caller sends prolongs it.
 	searchTime = time.Second
-	// maxDoublings bounds the growth of the waits for agents that do not answer, so
-	// that a full link gets a chance to become free.
-	maxDoublings = 3
 	// maxHeld bounds the packets that wait for the end of a search.
 	maxHeld = 4
-	// probeWait is the time until a search that found the bound reached asks again:
-	// agents are sure once their target's new entry is known.
-	probeWait = 200 * time.Millisecond
+	// maxSearches bounds the searches, and with their packets and answers the memory
+	// that they take to about 40 MB. A caller whose packet is dropped sends a copy.
+	maxSearches = 4096
 )
 
 // answer is what an agent said in a search.
@@ -38,8 +33,22 @@
 	answerProbed
 )
 
-// stage is how far a search has come. In each stage agents are asked first, then
-// the packet is passed to those that are unsure.
+// reply is what is known of one agent in a search.
+type reply struct {
+	addr   netip.AddrPort
+	agent  *agent
+	answer answer
+	// at is when the question was sent, or the packet on trial.
+	at time.Duration
+	// rounds is the number of times that the agent was asked again, tries the number
+	// of packets that it got on trial.
+	rounds uint8
+	tries  uint8
+	// preferred means that the flow's hash prefers the agent's target.
+	preferred bool
+}
+
+// stage is how far a search has come.
 type stage uint8
 
 const (
@@ -48,31 +57,42 @@
 	stagePreferred stage = iota
 	// stageNear asks the other agents of the route's services in this zone.
 	stageNear
-	// stageAll asks all other agents.
+	// stageAll asks all other agents, and goes on until each of them has answered.
 	stageAll
-	stageEnd
 )
 
 // search looks for the agent that owns a flow.
 type search struct {
 	stage stage
-	// probing means that the stage has come to unsure agents, paused that the
-	// bound on packets for them was reached.
-	probing bool
-	paused  bool
-	// rounds is the number of times that agents were asked again.
-	rounds int
-	// began is when the search began, since when the stage did.
-	began   time.Duration
-	since   time.Duration
-	asked   map[netip.AddrPort]answer
-	order   []netip.AddrPort
+	// began is when the search began, since when the stage did, or when questions last
+	// waited for their share of the link.
+	began time.Duration
+	since time.Duration
+	// asked maps the agents to their places in replies.
+	asked   map[netip.AddrPort]int
+	replies []reply
+	// generation is that of the agents that may hold flows when all were asked.
+	generation int
+	// waiting is the number of answers without which the search can't go on.
 	waiting int
-	// held are copies of the caller's packets, the oldest first.
-	held [][]byte
+	// unsure means that some agent was unsure.
+	unsure bool
+	trial  trial
+	// held are copies of the caller's packets, the oldest first, never empty; last is
+	// when the last of them came.
+	held []waitingPacket
+	last time.Duration
 	ack  uint32
 }
 
+// waitingPacket is a packet that waits for the end of a search.
+type waitingPacket struct {
+	packet []byte
+	at     time.Duration
+	// tried means that it was on trial.
+	tried bool
+}
+
 // miss handles a packet of a flow that is not known here.
 func (c *Core) miss(now time.Duration, m *CallerPacket) {
 	if m.Segment.Flags.Has(segment.RST) {
@@ -81,11 +101,13 @@
 	k := m.Segment.Key
 	s, ok := c.searches[k]
 	if !ok {
+		if len(c.searches) >= maxSearches {
+			return
+		}
 		s = &search{
-			stage: stagePreferred,
 			began: now,
 			since: now,
-			asked: map[netip.AddrPort]answer{},
+			asked: map[netip.AddrPort]int{},
 		}
 		c.searches[k] = s
 		c.note(now, Note{
@@ -94,29 +116,48 @@
 		})
 	}
 	s.ack = m.Segment.Ack
-	if len(s.held) < maxHeld {
-		s.held = append(s.held, slices.Clone(m.Packet))
-	}
+	s.hold(now, m.Packet)
 	if !ok {
 		c.askPreferred(now, k, s)
 		c.advance(now, k, s)
 	}
 }
 
+// hold keeps a packet. Callers no longer wait for an answer to those that are older
+// than searchTime.
+func (s *search) hold(now time.Duration, packet []byte) {
+	s.last = now
+	s.held = slices.DeleteFunc(s.held, func(h waitingPacket) bool {
+		return now-h.at > searchTime
+	})
+	if len(s.held) < maxHeld {
+		s.held = append(s.held, waitingPacket{
+			packet: slices.Clone(packet),
+			at:     now,
+		})
+	}
+}
+
 // answered notes what an agent said of a flow that is searched.
 func (c *Core) answered(now time.Duration, k segment.Key, from netip.AddrPort, x answer) {
 	s, ok := c.searches[k]
 	if !ok {
 		return
 	}
-	old, asked := s.asked[from]
-	s.asked[from] = x
+	i, asked := s.asked[from]
 	if !asked {
-		s.order = append(s.order, from)
+		i = c.enlist(s, from)
 	}
-	if asked && (old == answerNone || old == answerProbed) {
+	r := &s.replies[i]
+	if x == answerUnsure && r.answer == answerProbed {
+		// It was told before the packet on trial arrived.
+		return
+	}
+	if asked && (r.answer == answerNone || r.answer == answerProbed) {
 		s.waiting = max(0, s.waiting-1)
 	}
+	r.answer = x
+	s.unsure = s.unsure || x == answerUnsure
 	c.advance(now, k, s)
 }
 
@@ -134,141 +175,81 @@
 		return
 	}
 	c.measure(SearchTime, now-s.began)
-	probed := s.asked[owner] == answerProbed
-	delete(c.searches, k)
-	delete(c.strays, k)
+	i, asked := s.asked[owner]
+	probed := asked && s.replies[i].answer == answerProbed
+	c.closeSearch(now, k, s, SearchFound, owner)
 	c.remember(now, k, owner)
-	c.note(now, Note{
-		Decision: SearchFound,
-		Key:      k,
-		Agent:    owner,
-		Count:    len(s.asked),
-	})
-	for i, p := range s.held {
-		// A probe carried the first packet already.
-		if i == 0 && probed {
+	for _, h := range s.held {
+		if h.tried && probed || now-h.at > searchTime {
 			continue
 		}
 		c.send(owner, relay.Message{
 			Kind:   relay.Deliver,
 			Key:    k,
-			Packet: p,
+			Packet: h.packet,
 		})
 	}
 }
 
-// advance goes on with the search if no answer is awaited.
+// closeSearch ends a search and notes what decided.
+func (c *Core) closeSearch(now time.Duration, k segment.Key, s *search, d Decision, agent netip.AddrPort) {
+	delete(c.searches, k)
+	c.release(s)
+	c.note(now, c.explain(now, s, Note{
+		Decision: d,
+		Key:      k,
+		Agent:    agent,
+	}))
+}
+
+// advance goes on with the search if no answer is awaited. Where an agent is unsure all
+// others have to answer, so they are asked at once.
 func (c *Core) advance(now time.Duration, k segment.Key, s *search) {
-	for s.waiting <= 0 && s.stage < stageEnd && !s.paused {
+	for s.waiting <= 0 && s.stage < stageAll {
 		s.since = now
 		s.waiting = 0
-		if !s.probing {
-			s.probing = true
-			c.probeUnsure(now, k, s)
-			continue
-		}
-		s.probing = false
-		s.stage++
-		switch s.stage {
-		case stageNear:
+		if s.stage == stagePreferred && !s.unsure {
+			s.stage = stageNear
 			c.askNear(now, k, s)
-		case stageAll:
-			c.askAll(now, k, s)
-		case stageEnd:
-			c.endSearch(now, k, s)
-		}
-	}
-}
-
-// unanswered returns the agents that may own the flow and did not answer.
-func (c *Core) unanswered(now time.Duration, s *search) []netip.AddrPort {
-	list := []netip.AddrPort{}
-	for _, addr := range s.order {
-		if s.asked[addr] != answerNone {
 			continue
 		}
-		if _, listed := c.listed[addr]; listed && !c.lost(now, c.agent(addr)) {
-			list = append(list, addr)
-		}
-	}
-
-	return list
-}
-
-// endSearch resets the flow if no target can hold it. Otherwise the caller's
-// next copy starts a new search.
-func (c *Core) endSearch(now time.Duration, k segment.Key, s *search) {
-	open := c.unanswered(now, s)
-	if len(open) > 0 && now-s.began < searchTime {
-		c.askAgain(k, s, open)
-
-		return
-	}
-	delete(c.searches, k)
-	for _, addr := range s.order {
-		if x := s.asked[addr]; x == answerProbed || x == answerUnsure {
-			open = append(open, addr)
-		}
+		s.stage = stageAll
+		c.askNew(now, k, s)
 	}
-	if len(open) > 0 {
-		c.note(now, Note{
-			Decision: SearchOpen,
-			Key:      k,
-			Agent:    open[0],
-			Count:    len(open),
-		})
-
-		return
+	if s.waiting <= 0 {
+		c.settle(now, k, s)
 	}
-	delete(c.strays, k)
-	c.measure(MissTime, now-s.began)
-	c.note(now, Note{
-		Decision: NotHeld,
-		Key:      k,
-		Count:    len(s.asked),
-	})
-	c.reset(k, s.ack)
 }
 
-// resume asks the unsure agents again after a wait, or gives the search up.
-func (c *Core) resume(now time.Duration, k segment.Key, s *search) {
-	if now-s.since < probeWait {
-		return
-	}
-	s.since = now
-	s.paused = false
-	if now-s.began >= searchTime {
-		s.stage = stageEnd
-		c.endSearch(now, k, s)
-
-		return
-	}
-	c.askAgain(k, s, append(c.nearFirst(s), c.unanswered(now, s)...))
-}
-
-func (s *search) waveTime() time.Duration {
-	if s.stage != stageAll {
-		return waveTime
-	}
-
-	return farWaveTime << min(s.rounds, maxDoublings)
-}
-
-// tickSearches ends the stages whose answers are overdue.
+// tickSearches ends the stages whose answers are overdue, and the searches that no
+// caller waits for any more.
 func (c *Core) tickSearches(now time.Duration) {
 	for _, k := range segment.SortedKeys(c.searches) {
 		s := c.searches[k]
-		if s.paused {
-			c.resume(now, k, s)
+		if now-s.last >= searchTime {
+			c.endSearch(now, k, s)
 			continue
 		}
 		if c.questions.held {
 			s.since = now
 		}
-		if now-s.since < s.waveTime() {
+		if s.stage == stageAll {
+			c.askNew(now, k, s)
+			c.settle(now, k, s)
 			continue
 		}
-		s.waiting = 0
-		c.advance(now, k, s)
+		if now-s.since >= waveTime {
+			s.waiting = 0
+			c.advance(now, k, s)
+		}
+	}
+}
+
+// forgive restarts the waits of a search after a pause of this process.
+func (s *search) forgive(now time.Duration) {
+	s.since = now
+	s.last = now
+	for i := range s.replies {
+		s.replies[i].at = now
 	}
 }
--- /dev/null
+++ b/core/steer/trial_test.go
@@ -0,0 +1,217 @@
+package steer
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// Guards against a trial that the bound on the link cuts short after the first targets:
+// their packets would be strays, and the owner would get none.
+func TestTrialIsNotCutShort(t *testing.T) {
+	is := is.New(t)
+	const targets = 40
+	c := newTestCore(targets)
+	agents := newTestAgents(c.listing, relay.Unsure)
+	agents.owner = c.listing[targets-1]
+	// A second's share bears two trials.
+	size := targets * (132 + messageBytes)
+	c.probes = newBudget(0, 2*size, 1)
+	flows := 6
+	for i := range flows {
+		agents.update(c, TickTime, benchPacket(i, segment.ACK))
+	}
+	for now := 2 * TickTime; now < 6*time.Second; now += TickTime {
+		agents.update(c, now, CatalogConfirmed{})
+		agents.update(c, now, Tick{})
+		if now%(200*time.Millisecond) == 0 {
+			for i := range flows {
+				agents.update(c, now, benchPacket(i, segment.ACK))
+			}
+		}
+		begun := 0
+		for _, s := range c.searches {
+			if s.trial.packets > 0 {
+				begun++
+			}
+		}
+		is.Equal(begun, 0)
+	}
+	is.Equal(len(c.searches), 0)
+	is.Equal(agents.resets, 0)
+	is.Equal(len(c.flows), flows)
+}
+
+// Guards against a trial that floods the site though the flow is at a target that its
+// hash prefers.
+func TestPreferredTargetsAreTriedFirst(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(40)
+	agents := newTestAgents(c.listing, relay.Unsure)
+	group := c.snapshot.Groups[c.routeOf(flowOne).Splits[0].Service]
+	first := c.preferred(flowOne, group, c.Policy.Preferred+moreTargets, isAny)
+	agents.owner = c.agentOf(first[len(first)-1])
+	full := c.probes.tokens
+	agents.update(c, 0, benchPacket(1, segment.ACK))
+	agents.update(c, TickTime, Tick{})
+	is.Equal(agents.delivered, 1)
+	is.Equal(agents.probes, len(first))
+	sent := len(first) * (132 + messageBytes)
+	is.True(c.probes.tokens >= full-float64(sent))
+}
+
+// Guards against a packet that is lost on its way to the owner: all other targets have
+// bounced it, so the owner has to get it again within 2 s.
+func TestLostTrialIsRepeated(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	agents := newTestAgents(c.listing, relay.Unsure)
+	agents.owner = c.listing[5]
+	lost := 0
+	for now := TickTime; now < time.Second; now += TickTime {
+		commands := c.Update(now, Tick{})
+		if now == 2*TickTime {
+			commands = c.Update(now, benchPacket(1, segment.ACK))
+		}
+		for pending := agents.take(drop(commands, agents, &lost)); len(pending) > 0; pending = pending[1:] {
+			next := pending[0]
+			pending = append(pending, agents.take(drop(c.Update(now, &next), agents, &lost))...)
+		}
+	}
+	is.Equal(lost, 1)
+	is.Equal(agents.delivered, 1)
+}
+
+// drop leaves out the first packet on trial to the owner.
+func drop(commands []Command, agents *testAgents, lost *int) []Command {
+	return slices.DeleteFunc(slices.Clone(commands), func(x Command) bool {
+		s, ok := x.(*Send)
+		if !ok || s.Message.Kind != relay.Probe || s.To != agents.owner || *lost > 0 {
+			return false
+		}
+		*lost++
+
+		return true
+	})
+}
+
+// Guards against a reset or an open search whose cause the log does not tell.
+func TestSearchNotesTellWhy(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	agents := newTestAgents(c.listing[2:], relay.NotOwned)
+	agents.say[c.listing[1]] = relay.Unsure
+	end := func(d Decision) Note {
+		for _, n := range agents.notes {
+			if n.Decision == d {
+				return n
+			}
+		}
+		t.Fatalf("no note %s", d)
+
+		return Note{}
+	}
+	agents.run(c, TickTime, 1200*time.Millisecond, false, TickTime)
+	open := end(SearchOpen)
+	is.Equal(open.Asked, 6)
+	is.Equal(open.Unsure, 1)
+	is.Equal(open.Unanswered, 1)
+	is.Equal(open.Tried, 0)
+	is.Equal(open.Agent, c.listing[0])
+	is.True(open.ListAge >= time.Second)
+
+	agents.say[c.listing[0]] = relay.NotOwned
+	agents.run(c, 1200*time.Millisecond, 2*time.Second, true, 1200*time.Millisecond)
+	reset := end(NotHeld)
+	is.Equal(reset.Asked, 6)
+	is.Equal(reset.Unsure, 0)
+	is.Equal(reset.Unanswered, 0)
+	is.Equal(reset.Tried, 1)
+	is.True(reset.ListAge <= TickTime)
+	is.Equal(end(OnTrial).Count, 1)
+}
+
+// Guards against a trial that leaves out an agent which was there when it was asked and is
+// away when the last missing agent is back, with or without an announcement.
+func TestUnsureAgentThatLeftIsAwaited(t *testing.T) {
+	for _, announced := range []bool{true, false} {
+		is := is.New(t)
+		c := newTestCore(6)
+		agents := newTestAgents(c.listing, relay.Unsure)
+		missing, left := c.listing[3], c.listing[1]
+		agents.owner = left
+		delete(agents.say, missing)
+		begin := TickTime
+		agents.run(c, begin, 200*time.Millisecond, true, begin)
+		delete(agents.say, left)
+		if announced {
+			hears(c, 200*time.Millisecond, left, stopping(relay.ReasonNone))
+		}
+		agents.run(c, 200*time.Millisecond, 360*time.Millisecond, true, begin+200*time.Millisecond)
+		agents.say[missing] = relay.Unsure
+		// Before 440 ms the silence is no evidence: four questions are unanswered.
+		agents.run(c, 360*time.Millisecond, 440*time.Millisecond, true)
+		is.Equal(agents.probes, 0)
+		agents.say[left] = relay.Unsure
+		agents.run(c, 440*time.Millisecond, 600*time.Millisecond, true)
+		is.True(agents.delivered > 0)
+	}
+}
+
+// Guards against a search that ends without the agent of a target that is not listed and
+// was heard only after the questions were sent.
+func TestAgentHeardLaterIsAsked(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	unlisted := c.listing[5]
+	missing := c.listing[3]
+	relist(c, 0, false, unlisted)
+	agents := newTestAgents(c.listing, relay.NotOwned)
+	delete(agents.say, missing)
+	agents.run(c, TickTime, 300*time.Millisecond, true, TickTime)
+	agents.owner = unlisted
+	agents.say[unlisted] = relay.Owned
+	hears(c, 300*time.Millisecond, unlisted, relay.Message{
+		Kind: relay.Accepted,
+		Key:  testKey,
+	})
+	agents.run(c, 300*time.Millisecond, 400*time.Millisecond, true)
+	is.Equal(agents.resets, 0)
+	is.Equal(agents.delivered, 1)
+}
+
+// Guards against trials that keep a share of the link while their search waits for an
+// agent that went away between the two waves.
+func TestWaitingTrialGivesItsShareBack(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(30)
+	agents := newTestAgents(c.listing, relay.Unsure)
+	full := c.probes.tokens
+	agents.update(c, 0, benchPacket(1, segment.ACK))
+	// It is in another zone, so the hash does not prefer it.
+	left := c.listing[1]
+	agents.update(c, TickTime, Tick{})
+	is.Equal(agents.probes, 30)
+	c = newTestCore(30)
+	agents.probes = 0
+	stopped := false
+	pending := agents.take(c.Update(0, benchPacket(1, segment.ACK)))
+	pending = append(pending, agents.take(c.Update(TickTime, Tick{}))...)
+	for ; len(pending) > 0; pending = pending[1:] {
+		if agents.probes > 0 && !stopped {
+			stopped = true
+			hears(c, TickTime, left, stopping(relay.ReasonNone))
+		}
+		next := pending[0]
+		pending = append(pending, agents.take(c.Update(TickTime, &next))...)
+	}
+	is.True(stopped)
+	is.True(agents.probes < 30)
+	is.Equal(c.searches[flowOne].trial.reserved, 0)
+	is.True(c.probes.tokens >= full-float64(agents.probes*(132+messageBytes)))
+}
--- a/proof/opaque_network_test.go
+++ b/proof/opaque_network_test.go
@@ -60,7 +60,8 @@
 		case steer.Reset:
 			w.toCaller(e.zone, c.Key, platform.AppendReset(nil, c.Key, c.Seq))
 		case steer.Note:
-			w.notes = append(w.notes, fmt.Sprintf("%v entry %v %v %v %v heard %v count %d %v", w.Now, e.addr, c.Decision, c.Key, c.Agent, c.Age, c.Count, c.Reason))
+			w.notes = append(w.notes, fmt.Sprintf("%v entry %v %v %v %v heard %v count %d %v", w.Now, e.addr, c.Decision, c.Key, c.Agent, c.Age, c.Count, c.Reason)+
+				fmt.Sprintf(" asked %d unsure %d unanswered %d tried %d list %v", c.Asked, c.Unsure, c.Unanswered, c.Tried, c.ListAge))
 		}
 	}
 }
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -129,6 +129,7 @@
 	w.Every(w.Now+steer.TickTime, steer.TickTime, func() {
 		for _, e := range w.entries {
 			if !e.down {
+				w.entryUpdate(e, steer.CatalogConfirmed{})
 				w.entryUpdate(e, steer.Tick{})
 			}
 		}
@@ -172,8 +173,9 @@
 func (w *opaqueWorld) informEntry(e *opaqueEntry) {
 	if n := w.catalog.Snapshot(); n != nil {
 		w.entryUpdate(e, steer.CatalogChanged{
-			Snapshot: n,
-			Wall:     w.wall(),
+			Snapshot:  n,
+			Wall:      w.wall(),
+			Confirmed: true,
 		})
 	}
 }
