Log why a search ended, and describe trials and the evidence for resets

The lines that end an owner search have the numbers of agents that were asked, unsure and silent, of packets on trial, and the age of the list of targets, so that a reset flow's id leads to its cause.

--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -348,6 +348,9 @@
 
 func (p *opaqueEntry) note(n steer.Note) {
 	p.decisions[n.Decision].Inc()
-	p.Log.Info(n.Decision.String(), "flow", n.Key, "agent", n.Agent, "version", n.Version, "heard", n.Age, "count", n.Count,
-		"reason", n.Reason)
+	line := []any{"flow", n.Key, "agent", n.Agent, "version", n.Version, "heard", n.Age, "count", n.Count, "reason", n.Reason}
+	if n.Asked > 0 {
+		line = append(line, "asked", n.Asked, "unsure", n.Unsure, "unanswered", n.Unanswered, "tried", n.Tried, "listed", n.ListAge)
+	}
+	p.Log.Info(n.Decision.String(), line...)
 }
