--- a/proof/opaque_list_test.go
+++ b/proof/opaque_list_test.go
@@ -19,11 +19,19 @@
 // an entry of a world learns of routes and targets.
 func (w *opaqueWorld) inform(e *opaqueEntry, n *catalog.Snapshot) {
 	w.entryUpdate(e, steer.CatalogChanged{
-		Snapshot: n,
-		Wall:     w.wall(),
+		Snapshot:  n,
+		Wall:      w.wall(),
+		Confirmed: true,
 	})
 }
 
+// confirm tells an entry that its list is current, unless no news reaches it.
+func (w *opaqueWorld) confirm(e *opaqueEntry) {
+	if !e.stale {
+		w.entryUpdate(e, steer.CatalogConfirmed{})
+	}
+}
+
 // lapse drops the entries of living targets from the list for a while. Entries learn
 // of it by the next publish.
 func (w *opaqueWorld) lapse(d time.Duration, agents ...*opaqueAgent) {
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -139,6 +139,7 @@
 	w.Every(w.Now+steer.TickTime, steer.TickTime, func() {
 		for _, e := range w.entries {
 			if !e.down {
+				w.confirm(e)
 				w.entryUpdate(e, steer.Tick{})
 			}
 		}
