Add messages that carry an agent's flow table over its planned stop

An agent gives entries its flow table in parts at a planned stop, entries offer it to the next process and send the parts that it asks for. The kinds are at the end of the list and the header is as before, so the version stays: a program without them counts such a message as malformed.

--- a/core/relay/keys.go
+++ b/core/relay/keys.go
@@ -44,6 +44,8 @@
 		}
 
 		return b
+	case Handover, HandoverOffer, HandoverWanted, HandoverDone, HandoverPart:
+		return m.Table.appendBody(m.Kind, b)
 	default:
 		return append(b, m.Packet...)
 	}
@@ -58,6 +60,8 @@
 	case FindMany:
 	case Answers:
 		size++
+	case Handover, HandoverOffer, HandoverWanted, HandoverDone, HandoverPart:
+		return m.Table.decodeBody(m.Kind, b)
 	default:
 		m.Packet = b
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -47,6 +47,16 @@
 	// Stopping tells entries that the agent stops as planned: its silence does
 	// not mean that its target is gone, unless Reason is ReasonTargetDown.
 	Stopping
+	// Handover gives an entry a part of the agent's flow table at its planned stop.
+	Handover
+	// HandoverOffer tells an agent that the entry has the flow table of its last stop.
+	HandoverOffer
+	// HandoverWanted asks an entry for parts of the flow table that it offered.
+	HandoverWanted
+	// HandoverDone tells an entry that the agent has no use for the flow table any more.
+	HandoverDone
+	// HandoverPart gives an agent a part of its flow table back.
+	HandoverPart
 	kinds
 )
 
@@ -64,6 +74,12 @@
 	Unsure:   "unsure",
 	Returned: "returned",
 	Stopping: "stopping",
+
+	Handover:       "handover",
+	HandoverOffer:  "handover_offer",
+	HandoverWanted: "handover_wanted",
+	HandoverDone:   "handover_done",
+	HandoverPart:   "handover_part",
 }
 
 // String returns the kind's name as used in logs.
@@ -136,6 +152,7 @@
 	ErrVersion = errors.ConstError("message has another version")
 	ErrKind    = errors.ConstError("message has an unknown kind")
 	ErrKeys    = errors.ConstError("message has a list of flows that can't be read")
+	ErrTable   = errors.ConstError("message has a part of a flow table that can't be read")
 )
 
 // Message is one datagram between an entry and an agent.
@@ -174,6 +191,8 @@
 	// Answers. At most MaxKeys.
 	Keys  []segment.Key
 	Found []Kind
+	// Table is set in all messages about flow tables. Its ID takes the place of Service.
+	Table *Table
 	// Packet is the packet as its sender wrote it. It aliases the buffer that was decoded.
 	Packet []byte
 }
@@ -197,26 +216,35 @@
 	return m.appendBody(b)
 }
 
-// subject returns the field that the kind has of Service and Born.
+// subject returns the field that the kind has of Service, Born and Table.ID.
 func (m *Message) subject() uint64 {
-	if m.Kind == Find || m.Kind == FindMany {
+	switch {
+	case m.Kind == Find, m.Kind == FindMany:
 		return uint64(m.Born)
+	case m.Table != nil:
+		return uint64(m.Table.ID)
+	default:
+		return m.Service
 	}
-
-	return m.Service
 }
 
 func (m *Message) setSubject(x uint64) {
 	m.Service = 0
 	m.Born = 0
-	if m.Kind == Find || m.Kind == FindMany {
+	m.Table = nil
+	switch {
+	case m.Kind == Find, m.Kind == FindMany:
 		m.Born = int64(x)
-	} else {
+	case m.Kind.handsOver():
+		m.Table = &Table{
+			ID: int64(x),
+		}
+	default:
 		m.Service = x
 	}
 }
 
-// Decode reads a message. Errors: ErrShort, ErrVersion, ErrKind, ErrKeys.
+// Decode reads a message. Errors: ErrShort, ErrVersion, ErrKind, ErrKeys, ErrTable.
 func (m *Message) Decode(b []byte) error {
 	if len(b) < HeaderBytes {
 		return ErrShort
