Hand the flow table of an agent over at its planned stop, and take it at the start

At a stop the agent sends its table to three entries that it heard lately, by rendezvous hashing. From then on nothing opens a flow at the target: SYNs are refused as full, answers to SYNs and the packets that would choose one are dropped, for 1.8 s should the process go on. So the table is still complete when the next process takes it. A process takes a table in its first second if it is at most 900 ms old by the entry's clock, and 950 ms by the clock of its own VM (the id of a table is the time of the stop): an entry that stood still would take an old table for a new one. What the process learned since its start wins, and flows that ended since do not come back. It is sure if the process before was and all parts came.

Questions that come while parts are on their way wait for them, 150 ms after the start at most.

TestStopBesideEndedTarget expected no message but the announcement. It now names the exact messages of both cases: no table where the target has ended, one part where it lives.

--- a/core/conntrack/command.go
+++ b/core/conntrack/command.go
@@ -50,8 +50,11 @@
 	Reason relay.Reason
 	// Age is how long ago the target was last heard.
 	Age time.Duration
-	// Count is the number of unanswered packets that decided, or of flows that wait.
+	// Count is the number of unanswered packets that decided, of flows that wait, or of
+	// those in a flow table.
 	Count int
+	// TableAge is how long ago the process before wrote the flow table that was restored.
+	TableAge time.Duration
 }
 
 // Measured is a time for the histograms.
@@ -119,6 +122,13 @@
 	TargetDown
 	// TargetBack: the target reacts again.
 	TargetBack
+	// HandedOver: the flow table went to entries at a planned stop.
+	HandedOver
+	// Restored: the flow table of the process before came back; all flows of the target
+	// are known.
+	Restored
+	// RestoredUnsure: it came back in part, or that process did not know all flows.
+	RestoredUnsure
 	decisions
 )
 
@@ -134,6 +144,10 @@
 	TargetFresh:  "target has no earlier flows",
 	TargetDown:   "target down",
 	TargetBack:   "target back",
+
+	HandedOver:     "flow table handed over",
+	Restored:       "flow table restored",
+	RestoredUnsure: "flow table restored: may lack flows",
 }
 
 // DecisionNames returns the names of all decisions, in the order of their values.
--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -64,6 +64,10 @@
 	// not known.
 	slots   int
 	backlog backlog
+	stopped plannedStop
+	restore restoring
+	// questions may be answered by the flow table of the process before.
+	questions []question
 	// now is the time of the Update that runs.
 	now time.Duration
 	// load is the mean number of requests in progress, active the number of flows
@@ -117,6 +121,7 @@
 		c.flows = map[segment.Key]*flow{}
 		c.probes = map[segment.Key]*flow{}
 		c.entries = map[netip.AddrPort]time.Duration{}
+		c.restore.began = now
 		if c.Policy == nil {
 			p := DefaultPolicy()
 			c.Policy = &p
@@ -131,7 +136,9 @@
 	case *EntryMessage:
 		c.entryMessage(now, m)
 	case *TargetPacket:
-		c.targetPacket(now, m)
+		if !c.answersBlocked(now, &m.Segment) {
+			c.targetPacket(now, m)
+		}
 	case TargetRefused:
 		c.target.refusal = true
 		c.checkTarget(now)
@@ -145,6 +152,7 @@
 		c.tick(now)
 	}
 	c.admitWaiting(now)
+	c.answerQuestions(now)
 
 	return c.commands
 }
@@ -162,6 +170,7 @@
 	c.expireWaiting(now)
 	c.checkTarget(now)
 	c.tickProbes(now)
+	c.tickRestore(now)
 	if now-c.swept >= sweepTime {
 		c.swept = now
 		c.sweep(now)
@@ -195,10 +204,11 @@
 	c.work.drop(k)
 	delete(c.flows, k)
 	delete(c.probes, k)
+	c.restore.forgot(k)
 }
 
-// stop tells all entries that the coming silence is planned, and hands the SYNs that
-// wait back to them. Where the target has ended, callers are told too: those of idle
+// stop tells all entries that the coming silence is planned, hands the SYNs that wait
+// back to them, and the flow table over to some. Where the target has ended, callers are told too: those of idle
 // flows open another one before their next request, which they may be unable to repeat.
 func (c *Core) stop(now time.Duration, m Stop) {
 	reason := relay.ReasonNone
@@ -213,6 +223,7 @@
 			Reason: reason,
 		})
 	}
+	c.handOver(now, m)
 }
 
 // answer sends a message to an entry, with the load that it takes into account.
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -10,6 +10,9 @@
 
 func (c *Core) entryMessage(now time.Duration, m *EntryMessage) {
 	c.entries[m.From] = now
+	if c.blockedByStop(now, m) {
+		return
+	}
 	switch m.Message.Kind {
 	case relay.Open:
 		c.open(now, m)
@@ -17,10 +20,12 @@
 		c.deliver(now, m)
 	case relay.Find:
 		c.learnStart(now, m)
-		c.find(m)
+		c.find(now, m)
 	case relay.FindMany:
 		c.learnStart(now, m)
-		c.findMany(m)
+		c.findMany(now, m)
+	case relay.HandoverOffer, relay.HandoverPart:
+		c.tableMessage(now, m)
 	}
 }
 
@@ -208,22 +213,35 @@
 }
 
 // find answers an entry that looks for the owner of a flow.
-func (c *Core) find(m *EntryMessage) {
-	c.answer(m.From, relay.Message{
-		Kind: c.holds(m.Message.Key),
-		Key:  m.Message.Key,
+func (c *Core) find(now time.Duration, m *EntryMessage) {
+	if !c.keepQuestion(now, m.From, m.Message.Key) {
+		c.tell(m.From, m.Message.Key)
+	}
+}
+
+func (c *Core) tell(to netip.AddrPort, k segment.Key) {
+	c.answer(to, relay.Message{
+		Kind: c.holds(k),
+		Key:  k,
 	})
 }
 
 // findMany is find for many flows.
-func (c *Core) findMany(m *EntryMessage) {
+func (c *Core) findMany(now time.Duration, m *EntryMessage) {
+	if keys := c.askedMany(now, m); len(keys) > 0 {
+		c.tellMany(m.From, keys)
+	}
+}
+
+// tellMany is tell for many flows, at most relay.MaxKeys.
+func (c *Core) tellMany(to netip.AddrPort, keys []segment.Key) {
 	found := []relay.Kind{}
-	for _, k := range m.Message.Keys {
+	for _, k := range keys {
 		found = append(found, c.holds(k))
 	}
-	c.answer(m.From, relay.Message{
+	c.answer(to, relay.Message{
 		Kind:  relay.Answers,
-		Keys:  m.Message.Keys,
+		Keys:  keys,
 		Found: found,
 	})
 }
--- a/core/conntrack/policy.go
+++ b/core/conntrack/policy.go
@@ -24,6 +24,11 @@
 	// DownTime is how long a target may not send anything while packets that ask for
 	// an answer wait. Work takes up to about 100 ms before its answer.
 	DownTime time.Duration `yaml:"DownTime,omitempty"`
+	// HandoverTime is the age to which the flow table of the process before is taken. A
+	// process that ends is started again after 0.5 s at the least, so one that opened
+	// flows after a planned stop and was killed can't be back within 1 s of that stop.
+	// Zero hands no table over and takes none.
+	HandoverTime time.Duration `yaml:"HandoverTime,omitempty"`
 }
 
 // DefaultPolicy returns the policy of a Core that is given none.
@@ -42,6 +47,8 @@
 		ExpectTime: 100 * time.Millisecond,
 		LoadTime:   500 * time.Millisecond,
 		DownTime:   400 * time.Millisecond,
+
+		HandoverTime: maxHandoverTime,
 	}
 }
 
@@ -51,6 +58,8 @@
 	maxQueueSlots = 100
 	// maxWait is the longest of all times.
 	maxWait = 10 * time.Second
+	// maxHandoverTime is the greatest HandoverTime: see there.
+	maxHandoverTime = 900 * time.Millisecond
 )
 
 // Check reports the fields that are out of range. Section is the path of the policy
@@ -58,6 +67,7 @@
 func (p *Policy) Check(c *document.Checker, section string) {
 	document.Between(c, section+"QueueSlots", p.QueueSlots, 0, maxQueueSlots)
 	document.Between(c, section+"NewShare", p.NewShare, 0, maxQueueSlots)
+	document.Between(c, section+"HandoverTime", p.HandoverTime, 0, maxHandoverTime)
 	document.Between(c, section+"LoadTime", p.LoadTime, TickTime, maxWait)
 	for name, d := range map[string]time.Duration{
 		"ExpectTime": p.ExpectTime,
--- a/core/conntrack/stop_test.go
+++ b/core/conntrack/stop_test.go
@@ -30,6 +30,7 @@
 		})
 		resets := 0
 		reason := relay.ReasonNone
+		told := []relay.Kind{}
 		for _, x := range c.Update(time.Second, Stop{
 			TargetEnded: ended,
 		}) {
@@ -37,10 +38,15 @@
 			case Reset:
 				resets++
 			case ToEntry:
-				is.Equal(x.Message.Kind, relay.Stopping)
-				reason = x.Message.Reason
+				told = append(told, x.Message.Kind)
+				reason = max(reason, x.Message.Reason)
 			}
 		}
+		if ended {
+			is.Equal(told, []relay.Kind{relay.Stopping})
+		} else {
+			is.Equal(told, []relay.Kind{relay.Stopping, relay.Handover})
+		}
 		is.Equal(resets == 1, ended)
 		is.Equal(reason == relay.ReasonTargetDown, ended)
 	}
