Keep the flow tables of agents that stop at entries, and offer them

An entry keeps a table for 900 ms, all of them in 2 MB (the oldest go first), and offers it to its agent every 60 ms until the agent is done with it. Entries that have the same table begin at random times, so that an agent is offered one sooner after its start. An offer is no question, so an agent that is away gives no evidence of silence by it; a part of a table that comes late is no sign of life. A tick without tables costs nothing.

--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -321,6 +321,9 @@
 }
 
 func (c *Core) agentMessage(now time.Duration, m *AgentMessage) {
+	if c.handover(now, m) {
+		return
+	}
 	a := c.hear(now, m.From, &m.Message)
 	k := m.Message.Key
 	switch m.Message.Kind {
--- a/core/steer/command.go
+++ b/core/steer/command.go
@@ -37,7 +37,7 @@
 	Version uint64
 	// Age is how long ago Agent was last heard.
 	Age time.Duration
-	// Count is the number of attempts or answers that decided.
+	// Count is the number of attempts or answers that decided, or of parts of a flow table.
 	Count int
 	// Reason is what the agent gave as its reason.
 	Reason relay.Reason
@@ -111,6 +111,10 @@
 	AgentBack
 	// AgentStopping: an agent announced its planned stop.
 	AgentStopping
+	// TableKept: an agent that stops handed its flow table over.
+	TableKept
+	// TableDropped: the table is not kept, for want of memory.
+	TableDropped
 	decisions
 )
 
@@ -129,6 +133,8 @@
 	AgentSilent:   "agent silent",
 	AgentBack:     "agent back",
 	AgentStopping: "agent stopping",
+	TableKept:     "flow table kept",
+	TableDropped:  "flow table dropped: no memory",
 }
 
 // DecisionNames returns the names of all decisions, in the order of their values.
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -60,6 +60,7 @@
 	order []netip.AddrPort
 	// early holds packets from before the first view.
 	early     []earlyPacket
+	tables    keptTables
 	questions questions
 	// probes bounds the packets that go to unsure agents.
 	probes budget
@@ -224,6 +225,7 @@
 		c.forgive(now)
 	}
 	c.tickAgents(now)
+	c.tickTables(now)
 	c.tickOpening(now)
 	c.tickSearches(now)
 	c.flushQuestions(now)
--- /dev/null
+++ b/core/steer/handover_test.go
@@ -0,0 +1,225 @@
+package steer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// tableID is when the agent of a test stopped.
+const tableID = 1_000_000
+
+// tableMessage returns an agent's message about a flow table.
+func tableMessage(from netip.AddrPort, k relay.Kind, t relay.Table) *AgentMessage {
+	return &AgentMessage{
+		From: from,
+		Message: relay.Message{
+			Kind:  k,
+			Table: &t,
+		},
+	}
+}
+
+// tablePart returns a part of such a table with so many flows.
+func tablePart(id int64, part, parts uint8, flows int) relay.Table {
+	return relay.Table{
+		ID:    id,
+		Part:  part,
+		Parts: parts,
+		Flows: make([]relay.TableFlow, flows),
+	}
+}
+
+// tablesSent returns the messages of a kind about flow tables.
+func tablesSent(commands []Command, k relay.Kind) []*relay.Table {
+	list := []*relay.Table{}
+	for _, x := range commands {
+		if s, ok := x.(*Send); ok && s.Message.Kind == k {
+			list = append(list, s.Message.Table)
+		}
+	}
+
+	return list
+}
+
+// Guards against an agent that comes back and is not offered its table, or one that is too
+// old, and against offers that an agent which is away leaves unanswered and that count as
+// its silence.
+func TestTableIsOffered(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(5)
+	agent := c.listing[0]
+	c.Update(0, &AgentMessage{
+		From: agent,
+		Message: relay.Message{
+			Kind: relay.Stopping,
+		},
+	})
+	c.Update(0, tableMessage(agent, relay.Handover, tablePart(tableID, 0, 1, 3)))
+	offers := 0
+	last := time.Duration(0)
+	for now := TickTime; now < 2*time.Second; now += TickTime {
+		for _, x := range c.Update(now, Tick{}) {
+			switch x := x.(type) {
+			case *Send:
+				is.Equal(x.Message.Kind, relay.HandoverOffer)
+				is.Equal(x.To, agent)
+				is.Equal(x.Message.Table.ID, int64(tableID))
+				is.Equal(x.Message.Table.Parts, uint8(1))
+				is.Equal(x.Message.Table.Age, now)
+				offers++
+				last = now
+			case Note:
+				t.Error(x.Decision)
+			}
+		}
+	}
+	is.True(offers >= 14 && offers <= 16)
+	is.True(last <= c.Policy.HandoverTime)
+	is.Equal(c.agents[agent].asks, 0)
+	is.Equal(len(c.tables.list), 0)
+	is.Equal(c.tables.bytes, 0)
+}
+
+// Guards against a part of a table that comes late, over a slow link, and is taken for a
+// sign that the agent is back: it would be asked, and its flows reset as it is silent.
+func TestLatePartIsNoSignOfLife(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(5)
+	agent := c.listing[0]
+	c.Update(time.Second, &AgentMessage{
+		From: agent,
+		Message: relay.Message{
+			Kind: relay.Stopping,
+		},
+	})
+	late := time.Second + 2*lateTime
+	c.Update(late, tableMessage(agent, relay.Handover, tablePart(tableID, 0, 1, 3)))
+	is.True(c.stops(late, c.agents[agent]))
+	is.Equal(c.agents[agent].heard, time.Second)
+	// What the agent says of its own accord is one.
+	c.Update(late, tableMessage(agent, relay.HandoverDone, relay.Table{
+		ID: tableID,
+	}))
+	is.True(!c.stops(late, c.agents[agent]))
+}
+
+// Guards against an agent that does not get what it asks for, gets what it does not, or
+// gets the table of an earlier stop.
+func TestPartsAreGivenBack(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(5)
+	agent := c.listing[0]
+	give := func(part, flows int) {
+		c.Update(0, tableMessage(agent, relay.Handover, tablePart(tableID, uint8(part), 4, flows)))
+	}
+	give(3, 5)
+	give(0, 6)
+	give(3, 7)
+	ask := func(id int64, from netip.AddrPort) []*relay.Table {
+		return tablesSent(c.Update(time.Millisecond, tableMessage(from, relay.HandoverWanted, relay.Table{
+			ID:     id,
+			Wanted: []uint8{0, 1, 3, 255},
+		})), relay.HandoverPart)
+	}
+	got := ask(tableID, agent)
+	is.Equal(len(got), 2)
+	is.Equal(len(got[0].Flows), 6)
+	is.Equal(len(got[1].Flows), 5)
+	is.Equal(len(ask(tableID, c.listing[1])), 0)
+	is.Equal(len(ask(tableID-1, agent)), 0)
+
+	// A later stop replaces the table; what is left of the earlier one does not.
+	c.Update(0, tableMessage(agent, relay.Handover, tablePart(tableID+1, 0, 1, 1)))
+	give(1, 5)
+	is.Equal(len(ask(tableID, agent)), 0)
+	is.Equal(len(ask(tableID+1, agent)), 1)
+	c.Update(0, tableMessage(agent, relay.HandoverDone, relay.Table{
+		ID: tableID,
+	}))
+	is.Equal(len(ask(tableID+1, agent)), 1)
+	c.Update(0, tableMessage(agent, relay.HandoverDone, relay.Table{
+		ID: tableID + 1,
+	}))
+	is.Equal(len(ask(tableID+1, agent)), 0)
+	is.Equal(c.tables.bytes, 0)
+}
+
+// Guards against an entry that stood still and offers a table as if no time had passed.
+func TestPausedEntryKnowsTheAge(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(5)
+	c.Update(0, tableMessage(c.listing[0], relay.Handover, tablePart(tableID, 0, 1, 1)))
+	c.Update(TickTime, Tick{})
+	offers := tablesSent(c.Update(800*time.Millisecond, Tick{}), relay.HandoverOffer)
+	is.Equal(len(offers), 1)
+	is.Equal(offers[0].Age, 800*time.Millisecond)
+	is.Equal(len(tablesSent(c.Update(1100*time.Millisecond, Tick{}), relay.HandoverOffer)), 0)
+}
+
+// Guards against tables that fill the memory of an entry: the oldest go first.
+func TestTablesAreBounded(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(5)
+	dropped := 0
+	agentAt := func(i int) netip.AddrPort {
+		return netip.MustParseAddrPort(fmt.Sprintf("10.9.%d.%d:7720", i>>8, i&255))
+	}
+	const agents = 3000
+	for i := range agents {
+		for _, x := range c.Update(0, tableMessage(agentAt(i), relay.Handover, tablePart(tableID, 0, 1, relay.MaxFlows))) {
+			if n, ok := x.(Note); ok && n.Decision == TableDropped {
+				dropped++
+			}
+		}
+		is.True(c.tables.bytes <= maxTableBytes)
+	}
+	is.True(dropped > 0)
+	is.Equal(len(c.tables.list), agents-dropped)
+	is.True(c.tables.find(agentAt(agents-1)) != nil)
+	is.True(c.tables.find(agentAt(0)) == nil)
+}
+
+// Guards against a table that is kept although the policy says no.
+func TestNoTableByPolicy(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(5)
+	p := DefaultPolicy()
+	p.HandoverTime = 0
+	c.Policy = &p
+	c.Update(0, tableMessage(c.listing[0], relay.Handover, tablePart(tableID, 0, 1, 1)))
+	is.Equal(len(c.tables.list), 0)
+}
+
+// Guards against a tick that costs something while no agent is away.
+func TestTickWithoutTables(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(5)
+	is.Equal(testing.AllocsPerRun(100, func() {
+		c.tickTables(time.Second)
+	}), 0.0)
+	is.Equal(len(c.Update(time.Second, Tick{})), 0)
+}
+
+// Guards against messages of agents that do not hand over and are held back by the code
+// that looks at tables.
+func TestOtherMessagesPass(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(5)
+	k := benchPacket(1, segment.ACK).Segment.Key
+	c.Update(0, benchPacket(1, segment.ACK))
+	c.Update(0, &AgentMessage{
+		From: c.listing[0],
+		Message: relay.Message{
+			Kind: relay.Owned,
+			Key:  k,
+		},
+	})
+	is.Equal(c.flows[k].owner, c.listing[0])
+}
--- a/core/steer/malformed_test.go
+++ b/core/steer/malformed_test.go
@@ -63,9 +63,34 @@
 				Flows:    uint16(r.Uint32()),
 				Keys:     []segment.Key{k},
 				Found:    []relay.Kind{relay.Kind(r.IntN(20))},
+				Table:    anyTable(r, k),
 				Packet:   []byte{1},
 			},
 			Segment: s,
 		}
 	}
 }
+
+// anyTable returns a part of a flow table, or what is told of one, with any fields that
+// a message can have.
+func anyTable(r *rand.Rand, k segment.Key) *relay.Table {
+	if r.IntN(4) == 0 {
+		return nil
+	}
+
+	return &relay.Table{
+		ID:       r.Int64N(3),
+		Part:     uint8(r.IntN(256)),
+		Parts:    uint8(r.IntN(256)),
+		Complete: r.IntN(2) == 0,
+		Age:      time.Duration(r.Int64N(int64(time.Second))),
+		Wanted:   []uint8{uint8(r.IntN(256))},
+		Flows: []relay.TableFlow{
+			{
+				Key:   k,
+				State: relay.FlowState(r.IntN(5)),
+				Seq:   r.Uint32(),
+			},
+		},
+	}
+}
--- a/core/steer/policy.go
+++ b/core/steer/policy.go
@@ -80,6 +80,9 @@
 	// HearingTime is how long no agent at all may be heard before the cause is probably
 	// this entry's own link, whose silence says nothing of a single agent.
 	HearingTime time.Duration `yaml:"HearingTime,omitempty"`
+	// HandoverTime is how long the flow table of an agent that stopped is kept for its
+	// next process. Why it has a bound, conntrack.Policy says. Zero keeps none.
+	HandoverTime time.Duration `yaml:"HandoverTime,omitempty"`
 }
 
 // DefaultPolicy returns the policy of a Core that is given none.
@@ -115,6 +118,7 @@
 		ProbeShare:      0.25,
 		QuestionShare:   0.25,
 		HearingTime:     60 * time.Millisecond,
+		HandoverTime:    maxHandoverTime,
 	}
 }
 
@@ -130,6 +134,8 @@
 	mostShare  = 100
 	// maxWait is the longest of all times.
 	maxWait = 10 * time.Second
+	// maxHandoverTime is the greatest HandoverTime.
+	maxHandoverTime = 900 * time.Millisecond
 )
 
 // Check reports the fields that are out of range. Section is the path of the policy
@@ -164,5 +170,6 @@
 	} {
 		document.Between(c, section+name, d, 0, maxWait)
 	}
+	document.Between(c, section+"HandoverTime", p.HandoverTime, 0, maxHandoverTime)
 	document.Between(c, section+"ReportHalfLife", p.ReportHalfLife, TickTime, maxWait)
 }
