--- a/proof/opaque_ends_test.go
+++ b/proof/opaque_ends_test.go
@@ -288,7 +288,7 @@
 	if !c.waiting || c.number != number {
 		return
 	}
-	if w.Now-c.began >= opaqueBudget {
+	if w.Now-c.began >= max(opaqueBudget, w.patience) {
 		c.timeouts++
 		c.began = w.Now
 		w.openFlow(c)
--- a/proof/opaque_fuzz_test.go
+++ b/proof/opaque_fuzz_test.go
@@ -331,6 +331,8 @@
 	opaqueUnsure opaqueProtection = "unsure agents"
 	// opaqueFreshness: a target counts as new only if it started with its agent.
 	opaqueFreshness opaqueProtection = "age of targets"
+	// opaqueHandover: agents hand their flow tables over at planned stops.
+	opaqueHandover opaqueProtection = "handover of flow tables"
 )
 
 // Guards against an oracle that is blind: each protection that is taken away has
--- /dev/null
+++ b/proof/opaque_handover_test.go
@@ -0,0 +1,128 @@
+package proof_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/steer"
+)
+
+const (
+	// opaqueServedWithin is the longest time from a request to its answer while agents are
+	// stopped in turn: 0.65 s for the agent that is away, and the waits between copies of
+	// a packet and between questions of a search.
+	opaqueServedWithin = 1200 * time.Millisecond
+	opaqueStopAway     = 650 * time.Millisecond
+	// opaqueHandoverSeeds is the number of worlds for each way to stop agents.
+	opaqueHandoverSeeds = 10
+)
+
+// opaqueStops is a way to stop all agents in turn, twice.
+type opaqueStops struct {
+	name string
+	// every is the time between two stops.
+	every time.Duration
+	// replaced is the number of stops after which one entry loses its memory, in turn.
+	replaced int
+}
+
+// opaqueStopsSeen is what callers and entries saw meanwhile.
+type opaqueStopsSeen struct {
+	slowest  time.Duration
+	resets   int
+	searches int
+	// open counts the searches that ended without an owner, probed the packets that
+	// went on trial.
+	open   int
+	probed int
+}
+
+// run stops all agents of a site as planned.
+func (s *opaqueStops) run(t *testing.T, seed uint64, without opaqueProtection) opaqueStopsSeen {
+	w := opaqueSite(t, seed, 5)
+	w.without = without
+	w.once = true
+	w.patience = 5 * time.Second
+	callers := w.addCallers(60, 150*time.Millisecond)
+	w.Run(2 * time.Second)
+	opaqueTotals(callers)
+	w.notes = nil
+	w.probed = 0
+	for i, a := range slices.Concat(w.agents, w.agents) {
+		w.stopAgent(a, opaqueStopAway)
+		if i%s.replaced == 0 {
+			w.startEntry(w.entries[i/s.replaced%len(w.entries)])
+		}
+		w.Run(s.every)
+	}
+	w.Run(2 * time.Second)
+	w.check()
+	x := opaqueStopsSeen{
+		probed: w.probed,
+	}
+	x.slowest, _, x.resets, _ = opaqueTotals(callers)
+	for _, n := range w.notes {
+		if strings.Contains(n, steer.SearchStarted.String()) {
+			x.searches++
+		}
+		if strings.Contains(n, steer.SearchOpen.String()) {
+			x.open++
+		}
+	}
+	t.Logf("%s, seed %d: %+v", s.name, seed, x)
+
+	return x
+}
+
+// opaqueStopsOverlap has two or three agents away at any time, opaqueStopsCrowd six or
+// seven of fifteen.
+var (
+	opaqueStopsOverlap = opaqueStops{
+		name:     "overlapping stops",
+		every:    300 * time.Millisecond,
+		replaced: 2,
+	}
+	opaqueStopsCrowd = opaqueStops{
+		name:     "many at a time",
+		every:    100 * time.Millisecond,
+		replaced: 4,
+	}
+)
+
+// Guards against flows that are out of reach while agents are stopped in turn: agents that
+// have forgotten the flows of their targets make entries without memory try targets. Issue
+// 21, planned-rolls.
+func TestOpaqueFlowTablesOutliveStops(t *testing.T) {
+	for _, s := range []opaqueStops{opaqueStopsOverlap, opaqueStopsCrowd} {
+		for seed := range uint64(opaqueHandoverSeeds) {
+			is := is.New(t)
+			x := s.run(t, 400+seed, opaqueAll)
+			is.True(x.searches > 50)
+			is.Equal(x.resets, 0)
+			is.Equal(x.open, 0)
+			is.True(x.slowest < opaqueServedWithin)
+			if s == opaqueStopsOverlap {
+				// An agent may be tried until it is offered its table, in the first
+				// 60 ms after its start, if it is asked just then.
+				is.Equal(x.probed, 0)
+			}
+		}
+	}
+}
+
+// Guards against the test above being blind: without the handover each of its worlds has
+// flows that are out of reach for longer.
+func TestOpaqueStopsWithoutHandover(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(opaqueHandoverSeeds) {
+		x := opaqueStopsOverlap.run(t, 400+seed, opaqueHandover)
+		is.True(x.slowest >= opaqueServedWithin)
+		x = opaqueStopsCrowd.run(t, 400+seed, opaqueHandover)
+		is.True(x.slowest >= 2*time.Second)
+		is.True(x.open > 0)
+	}
+}
--- a/proof/opaque_network_test.go
+++ b/proof/opaque_network_test.go
@@ -132,6 +132,9 @@
 	if m.Kind == relay.Stopping && w.without == opaqueAnnouncement {
 		return
 	}
+	if m.Kind == relay.Handover && w.without == opaqueHandover {
+		return
+	}
 	b := m.Append(nil)
 	for _, e := range w.entries {
 		if e.addr != to {
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -59,6 +59,8 @@
 	messy bool
 	// linkRate is the speed of the entries' links, in bytes a second.
 	linkRate int
+	// patience is a caller's time for a request if it is longer than opaqueBudget.
+	patience time.Duration
 	// probeBytes counts the bytes that went to agents in search of an owner.
 	probeBytes int
 	// probed counts the packets.
