Count and log flow tables in the agent, and state what a planned stop costs

An agent writes one line for a table that it hands over or takes, with the flows and the age, and counts the flows. Operators read there why an agent is unsure after a planned stop. Both policies refuse a HandoverTime over 900 ms.

--- a/core/opaque/policy_test.go
+++ b/core/opaque/policy_test.go
@@ -29,6 +29,8 @@
 		"Agent:\n  NewShare: 150\n":    "Agent.NewShare",
 		"Agent:\n  NewShare: some\n":   "Agent.NewShare",
 		"Agent:\n  AcceptTime: 80ms\n": "Agent.AcceptTime",
+		"Agent:\n  HandoverTime: 2s\n": "Agent.HandoverTime",
+		"Entry:\n  HandoverTime: 2s\n": "Entry.HandoverTime",
 	} {
 		is.NoErr(os.WriteFile(path, []byte(text), 0o600))
 		_, err := LoadPolicies(path)
--- a/core/relay/handover.go
+++ b/core/relay/handover.go
@@ -132,6 +132,9 @@
 	if len(b)%FlowBytes != 0 || len(b)/FlowBytes > MaxFlows {
 		return false
 	}
+	if len(b) > 0 {
+		t.Flows = make([]TableFlow, 0, len(b)/FlowBytes)
+	}
 	for ; len(b) > 0; b = b[FlowBytes:] {
 		f := TableFlow{
 			Key:   decodeKey(b),
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -33,6 +33,7 @@
 
 	core      conntrack.Core
 	decisions []*metrics.Counter
+	tables    tableCounters
 	times     []*metrics.Histogram
 }
 
@@ -85,6 +86,7 @@
 		},
 	}
 	p.decisions = p.DecisionCounters(conntrack.DecisionNames())
+	p.tables = newTableCounters(p.Metrics)
 	p.times = p.Histograms(conntrack.MeasureNames())
 
 	return p, p.register()
@@ -281,5 +283,8 @@
 
 func (p *opaqueAgent) note(n conntrack.Note) {
 	p.decisions[n.Decision].Inc()
+	if p.noteTable(n) {
+		return
+	}
 	p.Log.Info(n.Decision.String(), "flow", n.Key, "entry", n.Entry, "heard", n.Age, "count", n.Count, "reason", n.Reason)
 }
