Let the test of kept tables see a part of an earlier stop

The later table of the test had another number of parts, so a part of the earlier one was left out for that reason whatever the code did about its id. Without that check the test now fails.

--- a/core/steer/handover_test.go
+++ b/core/steer/handover_test.go
@@ -136,7 +136,7 @@
 	is.Equal(len(ask(tableID-1, agent)), 0)
 
 	// A later stop replaces the table; what is left of the earlier one does not.
-	c.Update(0, tableMessage(agent, relay.Handover, tablePart(tableID+1, 0, 1, 1)))
+	c.Update(0, tableMessage(agent, relay.Handover, tablePart(tableID+1, 0, 4, 1)))
 	give(1, 5)
 	is.Equal(len(ask(tableID, agent)), 0)
 	is.Equal(len(ask(tableID+1, agent)), 1)
