End the search for a flow when its caller opens another one with the same key

A SYN that came while the earlier flow of the same ports was searched left the search running. Its end was then taken for that of the new flow: a reset when no target held the earlier one, or the earlier target as its owner when that target's agent answered late.

The search ends with a line of its own. For as long as an answer to it may still come, only agents that got the SYN may claim the flow.

--- a/core/steer/command.go
+++ b/core/steer/command.go
@@ -114,6 +114,8 @@
 	// SearchOpen: not all agents answered, or the list of targets is not current; the
 	// caller's next packet starts again.
 	SearchOpen
+	// SearchReplaced: the caller opens another flow with the same key.
+	SearchReplaced
 	// NotHeld: no target holds the flow; it was reset.
 	NotHeld
 	// OwnerGone: the flow's agent is silent or its target has left; it was reset.
@@ -132,23 +134,24 @@
 )
 
 var decisionNames = [decisions]string{
-	DecisionNone:  "none",
-	Placed:        "flow placed",
-	PlacedAgain:   "flow placed again",
-	NoRoute:       "flow reset: no route",
-	NoTarget:      "flow reset: no target",
-	NoCatalog:     "packet dropped: no catalog yet",
-	SearchStarted: "owner search started",
-	SearchFound:   "owner found",
-	OnTrial:       "packet on trial",
-	SearchOpen:    "owner search open",
-	NotHeld:       "flow reset: held by no target",
-	OwnerGone:     "flow reset: owner gone",
-	AgentSilent:   "agent silent",
-	AgentBack:     "agent back",
-	AgentStopping: "agent stopping",
-	TableKept:     "flow table kept",
-	TableDropped:  "flow table dropped: no memory",
+	DecisionNone:   "none",
+	Placed:         "flow placed",
+	PlacedAgain:    "flow placed again",
+	NoRoute:        "flow reset: no route",
+	NoTarget:       "flow reset: no target",
+	NoCatalog:      "packet dropped: no catalog yet",
+	SearchStarted:  "owner search started",
+	SearchFound:    "owner found",
+	OnTrial:        "packet on trial",
+	SearchOpen:     "owner search open",
+	SearchReplaced: "owner search ended: flow opened anew",
+	NotHeld:        "flow reset: held by no target",
+	OwnerGone:      "flow reset: owner gone",
+	AgentSilent:    "agent silent",
+	AgentBack:      "agent back",
+	AgentStopping:  "agent stopping",
+	TableKept:      "flow table kept",
+	TableDropped:   "flow table dropped: no memory",
 }
 
 // DecisionNames returns the names of all decisions, in the order of their values.
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -96,6 +96,9 @@
 	opened time.Duration
 	due    time.Duration
 	used   time.Duration
+	// distrust is until when an agent that did not get the SYN may say that it owns an
+	// earlier flow of the same key, which was searched here.
+	distrust time.Duration
 	// ack is what the caller acknowledged last, for a reset.
 	ack uint32
 }
--- a/core/steer/open.go
+++ b/core/steer/open.go
@@ -34,6 +34,7 @@
 		f = &flow{
 			opened: now,
 		}
+		c.replaceSearch(now, k, f)
 	}
 	// In a SYN, Ack counts the copies that were sent before.
 	f.first = f.first || m.Segment.Ack == 0
--- a/core/steer/search.go
+++ b/core/steer/search.go
@@ -164,7 +164,7 @@
 // found ends a search and passes on the packets that waited.
 func (c *Core) found(now time.Duration, k segment.Key, owner netip.AddrPort) {
 	if f, ok := c.flows[k]; ok {
-		if !f.owner.IsValid() {
+		if !f.owner.IsValid() && (now >= f.distrust || slices.Contains(f.tried, owner)) {
 			f.owner = owner
 		}
 
@@ -202,6 +202,15 @@
 	}))
 }
 
+// replaceSearch ends the search for the flow that had the key of a new one: its end would
+// be taken for that of the new flow.
+func (c *Core) replaceSearch(now time.Duration, k segment.Key, f *flow) {
+	if s, ok := c.searches[k]; ok {
+		c.closeSearch(now, k, s, SearchReplaced, netip.AddrPort{})
+		f.distrust = now + searchTime
+	}
+}
+
 // advance goes on with the search if no answer is awaited. Where an agent is unsure all
 // others have to answer, so they are asked at once.
 func (c *Core) advance(now time.Duration, k segment.Key, s *search) {
