Await the flow table of an agent that is back from a planned stop before a trial

The entry had heard the stop, so it now leaves an unsure agent out for 150 ms from when it hears it again. The agent corrects its answer once it has the table.

--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -54,6 +54,9 @@
 	// and that no other target was listed at its address since.
 	ended  bool
 	silent bool
+	// restoring is until when the agent, which is back from a planned stop, may still get
+	// its flow table: see awaitTable.
+	restoring time.Duration
 	// pending is the flow of the first packet that was passed on since the agent
 	// was heard, at since; waits is false if there is none.
 	pending segment.Key
@@ -142,6 +145,7 @@
 	a.asks = 0
 	a.silent = false
 	if now-a.stopping > lateTime {
+		c.awaitTable(now, a)
 		a.stopping = 0
 		a.ended = false
 	}
--- /dev/null
+++ b/core/steer/await_test.go
@@ -0,0 +1,62 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/relay"
+)
+
+// Guards against packets on trial at a target whose agent, back from a planned stop, was
+// asked before its flow table came. An agent without one is tried soon after.
+func TestTrialAwaitsTable(t *testing.T) {
+	is := is.New(t)
+	const away = 500 * time.Millisecond
+	for _, restored := range []bool{true, false} {
+		c := newTestCore(6)
+		agents := newTestAgents(c.listing, relay.NotOwned)
+		agents.owner = c.listing[1]
+		delete(agents.say, agents.owner)
+		hears(c, 0, agents.owner, stopping(relay.ReasonNone))
+		agents.run(c, TickTime, away, true, away-100*time.Millisecond)
+		agents.say[agents.owner] = relay.Unsure
+		agents.run(c, away, away+restoreTime, true)
+		is.Equal(agents.probes, 0)
+		is.Equal(agents.delivered, 0)
+		if restored {
+			agents.update(c, away+restoreTime, &AgentMessage{
+				From: agents.owner,
+				Message: relay.Message{
+					Kind: relay.Owned,
+					Key:  flowOne,
+				},
+			})
+			is.Equal(agents.probes, 0)
+		} else {
+			agents.run(c, away+restoreTime, away+restoreTime+80*time.Millisecond, true)
+			is.Equal(agents.probes, 1)
+		}
+		is.Equal(agents.delivered, 1)
+	}
+}
+
+// Guards against searches that wait for a table that can't come: the agent was killed, or
+// it stopped too long ago.
+func TestTrialAwaitsNoTableAfterKill(t *testing.T) {
+	is := is.New(t)
+	for _, announced := range []bool{false, true} {
+		c := newTestCore(6)
+		agents := newTestAgents(c.listing, relay.NotOwned)
+		agents.owner = c.listing[1]
+		agents.say[agents.owner] = relay.Unsure
+		now := TickTime
+		if announced {
+			hears(c, now, agents.owner, stopping(relay.ReasonNone))
+			now += c.Policy.HandoverTime + TickTime
+		}
+		agents.run(c, now, now+120*time.Millisecond, true, now)
+		is.Equal(agents.delivered, 1)
+	}
+}
--- a/core/steer/handover.go
+++ b/core/steer/handover.go
@@ -11,6 +11,9 @@
 const (
 	// offerTime is the time between two offers of a flow table to its agent.
 	offerTime = 60 * time.Millisecond
+	// restoreTime is how long after an agent is heard again its flow table may come: two
+	// offers, and the parts from another zone.
+	restoreTime = 150 * time.Millisecond
 	// maxTableBytes bounds the tables that an entry keeps: those of a hundred agents with
 	// 500 flows each, or of a dozen with 5,400.
 	maxTableBytes = 2 << 20
@@ -183,3 +186,13 @@
 		})
 	}
 }
+
+// awaitTable notes that an agent which is heard again after a planned stop may be about to
+// get its flow table. What it is unsure of until then it corrects: a packet on trial would
+// ask the target for what the table tells. An agent that was killed has no table and is
+// not waited for, unless it was killed within HandoverTime of a planned stop.
+func (c *Core) awaitTable(now time.Duration, a *agent) {
+	if a.stopping > 0 && now-a.stopping <= c.Policy.HandoverTime {
+		a.restoring = now + restoreTime
+	}
+}
--- a/core/steer/settle.go
+++ b/core/steer/settle.go
@@ -78,9 +78,10 @@
 	return v
 }
 
-// present reports whether an agent that has answered is probably still there.
+// present reports whether an agent that is unsure is probably still there, and will not
+// know more in a moment.
 func (c *Core) present(now time.Duration, a *agent) bool {
-	if c.stops(now, a) || now-a.heard > acquaintedTime {
+	if c.stops(now, a) || now < a.restoring || now-a.heard > acquaintedTime {
 		return false
 	}
 
