Stop entries in the worlds as the product stops them, and tell kills from stops

The world ended entries in the moment in which routers stopped to use them, which is a kill: at a planned stop the entry forwards for 1.2 s and until no caller's packet came for 300 ms.

That rule is now steer.Leave, used by ibisfold-entry and the world.

--- /dev/null
+++ b/core/steer/leave_test.go
@@ -0,0 +1,26 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against an entry that ends while routers still send packets to it, and against
+// one that is killed because it waits for too long.
+func TestLeave(t *testing.T) {
+	is := is.New(t)
+	l := Leave{
+		Began: time.Second,
+		Most:  5 * time.Second,
+	}
+	noticed := l.Began + leaveTime
+	is.True(!l.Done(noticed-1, 0))
+	is.True(l.Done(noticed, noticed-quietTime))
+	is.True(!l.Done(noticed, noticed-quietTime+1))
+	end := l.Began + l.Most
+	is.True(!l.Done(end-1, end-1))
+	is.True(l.Done(end, end))
+	is.True(quietTime >= DefaultPolicy().ResendTime)
+}
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -254,24 +254,17 @@
 }
 
 const (
-	// leaveTime is how long routers take to notice that an entry stops: two calls
-	// that fail, one each half second.
-	leaveTime = 1200 * time.Millisecond
-	// quietPackets is how long no packet may arrive after that.
-	quietPackets = 300 * time.Millisecond
 	// stopReserve is the part of the time between SIGTERM and SIGKILL that is left.
 	stopReserve = time.Second
 	stopPoll    = 50 * time.Millisecond
 )
 
 func (p *opaqueEntry) awaitQuiet() {
-	begin := p.Clock()
-	end := begin + max(leaveTime, p.settings.StopTime-stopReserve)
-	for now := begin; now < end; now = p.Clock() {
-		quiet := now - time.Duration(p.last.Load())
-		if now-begin >= leaveTime && quiet >= quietPackets {
-			return
-		}
+	l := steer.Leave{
+		Began: p.Clock(),
+		Most:  p.settings.StopTime - stopReserve,
+	}
+	for !l.Done(p.Clock(), time.Duration(p.last.Load())) {
 		time.Sleep(stopPoll)
 	}
 }
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -83,6 +83,8 @@
 	rotated bool
 	// stale means that no news reaches the entry.
 	stale bool
+	// last is when the last packet of a caller came.
+	last time.Duration
 }
 
 // opaqueAgent is a VM with an agent and a target.
