--- a/core/catalog/change.go
+++ b/core/catalog/change.go
@@ -1,5 +1,7 @@
 package catalog
 
+import "time"
+
 // Change is one change that the configuration service reports.
 type Change interface {
 	change()
@@ -22,6 +24,14 @@
 	AfterOutage bool
 }
 
+// TargetDeparted means that a target left the list before it was heard of here:
+// its agent may hold flows, but it gets no new ones.
+type TargetDeparted struct {
+	Target Target
+	// Age is the time since it left; it is not negative.
+	Age time.Duration
+}
+
 // ZoneChange means that operators take a zone out or back.
 type ZoneChange struct {
 	Zone string
@@ -37,8 +47,9 @@
 	AfterOutage bool
 }
 
-func (ConfigChange) change() {}
-func (TargetChange) change() {}
-func (TargetGone) change()   {}
-func (ZoneChange) change()   {}
-func (Listing) change()      {}
+func (ConfigChange) change()   {}
+func (TargetChange) change()   {}
+func (TargetGone) change()     {}
+func (TargetDeparted) change() {}
+func (ZoneChange) change()     {}
+func (Listing) change()        {}
--- a/core/catalog/snapshot.go
+++ b/core/catalog/snapshot.go
@@ -13,6 +13,9 @@
 	Config *Config
 	// Groups holds the targets of each service, sorted by ID.
 	Groups map[uint64][]Member
+	// Departed holds the targets that left the list within the last MaxFlowAge, sorted
+	// by ID: placement must not use them, but they may hold flows.
+	Departed []Member
 }
 
 // Member is a target as the placement of new flows sees it.
@@ -46,10 +49,43 @@
 			ZoneOut: s.zonesOut[t.Zone],
 		})
 	}
+	n.Departed = s.departedMembers()
 
 	return n
 }
 
+// departedMembers returns the departed targets: on each VM the one that left last, or
+// started last if both left together, and none where another target is listed, as the
+// agent is the same.
+func (s *State) departedMembers() []Member {
+	list := []Member{}
+	taken := map[netip.Addr]bool{}
+	for _, t := range s.targets {
+		taken[t.Address.Addr()] = true
+	}
+	// Ages are differences, so those at time zero have the order of all times.
+	departed := s.departed.List(0)
+	slices.SortStableFunc(departed, func(a, b TargetDeparted) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(b.Target.Born, a.Target.Born))
+	})
+	for _, d := range departed {
+		a := d.Target.Address.Addr()
+		if taken[a] {
+			continue
+		}
+		taken[a] = true
+		list = append(list, Member{
+			Target:  d.Target,
+			ZoneOut: s.zonesOut[d.Target.Zone],
+		})
+	}
+	slices.SortFunc(list, func(a, b Member) int {
+		return compareTargets(a.Target, b.Target)
+	})
+
+	return list
+}
+
 // latest returns the id of the target that started last at each address:
 // addresses of targets that are gone are used again, also by other services.
 func (s *State) latest() map[netip.AddrPort]string {
--- a/core/catalog/state.go
+++ b/core/catalog/state.go
@@ -12,13 +12,19 @@
 
 // State collects changes. The zero value is empty and works.
 type State struct {
+	// MaxAge is how long a target that left the list may hold flows; zero is
+	// DefaultMaxAge. Set it before the first change.
+	MaxAge time.Duration
+
 	config   *Config
 	targets  map[string]Target
 	zonesOut map[string]bool
 	// lapsed maps the targets that were missing after an outage to the time at
 	// which they are gone unless they return.
 	lapsed map[string]time.Duration
-	listed bool
+	// departed holds the targets that left; none of them is in targets at its address.
+	departed Departures
+	listed   bool
 }
 
 // Config returns the configuration in force; nil before the first.
@@ -32,6 +38,7 @@
 		s.targets = map[string]Target{}
 		s.zonesOut = map[string]bool{}
 		s.lapsed = map[string]time.Duration{}
+		s.departed.MaxAge = s.MaxAge
 	}
 	switch c := c.(type) {
 	case ConfigChange:
@@ -40,6 +47,8 @@
 		return s.setTarget(now, c.Target)
 	case TargetGone:
 		return s.lose(now, c.ID, c.AfterOutage)
+	case TargetDeparted:
+		return s.depart(now, c)
 	case ZoneChange:
 		return s.setZone(c)
 	case Listing:
@@ -66,22 +75,40 @@
 	if ok && old == t {
 		return false
 	}
+	if ok && old.Address != t.Address {
+		s.removeTarget(now, t.ID)
+	}
 	t.ColdUntil = now + t.ColdLeft
 	s.targets[t.ID] = t
+	s.departed.Return(t)
 
 	return true
 }
 
-func (s *State) removeTarget(id string) bool {
+func (s *State) removeTarget(now time.Duration, id string) bool {
 	delete(s.lapsed, id)
-	if _, ok := s.targets[id]; !ok {
+	t, ok := s.targets[id]
+	if !ok {
 		return false
 	}
 	delete(s.targets, id)
+	s.departed.Add(now, TargetDeparted{
+		Target: t,
+	})
 
 	return true
 }
 
+// depart notes a target that another process has seen leave, unless it is listed.
+func (s *State) depart(now time.Duration, d TargetDeparted) bool {
+	t, ok := s.targets[d.Target.ID]
+	if ok && t.Address == d.Target.Address {
+		return false
+	}
+
+	return s.departed.Add(now, d)
+}
+
 func (s *State) setZone(c ZoneChange) bool {
 	if s.zonesOut[c.Zone] == c.Out {
 		return false
@@ -133,7 +160,7 @@
 		return false
 	}
 	if t.Draining || !afterOutage && s.hasOther(t) {
-		return s.removeTarget(id)
+		return s.removeTarget(now, id)
 	}
 	if _, ok := s.lapsed[id]; !ok {
 		s.lapsed[id] = now + LapseGrace
@@ -153,13 +180,13 @@
 	return false
 }
 
-// Expire removes the lapsed targets whose grace has ended and reports whether
-// there were any.
+// Expire removes the lapsed targets whose grace has ended, drops the departed ones
+// that hold no flow any more, and reports whether there were any.
 func (s *State) Expire(now time.Duration) bool {
-	changed := false
+	changed := s.departed.Expire(now)
 	for id, at := range maps.Clone(s.lapsed) {
 		if now >= at {
-			changed = s.removeTarget(id) || changed
+			changed = s.removeTarget(now, id) || changed
 		}
 	}
 
--- a/core/steer/message.go
+++ b/core/steer/message.go
@@ -33,12 +33,18 @@
 	// Wall is the time of day in Unix milliseconds. It may be off by seconds; it only
 	// tells which targets started lately.
 	Wall int64
+	// Confirmed means that the changes come from an upstream that is current.
+	Confirmed bool
 }
 
+// CatalogConfirmed means that the upstream has confirmed the list of targets.
+type CatalogConfirmed struct{}
+
 // Tick lets time pass. It comes every TickTime.
 type Tick struct{}
 
-func (*CallerPacket) message()  {}
-func (*AgentMessage) message()  {}
-func (CatalogChanged) message() {}
-func (Tick) message()           {}
+func (*CallerPacket) message()    {}
+func (*AgentMessage) message()    {}
+func (CatalogChanged) message()   {}
+func (CatalogConfirmed) message() {}
+func (Tick) message()             {}
