Pass on departed targets, confirm the list, and keep refused sources up to date

- Sources pass on departed targets with their ages in complete answers.
An entry that starts asks one source beside its first listing and takes from it what may hold flows, so it knows what others have known.
Confirmations wait for that question, at most 1 s; the first listing does not.
- A source that the service has refused for more than a second spends the pauses of its backoff in watches at the other sources.
Its own Log stays not current, so two such sources refuse each other, and its return to the service is a full listing as before.
- Follower.Confirmed tells of each answer of an upstream that is current.
Answers after their time are not taken, and a source whose last answer from the service is older than 2 s refuses its followers, as either may have stood still.
- A watch at the service by an entry that is no source waits 1.3 s instead of 3 s, less the pause after changes, so that confirmations come within SpreadTime.

The entry writes one line for each change of the list with what came, left and departed and why, and shows the departed targets and the age of the last confirmation as gauges.

All tests of departed_test.go, confirm_test.go (but TestLateAnswer, written with the code) and others_test.go failed against empty Learn, learn and no confirmations, except TestRefusedSourcesDoNotVouchForEachOther; that one fails where Log takes no notice of Fail, and TestLateAnswer without the check of the deadline.

--- a/core/feed/body.go
+++ b/core/feed/body.go
@@ -13,7 +13,11 @@
 	Revision    uint64
 	Complete    bool
 	AfterOutage bool
-	Changes     []bodyChange
+	Current     bool
+	// Departed is no part of Changes, so that a process of an earlier version can read
+	// the rest.
+	Departed []catalog.TargetDeparted `json:",omitempty"`
+	Changes  []bodyChange
 }
 
 // bodyChange has one field that is not nil.
@@ -29,6 +33,8 @@
 		Revision:    b.Revision,
 		Complete:    b.Complete,
 		AfterOutage: b.AfterOutage,
+		Current:     b.Current,
+		Departed:    b.Departed,
 		Changes:     []bodyChange{},
 	}
 	for _, c := range b.Changes {
@@ -65,6 +71,13 @@
 		Revision:    x.Revision,
 		Complete:    x.Complete,
 		AfterOutage: x.AfterOutage,
+		Current:     x.Current,
+		Departed:    x.Departed,
+	}
+	for i := range b.Departed {
+		if err := checkDeparted(&b.Departed[i]); err != nil {
+			return Batch{}, err
+		}
 	}
 	for _, c := range x.Changes {
 		switch {
@@ -96,8 +109,22 @@
 	if c.Target == nil {
 		return nil
 	}
-	if !c.Target.Address.Addr().Is4() || c.Target.Address.Port() == 0 {
-		return errors.Annotatef(ErrAnswer, "target %q has no IPv4 address", c.Target.ID)
+
+	return checkTarget(c.Target)
+}
+
+// checkDeparted reports what can't be asked or can't be true. Error: ErrAnswer.
+func checkDeparted(d *catalog.TargetDeparted) error {
+	if d.Age < 0 {
+		return errors.Annotatef(ErrAnswer, "target %q has not left yet", d.Target.ID)
+	}
+
+	return checkTarget(&d.Target)
+}
+
+func checkTarget(t *catalog.Target) error {
+	if !t.Address.Addr().Is4() || t.Address.Port() == 0 {
+		return errors.Annotatef(ErrAnswer, "target %q has no IPv4 address", t.ID)
 	}
 
 	return nil
--- /dev/null
+++ b/core/feed/departed_test.go
@@ -0,0 +1,281 @@
+package feed
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/catalog"
+)
+
+// targetAt returns an entry at an address of its own.
+func targetAt(id, address string) catalog.TargetChange {
+	return catalog.TargetChange{
+		Target: catalog.Target{
+			ID:      id,
+			Service: 3,
+			Address: netip.MustParseAddrPort(address),
+			Zone:    "a",
+			Slots:   2,
+		},
+	}
+}
+
+func listingOf(revision uint64, changes ...catalog.Change) Batch {
+	return Batch{
+		Revision: revision,
+		Complete: true,
+		Changes: append([]catalog.Change{
+			catalog.ConfigChange{
+				Config: &catalog.Config{
+					Version: 1,
+				},
+			},
+		}, changes...),
+	}
+}
+
+// sourceOf serves what a log knows and returns a client for it.
+func sourceOf(t *testing.T, l *Log) *Peer {
+	t.Helper()
+	s := httptest.NewServer((&Server{
+		Log: l,
+	}).Handler())
+	t.Cleanup(s.Close)
+
+	return NewPeer(netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")))
+}
+
+// stateOf applies changes in order.
+func stateOf(changes []catalog.Change) *catalog.State {
+	s := &catalog.State{}
+	for _, c := range changes {
+		s.Apply(0, c)
+	}
+
+	return s
+}
+
+func idsOf(list []catalog.Member) []string {
+	ids := []string{}
+	for _, m := range list {
+		ids = append(ids, m.ID)
+	}
+
+	return ids
+}
+
+func departedIDs(b Batch) []string {
+	ids := []string{}
+	for _, d := range b.Departed {
+		ids = append(ids, d.Target.ID)
+	}
+
+	return ids
+}
+
+// Guards against a source that passes on the targets which are listed and not those
+// that left, whose flows a process without memory then resets: over JSON, from all ways
+// in which a target leaves, with its age.
+func TestSourcePassesOnDepartedTargets(t *testing.T) {
+	is := is.New(t)
+	l := &Log{}
+	l.Add(listingOf(1, targetAt("a", "10.0.0.1:80"), targetAt("b", "10.0.0.2:80"), targetAt("c", "10.0.0.3:80"),
+		targetAt("d", "10.0.0.4:80")))
+	l.Add(Batch{
+		Revision: 2,
+		Changes: []catalog.Change{
+			catalog.TargetGone{
+				ID: "a",
+			},
+			targetAt("d", "10.0.0.5:80"),
+		},
+	})
+	l.Add(listingOf(3, targetAt("b", "10.0.0.2:80"), targetAt("d", "10.0.0.5:80")))
+	l.Learn(Batch{
+		Departed: []catalog.TargetDeparted{
+			{
+				Target: targetAt("b", "10.0.0.2:80").Target,
+			},
+			{
+				Target: targetAt("e", "10.0.0.6:80").Target,
+				Age:    20 * time.Second,
+			},
+		},
+	})
+	p := sourceOf(t, l)
+	b, err := p.List(context.Background())
+	is.NoErr(err)
+	is.Equal(departedIDs(b), []string{"a", "c", "d", "e"})
+	is.True(b.Departed[0].Age < 10*time.Second)
+	is.True(b.Departed[3].Age >= 20*time.Second)
+	is.True(b.Departed[3].Age < 30*time.Second)
+	is.Equal(b.Departed[2].Target.Address, netip.MustParseAddrPort("10.0.0.4:80"))
+
+	// A watch from before the history is answered with everything, too.
+	b, err = p.Watch(context.Background(), 1, time.Millisecond)
+	is.NoErr(err)
+	is.Equal(departedIDs(b), []string{"a", "c", "d", "e"})
+}
+
+// Guards against a source that keeps targets for longer than their flows live, or
+// tells that a target left which has returned.
+func TestSourceForgetsDepartedTargets(t *testing.T) {
+	is := is.New(t)
+	l := &Log{
+		MaxAge: 50 * time.Millisecond,
+	}
+	l.Add(listingOf(1, targetAt("a", "10.0.0.1:80"), targetAt("b", "10.0.0.2:80")))
+	l.Add(listingOf(2))
+	b, err := l.List()
+	is.NoErr(err)
+	is.Equal(departedIDs(b), []string{"a", "b"})
+	l.Add(Batch{
+		Revision: 3,
+		Changes:  []catalog.Change{targetAt("a", "10.0.0.1:80")},
+	})
+	b, err = l.List()
+	is.NoErr(err)
+	is.Equal(departedIDs(b), []string{"b"})
+	time.Sleep(l.MaxAge)
+	b, err = l.List()
+	is.NoErr(err)
+	is.Equal(departedIDs(b), []string{})
+}
+
+// Guards against a reset of flows by an entry that starts while the entries of living
+// targets are missing: a source knows those that it listed before, and one that has
+// not met the service's news lists them still. What it knows is not used for new flows.
+func TestStartLearnsOfDepartedTargets(t *testing.T) {
+	for _, source := range []bool{false, true} {
+		is := is.New(t)
+		old := &Log{}
+		old.Add(listingOf(1, targetAt("a", "10.0.0.1:80"), targetAt("b", "10.0.0.2:80"), targetAt("c", "10.0.0.3:80")))
+		old.Add(Batch{
+			Revision: 2,
+			Changes: []catalog.Change{
+				catalog.TargetGone{
+					ID: "b",
+				},
+			},
+		})
+		service := &upstreamStandIn{
+			list: func() (Batch, error) {
+				return listingOf(3, targetAt("a", "10.0.0.1:80")), nil
+			},
+		}
+		f, changes := newTestFollower(service)
+		f.Log = &Log{}
+		// The first source is down.
+		f.Follow(source, []Upstream{
+			&upstreamStandIn{
+				list: func() (Batch, error) {
+					return Batch{}, ErrUnavailable
+				},
+			},
+			sourceOf(t, old),
+		})
+		f.step(context.Background())
+		f.learn(context.Background())
+		n := stateOf(*changes).Snapshot()
+		is.Equal(idsOf(n.Groups[3]), []string{"a"})
+		is.Equal(idsOf(n.Departed), []string{"b", "c"})
+		is.Equal(service.calls, 1)
+		if source {
+			// It passes on what it learned.
+			b, err := f.Log.List()
+			is.NoErr(err)
+			is.Equal(departedIDs(b), []string{"b", "c"})
+		}
+	}
+}
+
+// silentUpstream never answers.
+type silentUpstream struct{}
+
+func (silentUpstream) List(ctx context.Context) (Batch, error) {
+	<-ctx.Done()
+
+	return Batch{}, ErrUnavailable
+}
+
+func (u silentUpstream) Watch(ctx context.Context, _ uint64, _ time.Duration) (Batch, error) {
+	return u.List(ctx)
+}
+
+func (silentUpstream) Disconnect() {}
+
+// Guards against a first listing that waits for sources which are silent, and against
+// resets on the strength of a list before the sources had the time to complete it.
+func TestStartWithSilentSources(t *testing.T) {
+	is := is.New(t)
+	f, _ := newTestFollower(&upstreamStandIn{
+		list:  listOf(5),
+		watch: watchOf(5),
+	})
+	begin := time.Now()
+	listed := make(chan time.Duration, 1)
+	early := make(chan bool, 1)
+	f.Change = func(_ []catalog.Change, confirmed bool) {
+		listed <- time.Since(begin)
+		early <- confirmed
+	}
+	confirmed := make(chan time.Duration, 1)
+	f.Confirmed = func() {
+		select {
+		case confirmed <- time.Since(begin):
+		default:
+		}
+	}
+	f.Follow(false, []Upstream{silentUpstream{}, silentUpstream{}, silentUpstream{}})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		_ = f.Run(ctx)
+	}()
+	is.True(<-listed < sourceTime)
+	is.True(!<-early)
+	select {
+	case at := <-confirmed:
+		is.True(at >= sourceTime)
+	case <-time.After(2 * time.Second):
+		is.Fail()
+	}
+}
+
+// Guards against a departed target that ends the process or is kept for ever: one that
+// can't be asked, or whose age no process can have measured.
+func TestDecodeBatchRefusesDepartures(t *testing.T) {
+	is := is.New(t)
+	const good = `{"ID":"x","Address":"10.0.0.1:80"}`
+	tests := map[string]string{
+		"no target":      `[{"Age":5}]`,
+		"no address":     `[{"Target":{"ID":"x"},"Age":5}]`,
+		"empty address":  `[{"Target":{"ID":"x","Address":""},"Age":5}]`,
+		"other family":   `[{"Target":{"ID":"x","Address":"[2001:db8::1]:80"},"Age":5}]`,
+		"no port":        `[{"Target":{"ID":"x","Address":"10.0.0.1:0"},"Age":5}]`,
+		"negative age":   `[{"Target":` + good + `,"Age":-1}]`,
+		"age as text":    `[{"Target":` + good + `,"Age":"5s"}]`,
+		"age too long":   `[{"Target":` + good + `,"Age":92233720368547758080}]`,
+		"null":           `[null]`,
+		"no list":        `{"Target":` + good + `}`,
+		"one of several": `[{"Target":` + good + `},{"Target":{"ID":"y"}}]`,
+	}
+	for name, text := range tests {
+		_, err := decodeBatch([]byte(`{"Departed":` + text + `}`))
+		if !errors.Is(err, ErrAnswer) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	b, err := decodeBatch([]byte(`{"Departed":[{"Target":` + good + `,"Age":5}]}`))
+	is.NoErr(err)
+	is.Equal(departedIDs(b), []string{"x"})
+	_, err = decodeBatch([]byte(`{"Departed":null}`))
+	is.NoErr(err)
+}
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -33,6 +33,11 @@
 	// AfterOutage means that the service did not answer for a while, so entries of
 	// living targets may have expired meanwhile.
 	AfterOutage bool
+	// Current means that a source which lists is current. It answers watches only while
+	// it is, and the service itself does not tell.
+	Current bool
+	// Departed holds, in a complete Batch, targets that left and may hold flows.
+	Departed []catalog.TargetDeparted
 	// Changes holds no catalog.Listing.
 	Changes []catalog.Change
 }
--- a/core/feed/follower.go
+++ b/core/feed/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,7 +16,7 @@
 	// same for a source's own watch and for a watch at a source. They bound the time
 	// until a silent connection is noticed. A new configuration has to be in force
 	// after 3 s also where the source is cut off or stands still.
-	serviceWait = 3000 * time.Millisecond
+	serviceWait = 1300 * time.Millisecond
 	sourceWait  = 1000 * time.Millisecond
 	// serviceTime is what a call at the service may take beyond its wait, sourceTime
 	// the same for a source's own call and for a call at a source.
@@ -55,8 +54,14 @@
 	// Log, if not nil, passes on what this process sees of the service while it is a
 	// source.
 	Log *Log
-	// Change takes the changes of one answer, in order.
-	Change func([]catalog.Change)
+	// Change takes the changes of one answer, in order, and whether the answer confirms
+	// the list of targets. It is called by one goroutine at a time.
+	Change func(changes []catalog.Change, confirmed bool)
+	// Confirmed is called after Change, also without changes, when an upstream that is
+	// current has answered. What a source tells was in force when the service answered it
+	// last, at most currentTime before its own answer. That is 1.5 s, the time of a
+	// source's watch, as long as it gathers no changes.
+	Confirmed func()
 	// Called is called before each call at the service or, if source is set, at a source.
 	Called func(source bool)
 	// Lost is called when an upstream fails, with the error of each call.
@@ -69,6 +74,14 @@
 	source bool
 	relist bool
 	peers  []*peer
+	// unlearned means that a source has to be asked for departed targets.
+	unlearned bool
+
+	reports sync.Mutex
+	// learning means that the question for departed targets is open, held that the list
+	// was confirmed meanwhile.
+	learning bool
+	held     bool
 
 	revision uint64
 	started  time.Time
@@ -80,6 +93,8 @@
 	// outageEnd is when the last outage ended.
 	outageEnd time.Time
 	retry     time.Duration
+	// gathered is the last pause after changes: the next watch is shorter by it.
+	gathered time.Duration
 	// failures counts the calls at the service that failed in a row.
 	failures int
 }
@@ -98,11 +113,12 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.relist = f.relist || source && !f.source
+	f.unlearned = f.unlearned || f.peers == nil || source && !f.source
 	f.source = source
 	if !source && f.Log != nil {
 		f.Log.Fail()
 	}
-	f.peers = nil
+	f.peers = []*peer{}
 	for _, p := range peers {
 		f.peers = append(f.peers, &peer{
 			upstream: p,
@@ -115,6 +131,7 @@
 	f.started = time.Now()
 	f.answered = f.started
 	for ctx.Err() == nil {
+		f.startLearning(ctx)
 		pause := f.step(ctx)
 		select {
 		case <-time.After(pause):
@@ -166,7 +183,8 @@
 
 // followService makes one call at the service.
 func (f *Follower) followService(ctx context.Context, source bool) time.Duration {
-	wait, limit := serviceWait, serviceTime
+	wait, limit := serviceWait-f.gathered, serviceTime
+	f.gathered = 0
 	if source {
 		wait, limit = sourceWait, sourceTime
 	}
@@ -183,7 +201,12 @@
 		return 0
 	}
 	if err != nil {
-		return f.failed(ctx, err, source)
+		pause := f.failed(ctx, err, source)
+		if source && f.revision != 0 && time.Since(f.answered) > outageTime {
+			return f.followOthers(ctx, pause)
+		}
+
+		return pause
 	}
 
 	f.direct = false
@@ -192,12 +215,16 @@
 		b.AfterOutage = f.afterOutage()
 		f.Log.Add(b)
 	}
-	f.apply(b)
+	f.apply(b, true)
 	if len(b.Changes) == 0 || b.Complete {
 		return 0
 	}
+	pause := f.gather(source)
+	if !source {
+		f.gathered = pause
+	}
 
-	return f.gather(source)
+	return pause
 }
 
 // lists reports whether the next call at the service has to be a listing. After
@@ -206,24 +233,34 @@
 	return f.revision == 0 || f.failing && time.Since(f.answered) > outageTime
 }
 
-// call lists or watches.
+// call lists or watches. An answer that comes after its time is not taken: a process
+// that stood still can't tell how old it is.
 func (f *Follower) call(ctx context.Context, u Upstream, list bool, wait, limit time.Duration) (Batch, error) {
 	if list {
-		c, cancel := context.WithTimeout(ctx, limit)
-		defer cancel()
-
-		return u.List(c)
+		wait = 0
 	}
-	c, cancel := context.WithTimeout(ctx, wait+limit)
+	end := time.Now().Add(wait + limit)
+	c, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 
-	return u.Watch(c, f.revision, wait)
+	b, err := Batch{}, error(nil)
+	if list {
+		b, err = u.List(c)
+	} else {
+		b, err = u.Watch(c, f.revision, wait)
+	}
+	if err == nil && time.Now().After(end) {
+		return Batch{}, errors.Annotate(ErrUnavailable, "answer is late")
+	}
+
+	return b, err
 }
 
 // followPeer makes one call at a source. If it fails the service is asked at once.
 func (f *Follower) followPeer(ctx context.Context, p *peer) time.Duration {
+	list := f.revision == 0
 	f.Called(true)
-	b, err := f.call(ctx, p.upstream, f.revision == 0, sourceWait, sourceTime)
+	b, err := f.call(ctx, p.upstream, list, sourceWait, sourceTime)
 	if err == nil && b.Revision < f.revision {
 		err = errors.Annotate(ErrUnavailable, "source is behind")
 	}
@@ -234,7 +271,8 @@
 	}
 	p.wait = 0
 	f.succeeded()
-	f.apply(b)
+	// A watch is answered by a source that is current only.
+	f.apply(b, b.Current || !list)
 
 	return 0
 }
@@ -250,12 +288,10 @@
 		return 0
 	}
 	f.direct = true
-	f.Change([]catalog.Change{
-		catalog.Listing{
-			Changes:     b.Changes,
-			AfterOutage: b.AfterOutage,
-		},
-	})
+	f.report(b.changes(b.AfterOutage), b.Current)
+	if f.Log != nil {
+		f.Log.Learn(b)
+	}
 
 	return f.backoff()
 }
@@ -269,37 +305,10 @@
 	p.avoid = time.Now().Add(p.wait)
 	p.upstream.Disconnect()
 	f.direct = true
+	f.unconfirm()
 	f.Lost(err)
 }
 
-// apply hands on what an upstream told.
-func (f *Follower) apply(b Batch) {
-	f.revision = max(f.revision, b.Revision)
-	after := b.AfterOutage || f.afterOutage()
-	if b.Complete {
-		f.Change([]catalog.Change{
-			catalog.Listing{
-				Changes:     b.Changes,
-				AfterOutage: after,
-			},
-		})
-
-		return
-	}
-	if len(b.Changes) == 0 {
-		return
-	}
-	// Peers may be reading b from the log.
-	changes := slices.Clone(b.Changes)
-	for i, c := range changes {
-		if g, ok := c.(catalog.TargetGone); ok {
-			g.AfterOutage = g.AfterOutage || after
-			changes[i] = g
-		}
-	}
-	f.Change(changes)
-}
-
 func (f *Follower) gather(source bool) time.Duration {
 	switch {
 	case time.Since(f.started) < settleTime:
@@ -338,6 +347,7 @@
 	f.failing = true
 	f.failures++
 	f.direct = false
+	f.unconfirm()
 	f.Lost(err)
 	f.Service.Disconnect()
 	if source && f.Log != nil {
--- a/core/feed/follower_test.go
+++ b/core/feed/follower_test.go
@@ -69,12 +69,13 @@
 	changes := &[]catalog.Change{}
 	f := &Follower{
 		Service: service,
-		Change: func(c []catalog.Change) {
+		Change: func(c []catalog.Change, _ bool) {
 			*changes = append(*changes, c...)
 		},
-		Called:   func(bool) {},
-		Lost:     func(error) {},
-		Regained: func(time.Duration) {},
+		Confirmed: func() {},
+		Called:    func(bool) {},
+		Lost:      func(error) {},
+		Regained:  func(time.Duration) {},
 	}
 	f.started = time.Now()
 	f.answered = f.started
--- /dev/null
+++ b/core/feed/learn.go
@@ -0,0 +1,85 @@
+package feed
+
+import (
+	"context"
+
+	"ibisfold.example/core/catalog"
+)
+
+// learnTime bounds the time for which confirmations wait for a source to tell of
+// departed targets: two sources that do not answer.
+const learnTime = 2 * sourceTime
+
+// startLearning asks, beside the calls of step, for departed targets if that is due.
+func (f *Follower) startLearning(ctx context.Context) {
+	f.mutex.Lock()
+	due := f.unlearned && len(f.peers) > 0
+	f.unlearned = false
+	f.mutex.Unlock()
+	if !due {
+		return
+	}
+	f.reports.Lock()
+	defer f.reports.Unlock()
+	if f.learning {
+		return
+	}
+	f.learning = true
+	go f.learn(ctx)
+}
+
+// learn asks the sources in turn until one tells what it knows, and takes from it the
+// targets that may hold flows: this process may have a list that lacks them.
+func (f *Follower) learn(ctx context.Context) {
+	defer f.learned()
+	c, cancel := context.WithTimeout(ctx, learnTime)
+	defer cancel()
+	for _, u := range f.upstreams() {
+		if c.Err() != nil {
+			return
+		}
+		f.Called(true)
+		b, err := f.call(c, u, true, 0, sourceTime)
+		if err != nil {
+			continue
+		}
+		f.take(b)
+
+		return
+	}
+}
+
+func (f *Follower) upstreams() []Upstream {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	list := []Upstream{}
+	for _, p := range f.peers {
+		list = append(list, p.upstream)
+	}
+
+	return list
+}
+
+// take hands on the targets of a batch that may hold flows. A catalog.State ignores
+// those that it lists.
+func (f *Follower) take(b Batch) {
+	if f.Log != nil {
+		f.Log.Learn(b)
+	}
+	changes := []catalog.Change{}
+	for _, d := range b.mayHold() {
+		changes = append(changes, d)
+	}
+	f.report(changes, false)
+}
+
+// learned lets confirmations pass again.
+func (f *Follower) learned() {
+	f.reports.Lock()
+	defer f.reports.Unlock()
+	f.learning = false
+	if f.held {
+		f.held = false
+		f.Confirmed()
+	}
+}
--- a/core/feed/log.go
+++ b/core/feed/log.go
@@ -14,18 +14,32 @@
 // little behind. Others get everything. Each may hold a configuration of 1 MB.
 const historyBatches = 16
 
+// currentTime is how long a source's answer from the service counts as current: the
+// gatherTime of a source, its watch and the time of the call, rounded up. A source that
+// stood still refuses its followers when it goes on.
+const currentTime = 2 * time.Second
+
 // Log holds what a source has seen of the service, for its peers. The zero value
 // is empty and can't be read yet.
 type Log struct {
+	// MaxAge is how long targets that left are passed on; zero is catalog.DefaultMaxAge.
+	MaxAge time.Duration
+
 	mutex sync.Mutex
 	// current means that the last call at the service succeeded.
 	current bool
+	// answered is when that was.
+	answered time.Time
 	// revision is that of the newest batch, floor that from which history goes on.
 	revision uint64
 	floor    uint64
 	history  []Batch
 	config   *catalog.Config
 	targets  map[string]seenTarget
+	// departed holds targets that left, also those that another source told of; none of
+	// them is in targets at its address. Its clock begins at started.
+	departed catalog.Departures
+	started  time.Time
 	zones    map[string]bool
 	// outageEnd is when a listing after an outage came.
 	outageEnd time.Time
@@ -49,6 +63,8 @@
 	}
 	wake := !l.current || b.Complete || b.Revision > l.revision
 	l.current = true
+	l.answered = time.Now()
+	before := l.targets
 	if b.Complete {
 		l.targets = map[string]seenTarget{}
 		l.zones = map[string]bool{}
@@ -64,6 +80,9 @@
 	for _, c := range b.Changes {
 		l.merge(c)
 	}
+	if b.Complete {
+		l.departFrom(before)
+	}
 	if len(l.history) > historyBatches {
 		l.floor = l.history[0].Revision
 		l.history = slices.Delete(l.history, 0, 1)
@@ -95,12 +114,9 @@
 	case catalog.ConfigChange:
 		l.config = c.Config
 	case catalog.TargetChange:
-		l.targets[c.Target.ID] = seenTarget{
-			target: c.Target,
-			at:     time.Now(),
-		}
+		l.setTarget(c.Target)
 	case catalog.TargetGone:
-		delete(l.targets, c.ID)
+		l.removeTarget(c.ID)
 	case catalog.ZoneChange:
 		l.zones[c.Zone] = c.Out
 	}
@@ -123,6 +139,8 @@
 		Revision:    l.revision,
 		Complete:    true,
 		AfterOutage: !l.outageEnd.IsZero() && time.Since(l.outageEnd) < catalog.LapseGrace,
+		Current:     l.isCurrent(),
+		Departed:    l.listDeparted(),
 	}
 	if l.config != nil {
 		b.Changes = append(b.Changes, catalog.ConfigChange{
@@ -181,15 +199,21 @@
 
 	return Batch{
 		Revision: l.revision,
+		Current:  true,
 	}, nil
 }
 
+// isCurrent reports whether the service answered the last call, and lately.
+func (l *Log) isCurrent() bool {
+	return l.current && time.Since(l.answered) < currentTime
+}
+
 // since returns what came after a revision, or a channel that is closed when
 // something does.
 func (l *Log) since(after uint64) (Batch, <-chan struct{}, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !l.current || l.targets == nil {
+	if !l.isCurrent() || l.targets == nil {
 		return Batch{}, nil, ErrUnavailable
 	}
 	if l.revision <= after {
@@ -204,6 +228,7 @@
 	}
 	b := Batch{
 		Revision: l.revision,
+		Current:  true,
 	}
 	for _, h := range l.history {
 		if h.Revision > after {
--- a/core/feed/log_test.go
+++ b/core/feed/log_test.go
@@ -205,6 +205,8 @@
 func FuzzDecodeBatch(f *testing.F) {
 	f.Add([]byte(`{"Revision":1,"Changes":[{"Gone":{"ID":"x"}}]}`))
 	f.Add([]byte(`{"Changes":[{}]}`))
+	f.Add([]byte(`{"Current":true,"Departed":[{"Target":{"ID":"x","Address":"10.0.0.1:80"},"Age":5}]}`))
+	f.Add([]byte(`{"Departed":[{"Target":{"ID":"x","Address":"10.0.0.1:0"},"Age":-5}]}`))
 	f.Fuzz(func(_ *testing.T, p []byte) {
 		_, _ = decodeBatch(p)
 	})
--- /dev/null
+++ b/core/feed/report.go
@@ -0,0 +1,79 @@
+package feed
+
+import (
+	"ibisfold.example/core/catalog"
+)
+
+// changes returns a complete batch as changes of a catalog.State.
+func (b *Batch) changes(afterOutage bool) []catalog.Change {
+	list := []catalog.Change{
+		catalog.Listing{
+			Changes:     b.Changes,
+			AfterOutage: afterOutage,
+		},
+	}
+	for _, d := range b.Departed {
+		list = append(list, d)
+	}
+
+	return list
+}
+
+// mayHold returns the targets of a batch that may hold flows, as ones that left; those
+// that it lists as having left just now.
+func (b *Batch) mayHold() []catalog.TargetDeparted {
+	list := b.Departed[:len(b.Departed):len(b.Departed)]
+	for _, c := range b.Changes {
+		if c, ok := c.(catalog.TargetChange); ok {
+			list = append(list, catalog.TargetDeparted{
+				Target: c.Target,
+			})
+		}
+	}
+
+	return list
+}
+
+// apply hands on what an upstream told; current means that the upstream was.
+func (f *Follower) apply(b Batch, current bool) {
+	f.revision = max(f.revision, b.Revision)
+	after := b.AfterOutage || f.afterOutage()
+	if b.Complete {
+		f.report(b.changes(after), current)
+
+		return
+	}
+	// Peers may be reading b from the log.
+	changes := make([]catalog.Change, 0, len(b.Changes))
+	for _, c := range b.Changes {
+		if g, ok := c.(catalog.TargetGone); ok {
+			g.AfterOutage = g.AfterOutage || after
+			c = g
+		}
+		changes = append(changes, c)
+	}
+	f.report(changes, current)
+}
+
+// report hands on changes, and the confirmation of an upstream that is current. While
+// the question for departed targets is open, a confirmation waits: a reset needs
+// both.
+func (f *Follower) report(changes []catalog.Change, current bool) {
+	f.reports.Lock()
+	defer f.reports.Unlock()
+	confirmed := current && !f.learning
+	f.held = current && f.learning || f.held
+	if len(changes) > 0 {
+		f.Change(changes, confirmed)
+	}
+	if confirmed {
+		f.Confirmed()
+	}
+}
+
+// unconfirm drops a confirmation that waits, as the upstream has failed since.
+func (f *Follower) unconfirm() {
+	f.reports.Lock()
+	defer f.reports.Unlock()
+	f.held = false
+}
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -33,6 +33,12 @@
 
 	core  steer.Core
 	state catalog.State
+	// view is what the core got last of state.
+	view *catalog.Snapshot
+	// departed is the number of departed targets in view, confirmed the clock at the
+	// last confirmation of the list, in nanoseconds.
+	departed  atomic.Int64
+	confirmed atomic.Int64
 	// follower brings the changes of the catalog, seen is what peers may read of them.
 	follower feed.Follower
 	seen     feed.Log
@@ -89,19 +95,23 @@
 			Random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 	}
+	p.state.MaxAge = s.MaxFlowAge
+	p.seen.MaxAge = s.MaxFlowAge
 	p.follower = feed.Follower{
-		Service:  platform.NewStore(s, p.storeBad),
-		Log:      &p.seen,
-		Change:   p.change,
-		Called:   p.upstreamCalled,
-		Lost:     p.upstreamLost,
-		Regained: p.upstreamRegained,
+		Service:   platform.NewStore(s, p.storeBad),
+		Log:       &p.seen,
+		Change:    p.change,
+		Confirmed: p.confirm,
+		Called:    p.upstreamCalled,
+		Lost:      p.upstreamLost,
+		Regained:  p.upstreamRegained,
 	}
 	p.followPeers(s)
 	p.decisions = p.DecisionCounters(steer.DecisionNames())
 	p.storeCalls = p.Metrics.NewCounter(`ibisfold_catalog_calls_total{to="store"}`)
 	p.sourceCalls = p.Metrics.NewCounter(`ibisfold_catalog_calls_total{to="source"}`)
 	p.times = p.Histograms(steer.MeasureNames())
+	p.registerCatalogGauges()
 
 	return p, p.register()
 }
@@ -170,18 +180,6 @@
 	return p.ready.Load() && !p.Stopping()
 }
 
-func (p *opaqueEntry) change(changes []catalog.Change) {
-	p.Post(func() {
-		changed := false
-		for _, c := range changes {
-			changed = p.state.Apply(p.Clock(), c) || changed
-		}
-		if changed {
-			p.publish()
-		}
-	})
-}
-
 func (p *opaqueEntry) upstreamCalled(source bool) {
 	if source {
 		p.sourceCalls.Inc()
@@ -221,24 +219,6 @@
 	})
 }
 
-// publish hands the core a new view of routes and targets.
-func (p *opaqueEntry) publish() {
-	n := p.state.Snapshot()
-	if n == nil {
-		return
-	}
-	p.ready.Store(true)
-	targets := 0
-	for _, g := range n.Groups {
-		targets += len(g)
-	}
-	p.Log.Info("catalog changed", "version", n.Config.Version, "routes", len(n.Config.Routes), "targets", targets)
-	p.execute(p.core.Update(p.Clock(), steer.CatalogChanged{
-		Snapshot: n,
-		Wall:     time.Now().UnixMilli(),
-	}))
-}
-
 // run serves until SIGTERM, then forwards on until the routers have stopped
 // sending packets here.
 func (p *opaqueEntry) run(term context.Context) error {
@@ -283,7 +263,9 @@
 
 func (p *opaqueEntry) tick() {
 	if p.state.Expire(p.Clock()) {
-		p.publish()
+		p.publish(catalogNews{
+			by: "time",
+		})
 	}
 	p.execute(p.core.Update(p.Clock(), steer.Tick{}))
 }
