--- a/proof/opaque_matrix_test.go
+++ b/proof/opaque_matrix_test.go
@@ -73,6 +73,15 @@
 	}},
 }
 
+// opaqueRollSteps replace agents and entries at the same time.
+var opaqueRollSteps = []opaqueStep{
+	{"agents and entries are replaced in turn at the same time", func(w *opaqueWorld) {
+		w.addPatient(12, time.Second)
+		w.rollAgents(opaqueStepTime)
+		w.rollEntries(opaqueStepTime)
+	}},
+}
+
 // opaqueMoments are when a fault comes, from the begin of the step.
 var opaqueMoments = []struct {
 	name string
@@ -109,9 +118,21 @@
 // service, beside planned work: every fault, twice, before, during and after every
 // step, in orderly, skewed and messy networks.
 func TestOpaqueMatrix(t *testing.T) {
+	opaqueCells(t, opaqueSteps, 7000)
+}
+
+// Guards against the same while agents and entries are replaced at the same time, and
+// against misrouted flows (docs/incidents/inc-21.md).
+func TestOpaqueMatrixRolls(t *testing.T) {
+	opaqueCells(t, opaqueRollSteps, 7630)
+}
+
+// opaqueCells plays the cells of some steps. The seed of a cell is its number beyond
+// the given seed.
+func opaqueCells(t *testing.T, steps []opaqueStep, seed int) {
 	cells := 0
 	all := os.Getenv("IBISFOLD_CELLS")
-	for i := range opaqueSteps {
+	for i := range steps {
 		for j := range opaqueFaults {
 			for _, m := range opaqueMoments {
 				for _, kind := range []opaqueKind{opaqueOrderly, opaqueSkewed, opaqueMessy} {
@@ -119,8 +140,8 @@
 					if all == "" && cells%opaqueCellStep != 0 {
 						continue
 					}
-					s, f := &opaqueSteps[i], &opaqueFaults[j]
-					if broken := opaqueCell(t, uint64(7000+cells), s, f, m.at, kind); len(broken) > 0 {
+					s, f := &steps[i], &opaqueFaults[j]
+					if broken := opaqueCell(t, uint64(seed+cells), s, f, m.at, kind); len(broken) > 0 {
 						t.Errorf("%s / %s / %s / %s: %d broken, first: %s", s.name, f.name, m.name, kind, len(broken), broken[0])
 					}
 				}
