Let worlds confirm the lists of their entries

Decision 0026 lets an entry reset a flow only while its list of targets is confirmed. Entries of the worlds heard of their list only when it changed, so they would never have had a current one. Now every second inform repeats the view of each entry that is up to date and in touch; it stays the one place to change when CatalogChanged says more.

--- a/proof/opaque_departed_test.go
+++ b/proof/opaque_departed_test.go
@@ -22,6 +22,8 @@
 		w.lapse(w.lapseTime(), w.someAgents()...)
 		w.list()
 		w.startEntry(w.anyEntry())
+		// The others learn of it later.
+		w.After(opaqueSkew, w.publish)
 	}},
 	{"agents stopped in turn", func(w *opaqueWorld) { w.rollAgents(opaqueBurst) }},
 }
--- a/proof/opaque_list_test.go
+++ b/proof/opaque_list_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/matryer/is"
 
-	"ibisfold.example/core/catalog"
 	"ibisfold.example/core/steer"
 )
 
@@ -15,15 +14,28 @@
 // targets check in every 2 s, and lists are passed on within a second.
 const opaqueLapse = 3 * time.Second
 
-// inform hands an entry the view that its upstream has. It is the only way on which
-// an entry of a world learns of routes and targets.
-func (w *opaqueWorld) inform(e *opaqueEntry, n *catalog.Snapshot) {
+// opaqueConfirmTime is the time between two answers of an entry's upstream without
+// news: a watch at a source takes a second at most.
+const opaqueConfirmTime = time.Second
+
+// inform hands an entry its view, which its upstream has just told or confirmed. It is
+// the only way on which an entry of a world learns of routes and targets.
+func (w *opaqueWorld) inform(e *opaqueEntry) {
 	w.entryUpdate(e, steer.CatalogChanged{
-		Snapshot: n,
+		Snapshot: e.view,
 		Wall:     w.wall(),
 	})
 }
 
+// confirm lets the upstreams of entries tell that there is no news.
+func (w *opaqueWorld) confirm() {
+	for _, e := range w.entries {
+		if !e.down && !e.stale && e.view != nil && e.seen == w.version {
+			w.inform(e)
+		}
+	}
+}
+
 // lapse drops the entries of living targets from the list for a while. Entries learn
 // of it by the next publish.
 func (w *opaqueWorld) lapse(d time.Duration, agents ...*opaqueAgent) {
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -81,6 +81,9 @@
 	rotated bool
 	// stale means that no news reaches the entry.
 	stale bool
+	// view is the view that it has, seen the version of the world's list that it shows.
+	view *catalog.Snapshot
+	seen uint64
 }
 
 // opaqueAgent is a VM with an agent and a target.
@@ -136,6 +139,7 @@
 }
 
 func (w *opaqueWorld) startTicks() {
+	w.Every(w.Now+opaqueConfirmTime, opaqueConfirmTime, w.confirm)
 	w.Every(w.Now+steer.TickTime, steer.TickTime, func() {
 		for _, e := range w.entries {
 			if !e.down {
@@ -181,7 +185,9 @@
 // informEntry gives an entry the current view.
 func (w *opaqueWorld) informEntry(e *opaqueEntry) {
 	if n := w.catalog.Snapshot(); n != nil {
-		w.inform(e, n)
+		e.view = n
+		e.seen = w.version
+		w.inform(e)
 	}
 }
 
@@ -193,6 +199,7 @@
 		LinkRate:  w.linkRate,
 		Random:    w.random,
 	}
+	e.view = nil
 	e.down = false
 }
 
