--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -83,6 +83,9 @@
 	stale bool
 	// last is when the last packet of a caller came.
 	last time.Duration
+	// view is the view that it has, seen the version of the world's list that it shows.
+	view *catalog.Snapshot
+	seen uint64
 }
 
 // opaqueAgent is a VM with an agent and a target.
@@ -138,10 +141,10 @@
 }
 
 func (w *opaqueWorld) startTicks() {
+	w.Every(w.Now+opaqueConfirmTime, opaqueConfirmTime, w.confirm)
 	w.Every(w.Now+steer.TickTime, steer.TickTime, func() {
 		for _, e := range w.entries {
 			if !e.down {
-				w.confirm(e)
 				w.entryUpdate(e, steer.Tick{})
 			}
 		}
@@ -184,7 +187,9 @@
 // informEntry gives an entry the current view.
 func (w *opaqueWorld) informEntry(e *opaqueEntry) {
 	if n := w.catalog.Snapshot(); n != nil {
-		w.inform(e, n)
+		e.view = n
+		e.seen = w.version
+		w.inform(e)
 	}
 }
 
@@ -196,6 +201,7 @@
 		LinkRate:  w.linkRate,
 		Random:    w.random,
 	}
+	e.view = nil
 	e.down = false
 }
 
