Keep the oracle sharp for idle flows, and find a target taken for down too early

Entries that are replaced in turn now leave rotation 50 ms before they stop, as the program does: the bound of 1.2 s on silence is about agents' stops, and a packet that the routers had sent to the entry was lost with it.

--- a/proof/opaque_fuzz_test.go
+++ b/proof/opaque_fuzz_test.go
@@ -182,6 +182,9 @@
 	if kind == opaqueDeparted {
 		callers = append(callers, w.addPatient(15, time.Second)...)
 	}
+	if kind == opaqueIdle {
+		w.addPatient(60, opaqueIdlePause)
+	}
 	w.Run(time.Second)
 	for w.Now < opaqueFuzzTime {
 		f := faults[w.random.IntN(len(faults))]
@@ -346,10 +349,12 @@
 	for _, p := range []opaqueProtection{opaqueAnnouncement, opaqueUnsure, opaqueFreshness} {
 		t.Run(string(p), func(t *testing.T) {
 			for seed := range uint64(opaqueFuzzSeeds) {
-				if broken := opaqueFuzz(t, 1000+seed, p, opaqueOrderly); len(broken) > 0 {
-					t.Logf("seed %d: %s", 1000+seed, broken[0])
+				for _, kind := range []opaqueKind{opaqueOrderly, opaqueIdle} {
+					if broken := opaqueFuzz(t, 1000+seed, p, kind); len(broken) > 0 {
+						t.Logf("seed %d, %s: %s", 1000+seed, kind, broken[0])
 
-					return
+						return
+					}
 				}
 			}
 			t.Error("not found")
--- a/proof/opaque_trials_test.go
+++ b/proof/opaque_trials_test.go
@@ -15,6 +15,9 @@
 	// opaqueRestart for each, three or four agents and one entry are away at any moment.
 	opaqueAgentTurn = 150 * time.Millisecond
 	opaqueEntryTurn = 600 * time.Millisecond
+	// opaqueLeaveTime is how long an entry that stops goes on for packets that the
+	// routers had sent it.
+	opaqueLeaveTime = 50 * time.Millisecond
 	// opaqueReachTime is how long a planned stop may keep a flow from its target.
 	opaqueReachTime = 1200 * time.Millisecond
 )
@@ -34,17 +37,15 @@
 }
 
 // rollEntries replaces all entries in turn, again and again for a while. The routers
-// pass an entry by while it is away.
+// pass an entry by from a moment before it stops.
 func (w *opaqueWorld) rollEntries(d time.Duration) {
 	i := w.random.IntN(len(w.entries))
 	for at := time.Duration(0); at < d; at += opaqueEntryTurn {
 		e := w.entries[i%len(w.entries)]
 		i++
-		w.After(at, func() {
-			e.down = true
-			e.rotated = true
-		})
-		w.After(at+opaqueRestart, func() {
+		w.After(at, func() { e.rotated = true })
+		w.After(at+opaqueLeaveTime, func() { e.down = true })
+		w.After(at+opaqueLeaveTime+opaqueRestart, func() {
 			w.startEntry(e)
 			e.rotated = false
 		})
