Don't take a pause of the agent for the silence of its target

What callers see: after an agent's VM stood still, or where its process gets its core for a part of each 100 ms only, all flows of its target could be reset at once, or a flow be sent to a target that does not hold it.

Cause: the agent had no notion of its own pause. The first Tick after it compared the time of the last packet from the target with the clock, while the target's answers still waited in the socket: 400 ms of the agent's own absence counted as silence of the target, 40 ms as proof that a packet was not bounced, and requests of before the pause no longer counted as load.

Fix: from 60 ms between two Ticks on, as entries do, the agent restarts its waits, before the first message that it handles, be it a Tick or not. A target that is really silent is found out 400 ms after the pause.

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -66,6 +66,8 @@
 	backlog backlog
 	// now is the time of the Update that runs.
 	now time.Duration
+	// lastTick is when the last Tick or the last pause ended.
+	lastTick time.Duration
 	// load is the mean number of requests in progress, active the number of flows
 	// lately in use.
 	load     float64
@@ -124,9 +126,11 @@
 		if c.MaxFlowAge == 0 {
 			c.MaxFlowAge = defaultMaxAge
 		}
+		c.lastTick = now
 	}
 	c.commands = c.commands[:0]
 	c.now = now
+	c.notePause(now, m)
 	switch m := m.(type) {
 	case *EntryMessage:
 		c.entryMessage(now, m)
