Refuse a SYN whose wait ended while the agent was paused

What callers see: a flow of a caller that gave up seconds ago was opened at the target, which may have begun to leave meanwhile.

Cause: any message may let SYNs of the backlog in, and only a Tick took out those whose wait had ended. After a pause a message can be handled before the first Tick.

Evidence: TestExpiredOpenIsNotAdmitted failed before: an answer of the target that was handled first after 3 s passed a SYN on that had waited for 3 s.

Fix: the end of the wait is checked where a SYN leaves the backlog.

--- a/core/conntrack/backlog.go
+++ b/core/conntrack/backlog.go
@@ -159,10 +159,17 @@
 	return max(leastBacklog*c.slots, min(maxBacklog, int(rate*segment.OpenTime.Seconds())))
 }
 
-// admitWaiting passes SYNs to the target while it has room, the newest first.
+// admitWaiting passes SYNs to the target while it has room, the newest first. After a
+// pause of the process it may run before the Tick that takes out those whose wait has
+// ended.
 func (c *Core) admitWaiting(now time.Duration) {
 	for c.backlog.size() > 0 && c.room() {
 		w, _ := c.backlog.newest()
+		if now >= w.expires {
+			c.refuse(now, &w.message, relay.ReasonFull)
+
+			continue
+		}
 		if reason := c.refusal(now, &w.message); reason != relay.ReasonNone {
 			c.refuse(now, &w.message, reason)
 
--- a/core/conntrack/pause_test.go
+++ b/core/conntrack/pause_test.go
@@ -177,3 +177,27 @@
 	c.Update(now+testPause, Tick{})
 	is.Equal(c.work.progress, 4)
 }
+
+// Guards against a SYN whose caller gave up during a pause and that is passed to the
+// target after it, as a message is handled before the first Tick. The target may also
+// have begun to leave meanwhile.
+func TestExpiredOpenIsNotAdmitted(t *testing.T) {
+	is := is.New(t)
+	c := Core{
+		Complete: true,
+	}
+	now := TickTime
+	for i := range 3 {
+		m := openMessage(testFlow(i), 0)
+		m.Message.Slots = 1
+		c.Update(now, m)
+	}
+	is.Equal(c.backlog.size(), 1)
+	c.Update(now, targetAnswer(testFlow(0), segment.SYN|segment.ACK, 0))
+	c.Update(now, deliverMessage(testFlow(0)))
+	now += testPause
+	commands := c.Update(now, targetAnswer(testFlow(0), segment.ACK, 1))
+	is.True(!passed(commands))
+	is.True(decided(commands, Refused))
+	is.Equal(c.backlog.size(), 0)
+}
