Restart an entry's waits before the first message after a pause

What callers see: an open flow was reset as held by no target after its entry had stood still.

Cause: an entry restarted its waits at the first Tick after a pause only. Which of the waiting messages and Ticks is handled first is random. An agent that had five questions open before the pause counted as lost in between, so that an answer of another agent ended the search without it, though its own answer waited behind.

Evidence: TestPauseIsNoSilence in core/steer failed before, in the order where messages come first; the other order passed.

Fix: the pause is looked for before each message. The agent's check has the same form now.

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -130,7 +130,7 @@
 	}
 	c.commands = c.commands[:0]
 	c.now = now
-	c.notePause(now, m)
+	c.notePause(now)
 	switch m := m.(type) {
 	case *EntryMessage:
 		c.entryMessage(now, m)
@@ -159,6 +159,7 @@
 }
 
 func (c *Core) tick(now time.Duration) {
+	c.lastTick = now
 	share := float64(TickTime) / float64(c.Policy.LoadTime)
 	c.load += share * (float64(c.work.progress) - c.load)
 	c.work.expire(now)
--- a/core/conntrack/pause.go
+++ b/core/conntrack/pause.go
@@ -8,12 +8,9 @@
 
 // notePause runs before each message is handled: after a pause, messages that came in
 // it may be handled before the next Tick.
-func (c *Core) notePause(now time.Duration, m Message) {
-	gap := now - c.lastTick
-	if _, ok := m.(Tick); ok || gap > pauseTime {
+func (c *Core) notePause(now time.Duration) {
+	if gap := now - c.lastTick; gap > pauseTime {
 		c.lastTick = now
-	}
-	if gap > pauseTime {
 		c.forgive(now, gap)
 	}
 }
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -71,8 +71,9 @@
 	commands    []Command
 	// sends holds the Sends of all Updates, used again by each; sent counts those of
 	// this one. A known flow's packet costs no allocation.
-	sends    []*Send
-	sent     int
+	sends []*Send
+	sent  int
+	// lastTick is when the last Tick or the last pause ended.
 	lastTick time.Duration
 	swept    time.Duration
 }
@@ -107,6 +108,7 @@
 	c.init(now)
 	c.commands = c.commands[:0]
 	c.sent = 0
+	c.notePause(now)
 	switch m := m.(type) {
 	case *CallerPacket:
 		c.callerPacket(now, m)
@@ -218,11 +220,7 @@
 }
 
 func (c *Core) tick(now time.Duration) {
-	paused := now-c.lastTick > pauseTime
 	c.lastTick = now
-	if paused {
-		c.forgive(now)
-	}
 	c.tickAgents(now)
 	c.tickOpening(now)
 	c.tickSearches(now)
--- /dev/null
+++ b/core/steer/pause_test.go
@@ -0,0 +1,107 @@
+package steer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// pausedWorld is an entry before six agents that hold a flow each, of which one leaves
+// questions unanswered.
+type pausedWorld struct {
+	*Core
+	is   *is.I
+	now  time.Duration
+	lost netip.AddrPort
+}
+
+func newPausedWorld(t *testing.T) *pausedWorld {
+	w := &pausedWorld{
+		Core: newTestCore(6),
+		is:   is.New(t),
+	}
+	for i, a := range w.listing {
+		w.Update(0, benchPacket(i, segment.ACK))
+		w.Update(0, w.message(a, i, relay.Owned))
+	}
+	// In another zone, and not among the targets that the hash of flow 100 prefers.
+	w.lost = w.listing[len(w.listing)-1]
+
+	return w
+}
+
+func (w *pausedWorld) message(a netip.AddrPort, flow int, kind relay.Kind) *AgentMessage {
+	return &AgentMessage{
+		From: a,
+		Message: relay.Message{
+			Kind: kind,
+			Key:  benchPacket(flow, segment.ACK).Segment.Key,
+		},
+	}
+}
+
+// step lets a tick pass in which callers send and all agents but the lost one answer.
+func (w *pausedWorld) step(m Message) []Command {
+	w.now += TickTime
+	for i, a := range w.listing {
+		w.Update(w.now, benchPacket(i, segment.ACK))
+		if a != w.lost {
+			w.Update(w.now, w.message(a, i, relay.Owned))
+		}
+	}
+
+	return w.Update(w.now, m)
+}
+
+// stepsToLoss returns after how many steps the lost agent counts as silent.
+func stepsToLoss(t *testing.T) int {
+	w := newPausedWorld(t)
+	for n := 1; ; n++ {
+		if noted(w.step(Tick{}), AgentSilent) {
+			return n
+		}
+	}
+}
+
+func noted(commands []Command, d Decision) bool {
+	for _, x := range commands {
+		if n, ok := x.(Note); ok && n.Decision == d {
+			return true
+		}
+	}
+
+	return false
+}
+
+// Guards against an entry that takes its own pause for the silence of an agent whose
+// answers wait in its socket: with all questions asked before the pause, the first
+// thing that is handled after it is a Tick, a packet, or an answer that ends a search.
+func TestPauseIsNoSilence(t *testing.T) {
+	before := stepsToLoss(t) - 1
+	for _, tickFirst := range []bool{true, false} {
+		w := newPausedWorld(t)
+		for range before {
+			w.is.True(!noted(w.step(Tick{}), AgentSilent))
+		}
+		searched := benchPacket(100, segment.ACK)
+		w.Update(w.now, searched)
+		w.Update(w.now, Tick{})
+		w.now += 3 * time.Second
+		if tickFirst {
+			w.is.True(!noted(w.Update(w.now, Tick{}), AgentSilent))
+		}
+		for range 3 {
+			for _, a := range w.listing[:len(w.listing)-1] {
+				commands := w.Update(w.now, w.message(a, 100, relay.NotOwned))
+				w.is.True(!noted(commands, NotHeld))
+			}
+		}
+		commands := w.Update(w.now, w.message(w.lost, 100, relay.Owned))
+		w.is.True(noted(commands, SearchFound))
+	}
+}
