Let processes and VMs stand still in the worlds of opaque flows

Neither ticks nor messages are handled meanwhile; all that arrived is handled after it, in order, before or after the first tick. No agent may take a target that reacts for down, also where the VM's flows may be lost otherwise.

--- a/proof/opaque_ends_test.go
+++ b/proof/opaque_ends_test.go
@@ -172,7 +172,7 @@
 }
 
 func (w *opaqueWorld) fromTarget(a *opaqueAgent, s *segment.Segment, data []byte) {
-	if a.down || !a.target.reacts() {
+	if a.down || !a.target.reacts() || a.stand.keepTarget(func() { w.fromTarget(a, s, data) }) {
 		return
 	}
 	b := platform.AppendPacket(nil, s, data)
--- a/proof/opaque_network_test.go
+++ b/proof/opaque_network_test.go
@@ -53,6 +53,9 @@
 }
 
 func (w *opaqueWorld) entryUpdate(e *opaqueEntry, m steer.Message) {
+	if e.stand.keep(m == steer.Tick{}, func() { w.entryUpdate(e, m) }) {
+		return
+	}
 	for _, c := range slices.Clone(e.core.Update(w.Now, m)) {
 		switch c := c.(type) {
 		case *steer.Send:
@@ -106,6 +109,9 @@
 }
 
 func (w *opaqueWorld) agentUpdate(a *opaqueAgent, m conntrack.Message) {
+	if a.stand.keep(m == conntrack.Tick{}, func() { w.agentUpdate(a, m) }) {
+		return
+	}
 	for _, c := range slices.Clone(a.core.Update(w.Now, m)) {
 		switch c := c.(type) {
 		case conntrack.ToTarget:
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -73,6 +73,7 @@
 	// down means that the process does not run; rotated that the routers pass it by.
 	down    bool
 	rotated bool
+	stand   opaqueStand
 }
 
 // opaqueAgent is a VM with an agent and a target.
@@ -84,6 +85,7 @@
 	target opaqueTarget
 	// cutEnd is when the VM can be reached again: see cut.
 	cutEnd time.Duration
+	stand  opaqueStand
 }
 
 // opaqueTouch is how long after an impairment of a VM its flows may be reset.
@@ -128,18 +130,26 @@
 func (w *opaqueWorld) startTicks() {
 	w.Every(w.Now+steer.TickTime, steer.TickTime, func() {
 		for _, e := range w.entries {
-			if !e.down {
-				w.entryUpdate(e, steer.Tick{})
-			}
+			w.tickEntry(e)
 		}
 		for _, a := range w.agents {
-			if !a.down {
-				w.agentUpdate(a, conntrack.Tick{})
-			}
+			w.tickAgent(a)
 		}
 	})
 }
 
+func (w *opaqueWorld) tickEntry(e *opaqueEntry) {
+	if !e.down {
+		w.entryUpdate(e, steer.Tick{})
+	}
+}
+
+func (w *opaqueWorld) tickAgent(a *opaqueAgent) {
+	if !a.down {
+		w.agentUpdate(a, conntrack.Tick{})
+	}
+}
+
 func (w *opaqueWorld) breaks(format string, args ...any) {
 	w.broken = append(w.broken, fmt.Sprintf("%v ", w.Now)+fmt.Sprintf(format, args...))
 }
