Let a tick say that the process's sockets are behind

What callers see: an entry whose relay socket is 300 ms behind resets sound flows by the hundred, as owner gone and as held by no target.

Cause: ticks came on time, so nothing told the core that the answers to its five questions waited in the socket. The same holds for an agent and its target.

Fix: Tick.Behind has the cores restart their waits as after a pause. At a tick without it all that arrived before has been handled, so what is missing has not arrived, however late the process was.

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -146,7 +146,7 @@
 	case Stop:
 		c.stop(now, m)
 	case Tick:
-		c.tick(now)
+		c.tick(now, m.Behind)
 	}
 	c.admitWaiting(now)
 
@@ -158,7 +158,10 @@
 	return len(c.flows)
 }
 
-func (c *Core) tick(now time.Duration) {
+func (c *Core) tick(now time.Duration, behind bool) {
+	if behind {
+		c.forgive(now, now-c.lastTick)
+	}
 	c.lastTick = now
 	share := float64(TickTime) / float64(c.Policy.LoadTime)
 	c.load += share * (float64(c.work.progress) - c.load)
--- a/core/conntrack/message.go
+++ b/core/conntrack/message.go
@@ -42,7 +42,11 @@
 }
 
 // Tick lets time pass. It comes every TickTime.
-type Tick struct{}
+type Tick struct {
+	// Behind means that messages may wait in the process's sockets which arrived before:
+	// silence is no evidence then.
+	Behind bool
+}
 
 func (*EntryMessage) message()  {}
 func (*TargetPacket) message()  {}
--- a/core/conntrack/pause.go
+++ b/core/conntrack/pause.go
@@ -15,8 +15,9 @@
 	}
 }
 
-// forgive restarts all waits for the target after a pause of this process. SYNs that
-// wait in the backlog expire nevertheless: their callers do not stand still.
+// forgive restarts all waits for the target after a pause of this process, or while its
+// sockets are behind; gap does not count for requests in progress. SYNs that wait in the
+// backlog expire nevertheless: their callers do not stand still.
 func (c *Core) forgive(now, gap time.Duration) {
 	c.target.since = now
 	for _, f := range c.probes {
--- a/core/conntrack/pause_test.go
+++ b/core/conntrack/pause_test.go
@@ -201,3 +201,22 @@
 	is.True(decided(commands, Refused))
 	is.Equal(c.backlog.size(), 0)
 }
+
+// Guards against an agent that takes the delay of its own sockets for the silence of its
+// target: ticks come on time, and packets of the target wait.
+func TestBehindIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	c, now := askedCore()
+	for range 100 {
+		now += TickTime
+		is.True(!decided(c.Update(now, Tick{
+			Behind: true,
+		}), TargetDown))
+	}
+	from := now
+	for !decided(c.Update(now, Tick{}), TargetDown) {
+		is.True(now-from <= DefaultPolicy().DownTime)
+		now += TickTime
+	}
+	is.Equal(now-from, DefaultPolicy().DownTime)
+}
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -118,7 +118,7 @@
 		c.setSnapshot(now, m)
 		c.replayEarly(now)
 	case Tick:
-		c.tick(now)
+		c.tick(now, m.Behind)
 	}
 
 	return c.commands
@@ -219,7 +219,10 @@
 	c.commands = append(c.commands, n)
 }
 
-func (c *Core) tick(now time.Duration) {
+func (c *Core) tick(now time.Duration, behind bool) {
+	if behind {
+		c.forgive(now)
+	}
 	c.lastTick = now
 	c.tickAgents(now)
 	c.tickOpening(now)
@@ -231,7 +234,8 @@
 	}
 }
 
-// forgive restarts all waits after a pause of this process.
+// forgive restarts all waits after a pause of this process, or while its sockets are
+// behind.
 func (c *Core) forgive(now time.Duration) {
 	for _, a := range c.agents {
 		a.since = now
--- a/core/steer/message.go
+++ b/core/steer/message.go
@@ -36,7 +36,11 @@
 }
 
 // Tick lets time pass. It comes every TickTime.
-type Tick struct{}
+type Tick struct {
+	// Behind means that messages may wait in the process's sockets which arrived before:
+	// silence is no evidence then.
+	Behind bool
+}
 
 func (*CallerPacket) message()  {}
 func (*AgentMessage) message()  {}
--- a/core/steer/pause_test.go
+++ b/core/steer/pause_test.go
@@ -105,3 +105,28 @@
 		w.is.True(noted(commands, SearchFound))
 	}
 }
+
+// Guards against an entry that takes the delay of its own sockets for the silence of an
+// agent: ticks come on time, and answers wait. One that is really silent is found out as
+// fast as ever once the sockets are drained; if that took so long that the agent counts
+// as a stranger, as late as one.
+func TestBehindIsNoSilence(t *testing.T) {
+	const tolerance = 3
+	stranger := int(DefaultPolicy().StrangerTime / TickTime)
+	for steps, bound := range map[int]int{
+		25:  stepsToLoss(t) + tolerance,
+		100: stranger + tolerance,
+	} {
+		w := newPausedWorld(t)
+		for range steps {
+			w.is.True(!noted(w.step(Tick{
+				Behind: true,
+			}), AgentSilent))
+		}
+		after := 1
+		for !noted(w.step(Tick{}), AgentSilent) {
+			after++
+		}
+		w.is.True(after <= bound)
+	}
+}
--- a/proof/opaque_network_test.go
+++ b/proof/opaque_network_test.go
@@ -53,7 +53,7 @@
 }
 
 func (w *opaqueWorld) entryUpdate(e *opaqueEntry, m steer.Message) {
-	if e.stand.keep(m == steer.Tick{}, func() { w.entryUpdate(e, m) }) {
+	if w.keep(&e.stand, m, func() { w.entryUpdate(e, m) }) {
 		return
 	}
 	for _, c := range slices.Clone(e.core.Update(w.Now, m)) {
@@ -109,7 +109,7 @@
 }
 
 func (w *opaqueWorld) agentUpdate(a *opaqueAgent, m conntrack.Message) {
-	if a.stand.keep(m == conntrack.Tick{}, func() { w.agentUpdate(a, m) }) {
+	if w.keep(&a.stand, m, func() { w.agentUpdate(a, m) }) {
 		return
 	}
 	for _, c := range slices.Clone(a.core.Update(w.Now, m)) {
--- a/proof/opaque_pause_test.go
+++ b/proof/opaque_pause_test.go
@@ -6,6 +6,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"ibisfold.example/core/conntrack"
+	"ibisfold.example/core/steer"
 )
 
 const (
@@ -20,11 +23,16 @@
 	// opaqueDenied the part of it in which it does not run.
 	opaquePeriod = 100 * time.Millisecond
 	opaqueDenied = 80 * time.Millisecond
+	// opaqueLag is how long messages of agents wait in an entry's socket that is behind,
+	// opaqueTargetLag the same for packets of a target.
+	opaqueLag       = 300 * time.Millisecond
+	opaqueTargetLag = 500 * time.Millisecond
 	// opaqueWake is the time from the end of a VM's pause to its target's first answer.
 	opaqueWake = 5 * time.Millisecond
 )
 
-// opaqueStand is a process that stands still: neither ticks nor messages are handled.
+// opaqueStand is a process that stands still, so that neither ticks nor messages are
+// handled, or that is behind.
 type opaqueStand struct {
 	still bool
 	// vm means that the target beside an agent stands still too.
@@ -33,17 +41,59 @@
 	// have sent.
 	waiting []func()
 	target  []func()
+	// lag is how long what other processes or the target send waits in a socket while
+	// ticks come on time, due when the last of it is handled, and late the one that is.
+	lag  time.Duration
+	due  time.Duration
+	late any
 }
 
-// keep puts a message off if the process stands still. Ticks are lost.
-func (s *opaqueStand) keep(tick bool, run func()) bool {
-	if s.still && !tick {
+// keep puts a message off if the process stands still, or its socket is behind. Ticks
+// are lost where it stands still.
+func (w *opaqueWorld) keep(s *opaqueStand, m any, run func()) bool {
+	switch m.(type) {
+	case steer.Tick, conntrack.Tick:
+		return s.still
+	case *steer.AgentMessage, *conntrack.TargetPacket:
+		if !s.still {
+			return w.keepLate(s, m, run)
+		}
+	}
+	if s.still {
 		s.waiting = append(s.waiting, run)
 	}
 
 	return s.still
 }
 
+// behind reports whether messages wait in the process's socket.
+func (s *opaqueStand) behind(now time.Duration) bool {
+	return s.lag > 0 || now < s.due
+}
+
+// keepLate puts a message off that waits in a socket, and keeps the order.
+func (w *opaqueWorld) keepLate(s *opaqueStand, m any, run func()) bool {
+	if m == s.late || !s.behind(w.Now) {
+		return false
+	}
+	s.due = max(s.due, w.Now+s.lag)
+	w.After(s.due-w.Now, func() {
+		s.late = m
+		run()
+		s.late = nil
+	})
+
+	return true
+}
+
+// lagBehind lets a process's socket be behind for d.
+func (w *opaqueWorld) lagBehind(s *opaqueStand, lag, d time.Duration) {
+	s.lag = lag
+	w.After(d, func() {
+		s.lag = 0
+	})
+}
+
 // keepTarget puts a packet of the target off if its VM stands still.
 func (s *opaqueStand) keepTarget(run func()) bool {
 	if s.still && s.vm {
@@ -59,7 +109,8 @@
 	s.still = true
 	w.After(d, func() {
 		waiting, target := s.waiting, s.target
-		*s = opaqueStand{}
+		s.still, s.vm = false, false
+		s.waiting, s.target = nil, nil
 		if tickFirst {
 			tick()
 		}
@@ -172,6 +223,16 @@
 			w.stopAgent(a, opaqueRestart)
 		}
 	}},
+	{"entry's relay socket is behind", func(w *opaqueWorld) {
+		if e := w.awakeEntry(); e != nil {
+			w.lagBehind(&e.stand, opaqueLag, w.someStand())
+		}
+	}},
+	{"agent's outbound socket is behind", func(w *opaqueWorld) {
+		if a := w.awakeAgent(); a != nil {
+			w.lagBehind(&a.stand, opaqueTargetLag, w.someStand())
+		}
+	}},
 	{"target drains", func(w *opaqueWorld) {
 		a := w.anyAgent()
 		a.target.draining = !a.target.draining
@@ -258,3 +319,21 @@
 		}
 	}
 }
+
+// Guards against an entry whose socket is behind and that takes all agents for silent,
+// and against agents that do so with their targets, though ticks come on time.
+func TestOpaqueSocketBehind(t *testing.T) {
+	w, callers := opaqueServing(t, 32, 3, 90, 20*time.Millisecond)
+	for _, e := range w.entries {
+		w.lagBehind(&e.stand, opaqueLag, 2*time.Second)
+	}
+	w.Run(3 * time.Second)
+	w.check()
+	for _, a := range w.agents {
+		w.lagBehind(&a.stand, opaqueTargetLag, 2*time.Second)
+	}
+	w.Run(3 * time.Second)
+	w.judgeDown()
+	w.judgeCalm(callers)
+	w.check()
+}
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -140,13 +140,17 @@
 
 func (w *opaqueWorld) tickEntry(e *opaqueEntry) {
 	if !e.down {
-		w.entryUpdate(e, steer.Tick{})
+		w.entryUpdate(e, steer.Tick{
+			Behind: e.stand.behind(w.Now),
+		})
 	}
 }
 
 func (w *opaqueWorld) tickAgent(a *opaqueAgent) {
 	if !a.down {
-		w.agentUpdate(a, conntrack.Tick{})
+		w.agentUpdate(a, conntrack.Tick{
+			Behind: a.stand.behind(w.Now),
+		})
 	}
 }
 
