Don't believe a target's start that lies after its agent's if it listened before

What callers see: all flows of a target that started 2 s before its agent were reset as held by no target, where the VM's clock had been set back by 2.4 s in between.

Cause: the agent compared the target's start with its own by the VM's time of day, took the target for a new one, and answered "not owned" for flows that it held.

Fix: the agent looks at the target's port at its start. A target that listened then started before, so a start that lies more than 100 ms after the agent's shows a clock that was set back, and the agent stays unsure.

Weighed: a margin of the largest jump, or no comparison at all, would be sound, but would leave all agents unsure after each loss of power where targets start a moment before them. Then each search tries all targets, within a quarter of each entry's link. The fault needs an agent that is killed within seconds of its target's start, in that target's first flows, and a jump in between. A target that starts again under an unsure agent loses little: its closed port refuses a packet, which makes the agent sure.

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -33,6 +33,9 @@
 	// hold no flow that the agent missed. A process that ended is started again
 	// after about 0.5 s, so no earlier agent can have opened one meanwhile.
 	freshTime = 400 * time.Millisecond
+	// startSlack is how much later than the agent a target that listened already may
+	// say that it started: it may take the time a moment after that.
+	startSlack = 100 * time.Millisecond
 )
 
 // Core decides for one agent. Set the exported fields before the first Update.
@@ -48,6 +51,9 @@
 	// Started is when the process started, in Unix milliseconds on the clock that
 	// the target's start is told by.
 	Started int64
+	// Listened means that the target listened when the process started, so that it
+	// started before.
+	Listened bool
 	// Policy is by default DefaultPolicy.
 	Policy *Policy
 
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -188,12 +188,25 @@
 // learnStart takes the target's start into account: one that started no earlier
 // than the agent holds no flow that the agent does not know.
 func (c *Core) learnStart(now time.Duration, m *EntryMessage) {
-	if c.Complete || m.Message.Born == 0 || m.Message.Born < c.Started-freshTime.Milliseconds() {
+	if c.Complete || m.Message.Born == 0 || !c.fresh(m.Message.Born) {
 		return
 	}
 	c.becomeComplete(now, m.From)
 }
 
+// fresh reports whether a target that started then started with the agent or after it.
+// Both times are of the VM's clock, which may have jumped in between. If the agent saw the
+// target listen at its own start, a later start of the target shows a clock that was set
+// back; or the target has started again, and the agent stays unsure until a packet is
+// refused.
+func (c *Core) fresh(born int64) bool {
+	if c.Listened && born > c.Started+startSlack.Milliseconds() {
+		return false
+	}
+
+	return born >= c.Started-freshTime.Milliseconds()
+}
+
 // becomeComplete notes that the target holds no flow that is not known here: it has
 // just started, or nothing listens at its address any more.
 func (c *Core) becomeComplete(now time.Duration, entry netip.AddrPort) {
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -66,6 +66,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "target")
 	}
+	may, seen := look(s.Target)
 	p := &opaqueAgent{
 		settings: s,
 		policies: policies,
@@ -78,7 +79,8 @@
 		toTarget: target.NewWriter(),
 		core: conntrack.Core{
 			Service:    catalog.ServiceID(s.Service),
-			Complete:   s.FirstStart || !listens(s.Target),
+			Complete:   s.FirstStart || !may,
+			Listened:   seen,
 			Started:    time.Now().UnixMilli(),
 			MaxFlowAge: s.MaxFlowAge,
 			Policy:     &policies.Agent,
@@ -93,16 +95,16 @@
 // dialTime bounds the look at the target at the start.
 const dialTime = 50 * time.Millisecond
 
-// listens reports whether the target may have started before its agent. A
-// target whose port is closed holds no flow yet.
-func listens(target netip.AddrPort) bool {
+// look reports whether something may listen at the target's address, and whether it was
+// seen to. A target whose port is closed holds no flow.
+func look(target netip.AddrPort) (may, seen bool) {
 	c, err := net.DialTimeout("tcp4", target.String(), dialTime)
 	if err != nil {
-		return !errors.Is(err, syscall.ECONNREFUSED)
+		return !errors.Is(err, syscall.ECONNREFUSED), false
 	}
 	c.Close()
 
-	return true
+	return true, true
 }
 
 func (p *opaqueAgent) register() error {
@@ -185,7 +187,8 @@
 const stopCopies = 3
 
 func (p *opaqueAgent) announceStop() {
-	ended := !listens(p.settings.Target)
+	may, _ := look(p.settings.Target)
+	ended := !may
 	p.Log.Info("stop announced", "flows", p.core.Flows(), "target ended", ended)
 	for range stopCopies {
 		p.execute(p.core.Update(p.Clock(), conntrack.Stop{
--- /dev/null
+++ b/proof/opaque_clock_test.go
@@ -0,0 +1,35 @@
+package proof_test
+
+import (
+	"testing"
+	"time"
+)
+
+// opaqueClockJump is how far a VM's clock is set back in the tests.
+const opaqueClockJump = 2400 * time.Millisecond
+
+// Guards against resets of the flows of a target that started 2 s before its agent, whose
+// VM's clock was set back in between.
+func TestOpaqueClockSetBack(t *testing.T) {
+	w, _ := opaqueServing(t, 33, 2, 60, 500*time.Millisecond)
+	for _, a := range w.agents {
+		a.target.restart()
+		a.target.born = w.wall()
+	}
+	w.publish()
+	w.Run(2*time.Second - opaqueRestart)
+	for _, a := range w.agents {
+		a.down = true
+	}
+	w.Run(opaqueRestart)
+	for _, a := range w.agents {
+		w.startAgent(a, false)
+		a.core.Started -= opaqueClockJump.Milliseconds()
+		a.core.Listened = true
+	}
+	for _, e := range w.entries {
+		w.startEntry(e)
+	}
+	w.Run(time.Second)
+	w.check()
+}
