--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -33,6 +33,9 @@
 	// hold no flow that the agent missed. A process that ended is started again
 	// after about 0.5 s, so no earlier agent can have opened one meanwhile.
 	freshTime = 400 * time.Millisecond
+	// startSlack is how much later than the agent a target that listened already may
+	// say that it started: it may take the time a moment after that.
+	startSlack = 100 * time.Millisecond
 )
 
 // Core decides for one agent. Set the exported fields before the first Update.
@@ -48,6 +51,9 @@
 	// Started is when the process started, in Unix milliseconds on the clock that
 	// the target's start is told by.
 	Started int64
+	// Listened means that the target listened when the process started, so that it
+	// started before.
+	Listened bool
 	// Policy is by default DefaultPolicy.
 	Policy *Policy
 
@@ -70,6 +76,8 @@
 	questions []question
 	// now is the time of the Update that runs.
 	now time.Duration
+	// lastTick is when the last Tick or the last pause ended.
+	lastTick time.Duration
 	// load is the mean number of requests in progress, active the number of flows
 	// lately in use.
 	load     float64
@@ -129,9 +137,11 @@
 		if c.MaxFlowAge == 0 {
 			c.MaxFlowAge = defaultMaxAge
 		}
+		c.lastTick = now
 	}
 	c.commands = c.commands[:0]
 	c.now = now
+	c.notePause(now)
 	switch m := m.(type) {
 	case *EntryMessage:
 		c.entryMessage(now, m)
@@ -149,7 +159,7 @@
 	case Stop:
 		c.stop(now, m)
 	case Tick:
-		c.tick(now)
+		c.tick(now, m.Behind)
 	}
 	c.admitWaiting(now)
 	c.answerQuestions(now)
@@ -162,7 +172,11 @@
 	return len(c.flows)
 }
 
-func (c *Core) tick(now time.Duration) {
+func (c *Core) tick(now time.Duration, behind bool) {
+	if behind {
+		c.forgive(now, now-c.lastTick)
+	}
+	c.lastTick = now
 	share := float64(TickTime) / float64(c.Policy.LoadTime)
 	c.load += share * (float64(c.work.progress) - c.load)
 	c.work.expire(now)
--- a/core/conntrack/restore.go
+++ b/core/conntrack/restore.go
@@ -83,7 +83,7 @@
 // offered asks for the parts of a table, or tells the entry that it is of no use.
 func (c *Core) offered(now time.Duration, from netip.AddrPort, t *relay.Table) {
 	r := &c.restore
-	if !c.restores(now) || !c.fresh(now, t) || r.parts > 0 && r.id != t.ID {
+	if !c.restores(now) || !c.tableFresh(now, t) || r.parts > 0 && r.id != t.ID {
 		c.tableDone(from, t.ID)
 
 		return
@@ -113,10 +113,10 @@
 	})
 }
 
-// fresh reports whether a table is of the process right before this one: no other can
+// tableFresh reports whether a table is of the process right before this one: no other can
 // have started, opened flows and ended since. The entry's clock does not count the time
 // that the table was on its way or that the entry stood still; this VM's clock may be set.
-func (c *Core) fresh(now time.Duration, t *relay.Table) bool {
+func (c *Core) tableFresh(now time.Duration, t *relay.Table) bool {
 	age := c.tableAge(now, t.ID)
 
 	return t.Parts > 0 && t.Parts <= relay.MaxParts && t.Age <= c.Policy.HandoverTime && age >= 0 && age <= c.Policy.HandoverTime+wallSlack
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -70,8 +70,9 @@
 	commands    []Command
 	// sends holds the Sends of all Updates, used again by each; sent counts those of
 	// this one. A known flow's packet costs no allocation.
-	sends    []*Send
-	sent     int
+	sends []*Send
+	sent  int
+	// lastTick is when the last Tick or the last pause ended.
 	lastTick time.Duration
 	swept    time.Duration
 }
@@ -109,6 +110,7 @@
 	c.init(now)
 	c.commands = c.commands[:0]
 	c.sent = 0
+	c.notePause(now)
 	switch m := m.(type) {
 	case *CallerPacket:
 		c.callerPacket(now, m)
@@ -120,7 +122,7 @@
 	case CatalogConfirmed:
 		c.listConfirmed(now)
 	case Tick:
-		c.tick(now)
+		c.tick(now, m.Behind)
 	}
 
 	return c.commands
@@ -196,12 +198,11 @@
 	c.commands = append(c.commands, n)
 }
 
-func (c *Core) tick(now time.Duration) {
-	paused := now-c.lastTick > pauseTime
-	c.lastTick = now
-	if paused {
+func (c *Core) tick(now time.Duration, behind bool) {
+	if behind {
 		c.forgive(now)
 	}
+	c.lastTick = now
 	c.tickAgents(now)
 	c.tickTables(now)
 	c.tickOpening(now)
@@ -213,7 +214,8 @@
 	}
 }
 
-// forgive restarts all waits after a pause of this process.
+// forgive restarts all waits after a pause of this process, or while its sockets are
+// behind.
 func (c *Core) forgive(now time.Duration) {
 	for _, a := range c.agents {
 		a.since = now
--- a/proof/opaque_network_test.go
+++ b/proof/opaque_network_test.go
@@ -53,6 +53,9 @@
 }
 
 func (w *opaqueWorld) entryUpdate(e *opaqueEntry, m steer.Message) {
+	if w.keep(&e.stand, m, func() { w.entryUpdate(e, m) }) {
+		return
+	}
 	for _, c := range slices.Clone(e.core.Update(w.Now, m)) {
 		switch c := c.(type) {
 		case *steer.Send:
@@ -107,6 +110,9 @@
 }
 
 func (w *opaqueWorld) agentUpdate(a *opaqueAgent, m conntrack.Message) {
+	if w.keep(&a.stand, m, func() { w.agentUpdate(a, m) }) {
+		return
+	}
 	for _, c := range slices.Clone(a.core.Update(w.Now, m)) {
 		switch c := c.(type) {
 		case conntrack.ToTarget:
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -84,8 +84,9 @@
 	// last is when the last packet of a caller came.
 	last time.Duration
 	// view is the view that it has, seen the version of the world's list that it shows.
-	view *catalog.Snapshot
-	seen uint64
+	view  *catalog.Snapshot
+	seen  uint64
+	stand opaqueStand
 }
 
 // opaqueAgent is a VM with an agent and a target.
@@ -99,6 +100,7 @@
 	cutEnd time.Duration
 	// lapsed is until when the target is missing from the list though it lives.
 	lapsed time.Duration
+	stand  opaqueStand
 }
 
 // opaqueTouch is how long after an impairment of a VM its flows may be reset.
@@ -144,18 +146,30 @@
 	w.Every(w.Now+opaqueConfirmTime, opaqueConfirmTime, w.confirm)
 	w.Every(w.Now+steer.TickTime, steer.TickTime, func() {
 		for _, e := range w.entries {
-			if !e.down {
-				w.entryUpdate(e, steer.Tick{})
-			}
+			w.tickEntry(e)
 		}
 		for _, a := range w.agents {
-			if !a.down {
-				w.agentUpdate(a, conntrack.Tick{})
-			}
+			w.tickAgent(a)
 		}
 	})
 }
 
+func (w *opaqueWorld) tickEntry(e *opaqueEntry) {
+	if !e.down {
+		w.entryUpdate(e, steer.Tick{
+			Behind: e.stand.behind(w.Now),
+		})
+	}
+}
+
+func (w *opaqueWorld) tickAgent(a *opaqueAgent) {
+	if !a.down {
+		w.agentUpdate(a, conntrack.Tick{
+			Behind: a.stand.behind(w.Now),
+		})
+	}
+}
+
 func (w *opaqueWorld) breaks(format string, args ...any) {
 	w.broken = append(w.broken, fmt.Sprintf("%v ", w.Now)+fmt.Sprintf(format, args...))
 }
