Let old unanswered packets of an idle target count no more

An agent counts a target as down when three packets that ask for an answer have waited since 400 ms. The count had no age: two packets lost on an idle target made the next request, 6 s later, the third, and the first was old enough. Callers repeat a packet within 1.6 s, so packets that lie more than 2 s apart are not one silence.

The test of the oracle that waits now also routes the packet that it sends, as the worlds count what an entry got.

--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -11,6 +11,9 @@
 	// downPackets is the number of packets that ask for an answer which a target leaves
 	// unanswered before it counts as down.
 	downPackets = 3
+	// askGap is the time between two such packets from which the earlier ones count no
+	// more: the ends of a flow repeat a packet within 1.6 s, so they were lost or given up.
+	askGap = 2 * time.Second
 	// retryTime is the time between two SYNs that try a target that is down.
 	retryTime = 100 * time.Millisecond
 )
@@ -20,9 +23,10 @@
 	// heard is when the target sent anything.
 	heard time.Duration
 	// waiting counts the packets since then that ask for an answer, the first of
-	// them sent at since.
+	// them sent at since, the last at asked. None came more than askGap after another.
 	waiting int
 	since   time.Duration
+	asked   time.Duration
 	down    bool
 	tried   time.Duration
 	refusal bool
@@ -36,9 +40,13 @@
 	if !asks {
 		return
 	}
+	if now-t.asked > askGap {
+		t.waiting = 0
+	}
 	if t.waiting == 0 {
 		t.since = now
 	}
+	t.asked = now
 	t.waiting++
 }
 
--- a/proof/opaque_oracle_test.go
+++ b/proof/opaque_oracle_test.go
@@ -85,6 +85,7 @@
 	w.Run(time.Second)
 	owner := w.holder(c)
 	w.sentRequest(c.key)
+	w.routed(c.key, w.entries[0])
 	for _, a := range w.agents {
 		if a != owner {
 			w.arrived(a, &segment.Segment{
