--- a/ibisfold-entry/catalog.go
+++ b/ibisfold-entry/catalog.go
@@ -19,7 +19,8 @@
 
 // catalogNews is what a line of the log tells of the reason for a change.
 type catalogNews struct {
-	// by is the kind of the answer, or "time" if a grace or an age has ended.
+	// by is the kind of the answer: a listing, changes, or what a source told of targets
+	// that left. It is "time" if a grace or an age has ended.
 	by          string
 	afterOutage bool
 	// confirmed means that the answer came from an upstream that is current.
@@ -40,7 +41,7 @@
 			n.afterOutage = n.afterOutage || c.AfterOutage
 		case catalog.TargetDeparted:
 			if n.by != "listing" {
-				n.by = "departed"
+				n.by = "source"
 			}
 		}
 	}
