Bound the departed targets that a source may tell

A list of a million targets in one answer would hold up the owner of the state, as each beyond the bound drops an earlier one. decodeBatch refuses more than MaxDeparted (the row "too many" fails without the check). The bound is 8192 instead of 4096: a process that starts may hear of all 3,700 targets of the design size before it has its own listing, and those must not displace ones that left.

--- a/core/catalog/departed.go
+++ b/core/catalog/departed.go
@@ -11,10 +11,11 @@
 const (
 	// DefaultMaxAge is how long a target that left the list may hold flows.
 	DefaultMaxAge = 60 * time.Second
-	// MaxDeparted bounds the targets that are kept after they left: a little more than
-	// the 3,700 targets of the design size, all replaced within DefaultMaxAge. The ones
-	// that left first are dropped.
-	MaxDeparted = 4096
+	// MaxDeparted bounds the targets that are kept after they left: twice the 3,700
+	// targets of the design size, as a process that starts may hear of all targets that a
+	// source lists, and as many that left, before its own listing. The ones that left
+	// first are dropped.
+	MaxDeparted = 8192
 	// ageSlack is by how much the time that another process tells has to be later to
 	// replace the one known. Ages do not count the time of the call that brings them,
 	// so processes that tell each other would else keep a target for ever.
--- a/core/feed/body.go
+++ b/core/feed/body.go
@@ -74,6 +74,9 @@
 		Current:     x.Current,
 		Departed:    x.Departed,
 	}
+	if len(b.Departed) > catalog.MaxDeparted {
+		return Batch{}, errors.Annotatef(ErrAnswer, "%d departed targets", len(b.Departed))
+	}
 	for i := range b.Departed {
 		if err := checkDeparted(&b.Departed[i]); err != nil {
 			return Batch{}, err
--- a/core/feed/departed_test.go
+++ b/core/feed/departed_test.go
@@ -265,6 +265,7 @@
 		"age too long":   `[{"Target":` + good + `,"Age":92233720368547758080}]`,
 		"null":           `[null]`,
 		"no list":        `{"Target":` + good + `}`,
+		"too many":       `[` + strings.Repeat(`{"Target":`+good+`},`, catalog.MaxDeparted) + `{"Target":` + good + `}]`,
 		"one of several": `[{"Target":` + good + `},{"Target":{"ID":"y"}}]`,
 	}
 	for name, text := range tests {
