Keep the cost of an idle process while each tick looks at its sockets

What operators see: an idle process used 41 to 47 ms of CPU in 10 s instead of 35 to 36 (a loop with two sockets, three runs beside each other, trial).

Cause: the look at a socket was a blocking system call for Go's scheduler, which wakes its monitor thread: 130 more switches a second for 100 calls.

Fix: the call never blocks, so it is made raw on Linux. A datagram that comes alone still costs about 20% more (8.4 and 10.3 us, BenchmarkPump/1).

--- a/core/udp/drain.go
+++ b/core/udp/drain.go
@@ -1,7 +1,6 @@
 package udp
 
 import (
-	"errors"
 	"syscall"
 	"time"
 )
@@ -26,31 +25,22 @@
 		raw:       raw,
 		connected: connected,
 	}
-	// Each goroutine has a buffer of its own. Both are kept, as the functions are:
-	// neither look costs an allocation while nothing waits.
-	seen, read := make([]byte, 1), make([]byte, 1)
+	// The functions are kept, so that a look costs no allocation.
 	d.wait = func(fd uintptr) bool {
 		if d.woken {
 			return true
 		}
 		d.woken = true
 
-		return readable(fd, read)
+		return readable(fd)
 	}
 	d.look = func(fd uintptr) {
-		d.waits = readable(fd, seen)
+		d.waits = readable(fd)
 	}
 
 	return d
 }
 
-// readable reports whether a datagram or an error waits in the kernel.
-func readable(fd uintptr, b []byte) bool {
-	_, _, err := syscall.Recvfrom(int(fd), b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-
-	return !errors.Is(err, syscall.EAGAIN)
-}
-
 // readFlags are those of a read after await.
 func (d *drain) readFlags() int {
 	if d.connected {
