--- a/proof/opaque_fuzz_test.go
+++ b/proof/opaque_fuzz_test.go
@@ -161,6 +161,9 @@
 }
 
 func opaqueRandomWorld(t *testing.T, seed uint64, without opaqueProtection, kind opaqueKind) *opaqueWorld {
+	if kind == opaqueFrozen {
+		return opaqueFrozenWorld(t, seed)
+	}
 	w := opaqueSite(t, seed, 3)
 	w.without = without
 	faults := opaqueFaults
