--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -33,6 +33,9 @@
 	// hold no flow that the agent missed. A process that ended is started again
 	// after about 0.5 s, so no earlier agent can have opened one meanwhile.
 	freshTime = 400 * time.Millisecond
+	// startSlack is how much later than the agent a target that listened already may
+	// say that it started: it may take the time a moment after that.
+	startSlack = 100 * time.Millisecond
 )
 
 // Core decides for one agent. Set the exported fields before the first Update.
@@ -48,6 +51,9 @@
 	// Started is when the process started, in Unix milliseconds on the clock that
 	// the target's start is told by.
 	Started int64
+	// Listened means that the target listened when the process started, so that it
+	// started before.
+	Listened bool
 	// Policy is by default DefaultPolicy.
 	Policy *Policy
 
@@ -64,8 +70,14 @@
 	// not known.
 	slots   int
 	backlog backlog
+	stopped plannedStop
+	restore restoring
+	// questions may be answered by the flow table of the process before.
+	questions []question
 	// now is the time of the Update that runs.
 	now time.Duration
+	// lastTick is when the last Tick or the last pause ended.
+	lastTick time.Duration
 	// load is the mean number of requests in progress, active the number of flows
 	// lately in use.
 	load     float64
@@ -117,6 +129,7 @@
 		c.flows = map[segment.Key]*flow{}
 		c.probes = map[segment.Key]*flow{}
 		c.entries = map[netip.AddrPort]time.Duration{}
+		c.restore.began = now
 		if c.Policy == nil {
 			p := DefaultPolicy()
 			c.Policy = &p
@@ -124,14 +137,18 @@
 		if c.MaxFlowAge == 0 {
 			c.MaxFlowAge = defaultMaxAge
 		}
+		c.lastTick = now
 	}
 	c.commands = c.commands[:0]
 	c.now = now
+	c.notePause(now)
 	switch m := m.(type) {
 	case *EntryMessage:
 		c.entryMessage(now, m)
 	case *TargetPacket:
-		c.targetPacket(now, m)
+		if !c.answersBlocked(now, &m.Segment) {
+			c.targetPacket(now, m)
+		}
 	case TargetRefused:
 		c.target.refusal = true
 		c.checkTarget(now)
@@ -142,9 +159,10 @@
 	case Stop:
 		c.stop(now, m)
 	case Tick:
-		c.tick(now)
+		c.tick(now, m.Behind)
 	}
 	c.admitWaiting(now)
+	c.answerQuestions(now)
 
 	return c.commands
 }
@@ -154,7 +172,11 @@
 	return len(c.flows)
 }
 
-func (c *Core) tick(now time.Duration) {
+func (c *Core) tick(now time.Duration, behind bool) {
+	if behind {
+		c.forgive(now, now-c.lastTick)
+	}
+	c.lastTick = now
 	share := float64(TickTime) / float64(c.Policy.LoadTime)
 	c.load += share * (float64(c.work.progress) - c.load)
 	c.work.expire(now)
@@ -162,6 +184,7 @@
 	c.expireWaiting(now)
 	c.checkTarget(now)
 	c.tickProbes(now)
+	c.tickRestore(now)
 	if now-c.swept >= sweepTime {
 		c.swept = now
 		c.sweep(now)
@@ -195,10 +218,11 @@
 	c.work.drop(k)
 	delete(c.flows, k)
 	delete(c.probes, k)
+	c.restore.forgot(k)
 }
 
-// stop tells all entries that the coming silence is planned, and hands the SYNs that
-// wait back to them. Where the target has ended, callers are told too: those of idle
+// stop tells all entries that the coming silence is planned, hands the SYNs that wait
+// back to them, and the flow table over to some. Where the target has ended, callers are told too: those of idle
 // flows open another one before their next request, which they may be unable to repeat.
 func (c *Core) stop(now time.Duration, m Stop) {
 	reason := relay.ReasonNone
@@ -213,6 +237,7 @@
 			Reason: reason,
 		})
 	}
+	c.handOver(now, m)
 }
 
 // answer sends a message to an entry, with the load that it takes into account.
--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -50,9 +50,13 @@
 	asks    int
 	// stopping is when the agent announced its stop; zero if it did not.
 	stopping time.Duration
-	// ended means that the target beside it had ended when the agent announced its stop.
+	// ended means that the target beside it had ended when the agent announced its stop,
+	// and that no other target was listed at its address since.
 	ended  bool
 	silent bool
+	// restoring is until when the agent, which is back from a planned stop, may still get
+	// its flow table: see awaitTable.
+	restoring time.Duration
 	// pending is the flow of the first packet that was passed on since the agent
 	// was heard, at since; waits is false if there is none.
 	pending segment.Key
@@ -106,6 +110,9 @@
 	if t, ok := c.listed[a]; ok {
 		return t.Born
 	}
+	if t, ok := c.evidence.departed[a]; ok {
+		return t.Born
+	}
 
 	return 0
 }
@@ -129,12 +136,16 @@
 		})
 	}
 	c.resend(now, from, a, m.Kind)
+	if !a.known || now-a.heard >= c.MaxFlowAge {
+		c.evidence.generation++
+	}
 	a.known = true
 	a.heard = now
 	c.lastHeard = now
 	a.asks = 0
 	a.silent = false
 	if now-a.stopping > lateTime {
+		c.awaitTable(now, a)
 		a.stopping = 0
 		a.ended = false
 	}
@@ -321,6 +332,9 @@
 }
 
 func (c *Core) agentMessage(now time.Duration, m *AgentMessage) {
+	if c.handover(now, m) {
+		return
+	}
 	a := c.hear(now, m.From, &m.Message)
 	k := m.Message.Key
 	switch m.Message.Kind {
--- a/core/steer/command.go
+++ b/core/steer/command.go
@@ -37,10 +37,20 @@
 	Version uint64
 	// Age is how long ago Agent was last heard.
 	Age time.Duration
-	// Count is the number of attempts or answers that decided.
+	// Count is the number of attempts or answers that decided, or of parts of a flow table.
 	Count int
 	// Reason is what the agent gave as its reason.
 	Reason relay.Reason
+	// Asked, Unsure and Unanswered are, at the end of a search, the numbers of agents
+	// that were asked, that did not know, and that did not answer and are not known to
+	// be gone; Tried is the number of packets that went on trial.
+	Asked      int
+	Unsure     int
+	Unanswered int
+	Tried      int
+	// ListAge is, at the end of a search, how long ago the list of targets was
+	// confirmed; negative if it never was.
+	ListAge time.Duration
 }
 
 // Measured is a time for the histograms.
@@ -99,8 +109,13 @@
 	SearchStarted
 	// SearchFound: an agent owns the flow.
 	SearchFound
-	// SearchOpen: not all agents answered; the caller's next copy starts again.
+	// OnTrial: packets were passed to agents that are unsure, so that their targets decide.
+	OnTrial
+	// SearchOpen: not all agents answered, or the list of targets is not current; the
+	// caller's next packet starts again.
 	SearchOpen
+	// SearchReplaced: the caller opens another flow with the same key.
+	SearchReplaced
 	// NotHeld: no target holds the flow; it was reset.
 	NotHeld
 	// OwnerGone: the flow's agent is silent or its target has left; it was reset.
@@ -111,24 +126,32 @@
 	AgentBack
 	// AgentStopping: an agent announced its planned stop.
 	AgentStopping
+	// TableKept: an agent that stops handed its flow table over.
+	TableKept
+	// TableDropped: the table is not kept, for want of memory.
+	TableDropped
 	decisions
 )
 
 var decisionNames = [decisions]string{
-	DecisionNone:  "none",
-	Placed:        "flow placed",
-	PlacedAgain:   "flow placed again",
-	NoRoute:       "flow reset: no route",
-	NoTarget:      "flow reset: no target",
-	NoCatalog:     "packet dropped: no catalog yet",
-	SearchStarted: "owner search started",
-	SearchFound:   "owner found",
-	SearchOpen:    "owner search open: agents silent",
-	NotHeld:       "flow reset: held by no target",
-	OwnerGone:     "flow reset: owner gone",
-	AgentSilent:   "agent silent",
-	AgentBack:     "agent back",
-	AgentStopping: "agent stopping",
+	DecisionNone:   "none",
+	Placed:         "flow placed",
+	PlacedAgain:    "flow placed again",
+	NoRoute:        "flow reset: no route",
+	NoTarget:       "flow reset: no target",
+	NoCatalog:      "packet dropped: no catalog yet",
+	SearchStarted:  "owner search started",
+	SearchFound:    "owner found",
+	OnTrial:        "packet on trial",
+	SearchOpen:     "owner search open",
+	SearchReplaced: "owner search ended: flow opened anew",
+	NotHeld:        "flow reset: held by no target",
+	OwnerGone:      "flow reset: owner gone",
+	AgentSilent:    "agent silent",
+	AgentBack:      "agent back",
+	AgentStopping:  "agent stopping",
+	TableKept:      "flow table kept",
+	TableDropped:   "flow table dropped: no memory",
 }
 
 // DecisionNames returns the names of all decisions, in the order of their values.
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -4,10 +4,8 @@
 package steer
 
 import (
-	"maps"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"ibisfold.example/core/catalog"
@@ -52,14 +50,15 @@
 	// opening holds the flows whose SYN no target has answered yet.
 	opening  map[segment.Key]*flow
 	searches map[segment.Key]*search
-	// strays counts the packets of each flow that went to targets which are probably
-	// not its own. It outlives the flow's searches.
-	strays map[segment.Key]stray
+	evidence evidence
+	// views is used again by each review.
+	views  views
 	agents map[netip.AddrPort]*agent
 	// order holds the keys of agents, so that work over all has a fixed order.
 	order []netip.AddrPort
 	// early holds packets from before the first view.
 	early     []earlyPacket
+	tables    keptTables
 	questions questions
 	// probes bounds the packets that go to unsure agents.
 	probes budget
@@ -71,8 +70,9 @@
 	commands    []Command
 	// sends holds the Sends of all Updates, used again by each; sent counts those of
 	// this one. A known flow's packet costs no allocation.
-	sends    []*Send
-	sent     int
+	sends []*Send
+	sent  int
+	// lastTick is when the last Tick or the last pause ended.
 	lastTick time.Duration
 	swept    time.Duration
 }
@@ -97,6 +97,9 @@
 	opened time.Duration
 	due    time.Duration
 	used   time.Duration
+	// distrust is until when an agent that did not get the SYN may say that it owns an
+	// earlier flow of the same key, which was searched here.
+	distrust time.Duration
 	// ack is what the caller acknowledged last, for a reset.
 	ack uint32
 }
@@ -107,6 +110,7 @@
 	c.init(now)
 	c.commands = c.commands[:0]
 	c.sent = 0
+	c.notePause(now)
 	switch m := m.(type) {
 	case *CallerPacket:
 		c.callerPacket(now, m)
@@ -115,8 +119,10 @@
 	case CatalogChanged:
 		c.setSnapshot(now, m)
 		c.replayEarly(now)
+	case CatalogConfirmed:
+		c.listConfirmed(now)
 	case Tick:
-		c.tick(now)
+		c.tick(now, m.Behind)
 	}
 
 	return c.commands
@@ -129,7 +135,6 @@
 	c.flows = map[segment.Key]*flow{}
 	c.opening = map[segment.Key]*flow{}
 	c.searches = map[segment.Key]*search{}
-	c.strays = map[segment.Key]stray{}
 	c.agents = map[netip.AddrPort]*agent{}
 	if c.Policy == nil {
 		p := DefaultPolicy()
@@ -147,30 +152,6 @@
 	}
 }
 
-func (c *Core) setSnapshot(now time.Duration, m CatalogChanged) {
-	old := c.listed
-	n := m.Snapshot
-	c.snapshot = n
-	c.listed = map[netip.AddrPort]*catalog.Member{}
-	c.listing = c.listing[:0]
-	for _, service := range slices.Sorted(maps.Keys(n.Groups)) {
-		g := n.Groups[service]
-		for i := range g {
-			a := c.agentOf(&g[i])
-			if _, ok := old[a]; !ok && m.fresh(now, &g[i], c.Policy.SpreadTime) {
-				c.agent(a).spread = now + c.Policy.SpreadTime
-			}
-			c.listed[a] = &g[i]
-			c.listing = append(c.listing, a)
-		}
-	}
-}
-
-// fresh reports whether a target started within the last d.
-func (m *CatalogChanged) fresh(now time.Duration, t *catalog.Member, d time.Duration) bool {
-	return now < t.ColdUntil || t.Born != 0 && m.Wall-t.Born < d.Milliseconds()
-}
-
 // agentOf returns the address of the agent beside a target.
 func (c *Core) agentOf(m *catalog.Member) netip.AddrPort {
 	return netip.AddrPortFrom(m.Address.Addr(), c.RelayPort)
@@ -217,13 +198,13 @@
 	c.commands = append(c.commands, n)
 }
 
-func (c *Core) tick(now time.Duration) {
-	paused := now-c.lastTick > pauseTime
-	c.lastTick = now
-	if paused {
+func (c *Core) tick(now time.Duration, behind bool) {
+	if behind {
 		c.forgive(now)
 	}
+	c.lastTick = now
 	c.tickAgents(now)
+	c.tickTables(now)
 	c.tickOpening(now)
 	c.tickSearches(now)
 	c.flushQuestions(now)
@@ -233,7 +214,8 @@
 	}
 }
 
-// forgive restarts all waits after a pause of this process.
+// forgive restarts all waits after a pause of this process, or while its sockets are
+// behind.
 func (c *Core) forgive(now time.Duration) {
 	for _, a := range c.agents {
 		a.since = now
@@ -246,7 +228,7 @@
 		f.due = now + c.Policy.AcceptTime
 	}
 	for _, s := range c.searches {
-		s.since = now
+		s.forgive(now)
 	}
 }
 
@@ -262,9 +244,4 @@
 			delete(c.opening, k)
 		}
 	}
-	for k, x := range c.strays {
-		if now-x.at > c.MaxFlowAge {
-			delete(c.strays, k)
-		}
-	}
 }
--- a/proof/opaque_ends_test.go
+++ b/proof/opaque_ends_test.go
@@ -173,7 +173,7 @@
 }
 
 func (w *opaqueWorld) fromTarget(a *opaqueAgent, s *segment.Segment, data []byte) {
-	if a.down || !a.target.reacts() {
+	if a.down || !a.target.reacts() || a.stand.keepTarget(func() { w.fromTarget(a, s, data) }) {
 		return
 	}
 	b := platform.AppendPacket(nil, s, data)
@@ -195,8 +195,10 @@
 	pause time.Duration
 	// fresh opens a flow for each request.
 	fresh bool
-	// patient keeps the flow while a request waits: see addPatient.
+	// patient keeps the flow while a request waits: see addPatient. A steady caller then
+	// does not double the time between copies.
 	patient bool
+	steady  bool
 	// answer is the sequence number of the answer to the SYN that was chosen.
 	answer  uint32
 	open    bool
--- a/proof/opaque_fuzz_test.go
+++ b/proof/opaque_fuzz_test.go
@@ -161,6 +161,9 @@
 }
 
 func opaqueRandomWorld(t *testing.T, seed uint64, without opaqueProtection, kind opaqueKind) *opaqueWorld {
+	if kind == opaqueFrozen {
+		return opaqueFrozenWorld(t, seed)
+	}
 	w := opaqueSite(t, seed, 3)
 	w.without = without
 	faults := opaqueFaults
@@ -182,6 +185,9 @@
 	if kind == opaqueDeparted {
 		callers = append(callers, w.addPatient(15, time.Second)...)
 	}
+	if kind == opaqueIdle {
+		w.addPatient(60, opaqueIdlePause)
+	}
 	w.Run(time.Second)
 	for w.Now < opaqueFuzzTime {
 		f := faults[w.random.IntN(len(faults))]
@@ -338,6 +344,8 @@
 	opaqueUnsure opaqueProtection = "unsure agents"
 	// opaqueFreshness: a target counts as new only if it started with its agent.
 	opaqueFreshness opaqueProtection = "age of targets"
+	// opaqueHandover: agents hand their flow tables over at planned stops.
+	opaqueHandover opaqueProtection = "handover of flow tables"
 )
 
 // Guards against an oracle that is blind: each protection that is taken away has
@@ -346,10 +354,12 @@
 	for _, p := range []opaqueProtection{opaqueAnnouncement, opaqueUnsure, opaqueFreshness} {
 		t.Run(string(p), func(t *testing.T) {
 			for seed := range uint64(opaqueFuzzSeeds) {
-				if broken := opaqueFuzz(t, 1000+seed, p, opaqueOrderly); len(broken) > 0 {
-					t.Logf("seed %d: %s", 1000+seed, broken[0])
+				for _, kind := range []opaqueKind{opaqueOrderly, opaqueIdle} {
+					if broken := opaqueFuzz(t, 1000+seed, p, kind); len(broken) > 0 {
+						t.Logf("seed %d, %s: %s", 1000+seed, kind, broken[0])
 
-					return
+						return
+					}
 				}
 			}
 			t.Error("not found")
--- a/proof/opaque_network_test.go
+++ b/proof/opaque_network_test.go
@@ -53,6 +53,9 @@
 }
 
 func (w *opaqueWorld) entryUpdate(e *opaqueEntry, m steer.Message) {
+	if w.keep(&e.stand, m, func() { w.entryUpdate(e, m) }) {
+		return
+	}
 	for _, c := range slices.Clone(e.core.Update(w.Now, m)) {
 		switch c := c.(type) {
 		case *steer.Send:
@@ -60,7 +63,8 @@
 		case steer.Reset:
 			w.toCaller(e.zone, c.Key, platform.AppendReset(nil, c.Key, c.Seq))
 		case steer.Note:
-			w.notes = append(w.notes, fmt.Sprintf("%v entry %v %v %v %v heard %v count %d %v", w.Now, e.addr, c.Decision, c.Key, c.Agent, c.Age, c.Count, c.Reason))
+			w.notes = append(w.notes, fmt.Sprintf("%v entry %v %v %v %v heard %v count %d %v", w.Now, e.addr, c.Decision, c.Key, c.Agent, c.Age, c.Count, c.Reason)+
+				fmt.Sprintf(" asked %d unsure %d unanswered %d tried %d list %v", c.Asked, c.Unsure, c.Unanswered, c.Tried, c.ListAge))
 		}
 	}
 }
@@ -106,6 +110,9 @@
 }
 
 func (w *opaqueWorld) agentUpdate(a *opaqueAgent, m conntrack.Message) {
+	if w.keep(&a.stand, m, func() { w.agentUpdate(a, m) }) {
+		return
+	}
 	for _, c := range slices.Clone(a.core.Update(w.Now, m)) {
 		switch c := c.(type) {
 		case conntrack.ToTarget:
@@ -132,6 +139,9 @@
 	if m.Kind == relay.Stopping && w.without == opaqueAnnouncement {
 		return
 	}
+	if m.Kind == relay.Handover && w.without == opaqueHandover {
+		return
+	}
 	b := m.Append(nil)
 	for _, e := range w.entries {
 		if e.addr != to {
@@ -164,15 +174,20 @@
 		}
 	}
 	if len(near) == 0 {
+		w.routed(k, nil)
+
 		return
 	}
 	e := near[k.Hash()%uint64(len(near))]
+	w.routed(k, e)
 	w.After(time.Millisecond, func() {
-		if !e.down {
-			w.entryUpdate(e, &steer.CallerPacket{
-				Segment: w.decode(b),
-				Packet:  b,
-			})
+		if e.down {
+			return
 		}
+		e.last = w.Now
+		w.entryUpdate(e, &steer.CallerPacket{
+			Segment: w.decode(b),
+			Packet:  b,
+		})
 	})
 }
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -81,6 +81,12 @@
 	rotated bool
 	// stale means that no news reaches the entry.
 	stale bool
+	// last is when the last packet of a caller came.
+	last time.Duration
+	// view is the view that it has, seen the version of the world's list that it shows.
+	view  *catalog.Snapshot
+	seen  uint64
+	stand opaqueStand
 }
 
 // opaqueAgent is a VM with an agent and a target.
@@ -94,6 +100,7 @@
 	cutEnd time.Duration
 	// lapsed is until when the target is missing from the list though it lives.
 	lapsed time.Duration
+	stand  opaqueStand
 }
 
 // opaqueTouch is how long after an impairment of a VM its flows may be reset.
@@ -136,20 +143,33 @@
 }
 
 func (w *opaqueWorld) startTicks() {
+	w.Every(w.Now+opaqueConfirmTime, opaqueConfirmTime, w.confirm)
 	w.Every(w.Now+steer.TickTime, steer.TickTime, func() {
 		for _, e := range w.entries {
-			if !e.down {
-				w.entryUpdate(e, steer.Tick{})
-			}
+			w.tickEntry(e)
 		}
 		for _, a := range w.agents {
-			if !a.down {
-				w.agentUpdate(a, conntrack.Tick{})
-			}
+			w.tickAgent(a)
 		}
 	})
 }
 
+func (w *opaqueWorld) tickEntry(e *opaqueEntry) {
+	if !e.down {
+		w.entryUpdate(e, steer.Tick{
+			Behind: e.stand.behind(w.Now),
+		})
+	}
+}
+
+func (w *opaqueWorld) tickAgent(a *opaqueAgent) {
+	if !a.down {
+		w.agentUpdate(a, conntrack.Tick{
+			Behind: a.stand.behind(w.Now),
+		})
+	}
+}
+
 func (w *opaqueWorld) breaks(format string, args ...any) {
 	w.broken = append(w.broken, fmt.Sprintf("%v ", w.Now)+fmt.Sprintf(format, args...))
 }
@@ -181,7 +201,9 @@
 // informEntry gives an entry the current view.
 func (w *opaqueWorld) informEntry(e *opaqueEntry) {
 	if n := w.catalog.Snapshot(); n != nil {
-		w.inform(e, n)
+		e.view = n
+		e.seen = w.version
+		w.inform(e)
 	}
 }
 
@@ -193,6 +215,7 @@
 		LinkRate:  w.linkRate,
 		Random:    w.random,
 	}
+	e.view = nil
 	e.down = false
 }
 
