Let the agent of a target that leaves go on until the target has ended

Cause: the platform stops an agent a moment before its target has ended when the target drained for longer than usual. The agent found the port open, took the stop for a restart, and ended in 3 ms. The VM was taken away, so no agent came back; entries waited for the announced stop (5 s) and reset the flows. Logs: stop announced with the target not ended, and no start after it, on each of the agents concerned.

Ruled out: silence (no line agent silent before the stop's time was over); the list (targets were asked although departed).

Entries now tell agents, by a bit in every message, that their target drains or has left the list. An agent that is stopped beside such a target and held flows lately goes on until the port is closed, at most until 2 s before SIGKILL.

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -71,6 +71,7 @@
 	slots   int
 	backlog backlog
 	stopped plannedStop
+	leaving leaving
 	restore restoring
 	// questions may be answered by the flow table of the process before.
 	questions []question
--- /dev/null
+++ b/core/conntrack/leaving_test.go
@@ -0,0 +1,68 @@
+package conntrack
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// Guards against an agent that ends at once when it is stopped just before its target: the
+// VM is taken away, nobody else reaches the target, and its open flows are silent until
+// entries end them. Pattern: targets drain for longer as the configuration service was away.
+func TestAgentStaysForLeavingTarget(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		leaving bool
+		held    bool
+		at      time.Duration
+		want    bool
+	}{
+		{"leaves, with a flow in use", true, true, time.Second, true},
+		{"stays", false, true, time.Second, false},
+		{"leaves, without flows", true, false, time.Second, false},
+		{"leaves, with an idle flow", true, true, leavingFlow + time.Second, false},
+		{"said long ago", true, true, leavingTime + time.Second, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			is := is.New(t)
+			c := Core{
+				Complete: true,
+			}
+			m := openMessage(testKey, 0)
+			m.Message.Leaving = x.leaving
+			c.Update(0, m)
+			if x.held {
+				c.Update(time.Millisecond, &TargetPacket{
+					Segment: segment.Segment{
+						Key:        testKey,
+						FromTarget: true,
+						Flags:      segment.ACK,
+						Len:        1,
+					},
+				})
+			}
+			is.Equal(c.Leaves(x.at), x.want)
+		})
+	}
+}
+
+// Guards against the word of one entry that is taken back by another whose list is older.
+func TestLeavingOutlivesOlderLists(t *testing.T) {
+	is := is.New(t)
+	c := Core{}
+	for _, leaving := range []bool{true, false} {
+		c.Update(0, &EntryMessage{
+			From: testEntry,
+			Message: relay.Message{
+				Kind:    relay.Find,
+				Key:     testKey,
+				Leaving: leaving,
+			},
+		})
+	}
+	is.True(c.leaving.said)
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -143,8 +143,11 @@
 
 const version = 2
 
-// flagUnstable is the bit of Unstable in the fourth byte.
-const flagUnstable = 1
+// Bits of the fourth byte.
+const (
+	flagUnstable = 1 << iota
+	flagLeaving
+)
 
 // Sentinel errors of this package.
 const (
@@ -185,6 +188,9 @@
 	// Unstable means, in messages of agents, that the target lost its flows a short
 	// while ago and may do so again.
 	Unstable bool
+	// Leaving means, in messages of entries, that the target beside the agent is draining
+	// or has left the list.
+	Leaving bool
 	// Flows is, in messages of agents, the number of flows lately in use.
 	Flows uint16
 	// Keys lists the flows of FindMany and Answers, and Found what is told of each in
@@ -201,7 +207,10 @@
 func (m *Message) Append(b []byte) []byte {
 	b = append(b, version, byte(m.Kind), byte(m.Reason), 0)
 	if m.Unstable {
-		b[len(b)-1] = flagUnstable
+		b[len(b)-1] |= flagUnstable
+	}
+	if m.Leaving {
+		b[len(b)-1] |= flagLeaving
 	}
 	b = binary.LittleEndian.AppendUint64(b, m.subject())
 	b = appendKey(b, m.Key)
@@ -259,6 +268,7 @@
 	m.Kind = Kind(b[1])
 	m.Reason = Reason(b[2])
 	m.Unstable = b[3]&flagUnstable != 0
+	m.Leaving = b[3]&flagLeaving != 0
 	m.setSubject(binary.LittleEndian.Uint64(b[4:]))
 	m.Key = decodeKey(b[12:])
 	m.ColdRate = binary.LittleEndian.Uint16(b[24:])
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -21,6 +21,7 @@
 		ColdRate: 3,
 		Load:     4,
 		Unstable: true,
+		Leaving:  true,
 		Flows:    5,
 		Slots:    6,
 		Age:      7,
--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -65,6 +65,8 @@
 	// unheard holds copies of the packets that were passed on since the agent was
 	// heard, for an agent that was away: see resend.
 	unheard []heldPacket
+	// leaving means that the target beside it is draining or has left the list.
+	leaving bool
 	// load and flows are the agent's last report; opened counts the flows that
 	// were placed here since.
 	load     float64
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -170,6 +170,7 @@
 	c.sent++
 	s.To = to
 	s.Message = m
+	s.Message.Leaving = c.agent(to).leaving
 	c.commands = append(c.commands, s)
 }
 
--- a/core/steer/evidence.go
+++ b/core/steer/evidence.go
@@ -39,6 +39,7 @@
 		}
 	}
 	c.depart(n.Departed)
+	c.markLeaving()
 	c.evidence.generation++
 	if m.Confirmed {
 		c.listConfirmed(now)
@@ -77,6 +78,15 @@
 	}
 }
 
+// markLeaving notes which agents are beside targets that leave, for the messages to them.
+func (c *Core) markLeaving() {
+	for addr, a := range c.agents {
+		t, listed := c.listed[addr]
+		_, departed := c.evidence.departed[addr]
+		a.leaving = departed || listed && t.Draining
+	}
+}
+
 // fresh reports whether a target started within the last d.
 func (m *CatalogChanged) fresh(now time.Duration, t *catalog.Member, d time.Duration) bool {
 	return now < t.ColdUntil || t.Born != 0 && m.Wall-t.Born < d.Milliseconds()
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -162,13 +162,14 @@
 	})
 }
 
-// run serves until SIGTERM. The agent has no work that a longer stop would
-// save, so it tells the entries and makes room for its next start.
+// run serves until SIGTERM. It tells the entries and makes room for its next start,
+// after the target has ended if that is on its way out.
 func (p *opaqueAgent) run(term context.Context) error {
 	p.Log.Info("agent started", "service", p.settings.Service, "target", p.settings.Target, "relay", p.settings.Relay,
 		"first", p.settings.FirstStart, "policy", p.policies.Changes())
 
 	return p.Run(term, func() {
+		p.awaitTarget()
 		done := make(chan struct{})
 		p.Post(func() {
 			p.Log.Info("graceful shutdown started", "flows", p.core.Flows())
@@ -185,6 +186,41 @@
 // announceTime bounds the wait until the stop is announced.
 const announceTime = time.Second
 
+const (
+	// stopReserve is the part of the time between SIGTERM and SIGKILL that is left for
+	// the announcement and the flow table.
+	stopReserve = 2 * time.Second
+	stopPoll    = 250 * time.Millisecond
+)
+
+// awaitTarget goes on serving while a target that leaves is still there and has flows.
+func (p *opaqueAgent) awaitTarget() {
+	begin := p.Clock()
+	waits := true
+	for waits && p.Clock()-begin < p.settings.StopTime-stopReserve {
+		asked := make(chan bool, 1)
+		p.Post(func() {
+			asked <- p.core.Leaves(p.Clock())
+		})
+		select {
+		case waits = <-asked:
+		case <-time.After(announceTime):
+			waits = false
+		}
+		if may, _ := look(p.settings.Target); !may {
+			waits = false
+		}
+		if waits {
+			time.Sleep(stopPoll)
+		}
+	}
+	if waited := p.Clock() - begin; waited >= stopPoll {
+		p.Post(func() {
+			p.Log.Info("waited for the target that leaves", "time", waited)
+		})
+	}
+}
+
 // stopCopies is how often the stop is announced: a datagram may be lost.
 const stopCopies = 3
 
