steer: confirm a new flow only with targets that answered its SYN

Cause: the first packet after the SYN went to every agent that had got a copy of the SYN. One that had been killed and started again since had no flow table, was unsure, and passed the packet to a target that never saw the flow.

The agents tell which targets answered the SYN (Accepted). The entry now notes them and passes the packet only to these, or to all that got the SYN while none is known to have answered, as the message may be lost or come after the packet. If the caller chose another target than the one known, its agent returns the packet, and the entry passes it at once to the agents that have not got it, so the caller need not send a copy.

--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -339,7 +339,7 @@
 	k := m.Message.Key
 	switch m.Message.Kind {
 	case relay.Accepted:
-		c.accepted(now, k)
+		c.accepted(now, k, m.From)
 	case relay.Owned, relay.NotOwned, relay.Unsure:
 		c.told(now, k, m.From, m.Message.Kind)
 	case relay.Answers:
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -89,6 +89,11 @@
 	// refused holds those of tried that handed the SYN back. Each of the others may
 	// still open the flow.
 	refused []netip.AddrPort
+	// accepted holds those of tried whose target answered the SYN.
+	accepted []netip.AddrPort
+	// passed holds the agents that got each packet since the first, until they returned
+	// one. An agent that is not in it may lack packets that another returned.
+	passed []netip.AddrPort
 	// first means that the first copy of the SYN came here.
 	first bool
 	// began is when the caller sent the first SYN, opened when one came here, due when
--- a/core/steer/forward.go
+++ b/core/steer/forward.go
@@ -39,28 +39,6 @@
 	c.confirm(now, f, m)
 }
 
-// confirm passes a packet of a flow that was opened here to all targets that got
-// its SYN: the one that the caller chose tells. The caller may have opened the
-// flow through another entry with a copy of its SYN, so where none of them is left
-// the owner is searched.
-func (c *Core) confirm(now time.Duration, f *flow, m *CallerPacket) {
-	there := []netip.AddrPort{}
-	for _, to := range f.tried {
-		if a := c.agent(to); !a.silent && !a.ended {
-			there = append(there, to)
-		}
-	}
-	if len(there) == 0 {
-		delete(c.flows, m.Segment.Key)
-		c.miss(now, m)
-
-		return
-	}
-	for _, to := range there {
-		c.sendProbe(now, relay.Confirm, to, m.Segment.Key, m.Packet)
-	}
-}
-
 // forward passes a packet to the agent that owns its flow, and resets the flow
 // if the agent is known to be gone.
 func (c *Core) forward(now time.Duration, to netip.AddrPort, m *CallerPacket) {
@@ -103,10 +81,15 @@
 	if f, ok := c.flows[k]; ok {
 		owned = f.owner == m.From
 		f.tried = without(f.tried, m.From)
+		f.accepted = without(f.accepted, m.From)
 		if owned {
 			f.owner = netip.AddrPort{}
 		}
 		if f.owner.IsValid() || len(f.tried) > 0 {
+			if !owned {
+				c.passOn(now, f, m)
+			}
+
 			return
 		}
 		delete(c.flows, k)
--- a/core/steer/open.go
+++ b/core/steer/open.go
@@ -157,14 +157,6 @@
 	}
 }
 
-// accepted notes that a target answered a SYN.
-func (c *Core) accepted(now time.Duration, k segment.Key) {
-	if f, ok := c.opening[k]; ok {
-		c.measure(OpenTime, now-f.opened)
-		delete(c.opening, k)
-	}
-}
-
 // placeRefused finds another target for a SYN that was handed back, or gives the
 // flow up if no target can have opened it.
 func (c *Core) placeRefused(now time.Duration, k segment.Key, f *flow) {
