steer, conntrack: withdraw a SYN whose flow another target opened

Cause: the packet that went to all agents with a copy of the SYN also took a waiting SYN out of their backlogs and freed the place that their target kept for the request. Without it these stay for up to a second, and new flows are placed elsewhere.

The entry now tells these agents once that another target answered (Withdraw). The message carries no packet, so an agent that lost its table has nothing to pass on.

--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -18,6 +18,9 @@
 		c.open(now, m)
 	case relay.Deliver, relay.Confirm, relay.Probe:
 		c.deliver(now, m)
+	case relay.Withdraw:
+		c.backlog.remove(m.Message.Key)
+		c.work.met(m.Message.Key)
 	case relay.Find:
 		c.learnStart(now, m)
 		c.find(now, m)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -57,6 +57,9 @@
 	HandoverDone
 	// HandoverPart gives an agent a part of its flow table back.
 	HandoverPart
+	// Withdraw tells an agent that got the flow's SYN that another target answered it. It
+	// carries no packet, so an agent that lost its flow table does not try its target.
+	Withdraw
 	kinds
 )
 
@@ -80,6 +83,7 @@
 	HandoverWanted: "handover_wanted",
 	HandoverDone:   "handover_done",
 	HandoverPart:   "handover_part",
+	Withdraw:       "withdraw",
 }
 
 // String returns the kind's name as used in logs.
--- a/core/steer/confirm.go
+++ b/core/steer/confirm.go
@@ -21,6 +21,9 @@
 
 		return
 	}
+	if f.passed == nil {
+		c.withdraw(f, to, m.Segment.Key)
+	}
 	f.passedTo(to)
 	for _, a := range to {
 		c.sendProbe(now, relay.Confirm, a, m.Segment.Key, m.Packet)
@@ -51,6 +54,19 @@
 	return there
 }
 
+// withdraw tells the agents that got the SYN and are not asked that another target answered
+// it: a SYN that waits there would take a place of its target.
+func (c *Core) withdraw(f *flow, asked []netip.AddrPort, k segment.Key) {
+	for _, a := range c.there(f.tried) {
+		if !slices.Contains(asked, a) {
+			c.send(a, relay.Message{
+				Kind: relay.Withdraw,
+				Key:  k,
+			})
+		}
+	}
+}
+
 // passedTo notes which agents get a packet.
 func (f *flow) passedTo(to []netip.AddrPort) {
 	if f.passed == nil {
--- a/core/steer/confirm_test.go
+++ b/core/steer/confirm_test.go
@@ -138,3 +138,25 @@
 	is.Equal(len(returns(c, first)), 0)
 	is.Equal(callerSends(c), []netip.AddrPort{second})
 }
+
+// Guards against a SYN that waits at an agent, and takes a place of its target later, though
+// the flow was opened elsewhere. Found by TestOpaqueEarlyPackets.
+func TestConfirmWithdrawsOthers(t *testing.T) {
+	is := is.New(t)
+	c, first, second := triedByTwo(t)
+	says(c, second, relay.Accepted)
+	is.Equal(withdrawn(c.Update(confirmTime, benchPacket(1, segment.ACK))), []netip.AddrPort{first})
+	is.Equal(len(withdrawn(c.Update(confirmTime, benchPacket(1, segment.ACK)))), 0)
+}
+
+// withdrawn returns the agents that are told that another target answered the SYN.
+func withdrawn(commands []Command) []netip.AddrPort {
+	to := []netip.AddrPort{}
+	for _, x := range commands {
+		if s, ok := x.(*Send); ok && s.Message.Kind == relay.Withdraw {
+			to = append(to, s.To)
+		}
+	}
+
+	return to
+}
