--- a/proof/opaque_fuzz_test.go
+++ b/proof/opaque_fuzz_test.go
@@ -300,6 +300,11 @@
 		cause: "a message from before an agent's announced stop came after it and took the announcement back; " +
 			"also found by hunt on eisruf-lb, evacuation-beside-kills --vary --seed 869248578745",
 	},
+	{
+		seed:  1040,
+		kind:  opaqueIdle,
+		cause: "the first packet after the SYN went to agents whose target had not answered it and that had lost their flow tables",
+	},
 }
 
 // Guards against the faults that random worlds have found.
