Go on with a trial when an agent leaves between its waves

Callers saw an open flow reach up to four other targets and, for 2 s and more, not its own: FLOW broke in a single trial. The first wave sends the packet to the preferred targets. If any other unsure agent stopped before the second wave, settle waited for that agent and the owner, which was there all the while, got nothing.

Once packets of a trial are out, the unsure agents that are there get theirs, and the missing ones are asked again. A trial still begins only when every agent that may hold the flow is there.

TestOwnerIsTriedWhenAgentStopsBetweenWaves and TestOwnerIsTriedWhileAgentsRoll failed before: 4 strays, no packet at the owner in 0.5 s and 2 s.

--- a/core/steer/probe.go
+++ b/core/steer/probe.go
@@ -26,7 +26,7 @@
 }
 
 // try passes the packet to the agents that are unsure. It is called when all others that
-// may hold the flow have denied it.
+// may hold the flow have denied it, or are missing since the trial began.
 func (c *Core) try(now time.Duration, k segment.Key, s *search, unsure []*reply) {
 	h := s.oldest(now)
 	size := len(h.packet) + messageBytes
--- a/core/steer/settle.go
+++ b/core/steer/settle.go
@@ -32,15 +32,19 @@
 	tried []*reply
 }
 
-// settle decides a search in which all agents were asked. A packet goes on trial only
-// when each agent that may hold the flow is there: three packets of a flow at other
-// targets and none at its own count as misrouted, whichever entries sent them.
+// settle decides a search in which all agents were asked. A trial begins only when each
+// agent that may hold the flow is there: three packets of a flow at other targets and none
+// at its own count as misrouted, whichever entries sent them. For the same reason one that
+// has begun goes on with the agents that are there.
 func (c *Core) settle(now time.Duration, k segment.Key, s *search) {
 	v := c.review(now, s)
 	s.waiting = len(v.missing) + len(v.tried)
 	switch {
 	case len(v.tried) > 0:
 	case len(v.missing) > 0:
+		if s.trial.packets > 0 && len(v.unsure) > 0 {
+			c.try(now, k, s, v.unsure)
+		}
 		c.release(s)
 		c.chase(now, k, s, v)
 	case len(v.unsure) > 0:
--- /dev/null
+++ b/core/steer/wave_test.go
@@ -0,0 +1,153 @@
+package steer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// Guards against three strays of one trial while the owner gets no packet: an agent stops
+// between the wave of preferred agents and the other one.
+func TestOwnerIsTriedWhenAgentStopsBetweenWaves(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(40)
+	agents := newTestAgents(c.listing, relay.Unsure)
+	group := c.snapshot.Groups[c.routeOf(flowOne).Splits[0].Service]
+	first := c.preferred(flowOne, group, c.Policy.Preferred+moreTargets, isAny)
+	preferred := map[netip.AddrPort]bool{}
+	for _, m := range first {
+		preferred[c.agentOf(m)] = true
+	}
+	others := []netip.AddrPort{}
+	for _, a := range c.listing {
+		if !preferred[a] {
+			others = append(others, a)
+		}
+	}
+	agents.owner = others[0]
+	// Probes are answered 10 ms later; another agent announces its stop in between.
+	probes := []*Send{}
+	step := func(now time.Duration, m Message) {
+		queue := []Message{m}
+		for len(queue) > 0 {
+			next := queue[0]
+			queue = queue[1:]
+			for _, x := range c.Update(now, next) {
+				s, ok := x.(*Send)
+				if !ok {
+					continue
+				}
+				if s.Message.Kind == relay.Probe {
+					probes = append(probes, &Send{
+						To:      s.To,
+						Message: s.Message,
+					})
+					continue
+				}
+				if a, ok := agents.answer(s); ok {
+					queue = append(queue, &a)
+				}
+			}
+		}
+	}
+	step(TickTime, benchPacket(1, segment.ACK))
+	step(2*TickTime, Tick{})
+	strays := len(probes)
+	hears(c, 2*TickTime+5*time.Millisecond, others[1], stopping(relay.ReasonNone))
+	delete(agents.say, others[1])
+	for i := range strays {
+		b := bounce(probes[i])
+		step(2*TickTime+10*time.Millisecond, &b)
+	}
+	for now := 3 * TickTime; now < 500*time.Millisecond; now += TickTime {
+		step(now, CatalogConfirmed{})
+		step(now, Tick{})
+	}
+	got := 0
+	for _, s := range probes {
+		if s.To == agents.owner {
+			got++
+		}
+	}
+	t.Logf("strays %d, packets of the owner in 0.5 s %d", strays, got)
+	is.True(strays < 3 || got > 0)
+}
+
+// Guards against a flow that breaks FLOW in one trial: the preferred targets get strays,
+// then agents that are unsure are stopped in turn, so that no second wave follows for 2 s.
+func TestOwnerIsTriedWhileAgentsRoll(t *testing.T) {
+	is := is.New(t)
+	const away = 500 * time.Millisecond
+	c := newTestCore(12)
+	agents := newTestAgents(c.listing, relay.Unsure)
+	group := c.snapshot.Groups[c.routeOf(flowOne).Splits[0].Service]
+	preferred := map[netip.AddrPort]bool{}
+	for _, m := range c.preferred(flowOne, group, c.Policy.Preferred+moreTargets, isAny) {
+		preferred[c.agentOf(m)] = true
+	}
+	others := []netip.AddrPort{}
+	for _, a := range c.listing {
+		if !preferred[a] {
+			others = append(others, a)
+		}
+	}
+	agents.owner = others[0]
+	rolled := others[1:]
+	const bounceTime = 2 * time.Millisecond
+	bounces := []AgentMessage{}
+	strays := 0
+	step := func(now time.Duration, m Message) {
+		queue := []Message{m}
+		for ; len(queue) > 0; queue = queue[1:] {
+			for _, x := range c.Update(now, queue[0]) {
+				s, ok := x.(*Send)
+				if !ok {
+					continue
+				}
+				if s.Message.Kind == relay.Probe && s.To != agents.owner {
+					strays++
+					bounces = append(bounces, bounce(&Send{
+						To:      s.To,
+						Message: s.Message,
+					}))
+					continue
+				}
+				if a, ok := agents.answer(s); ok {
+					queue = append(queue, &a)
+				}
+			}
+		}
+	}
+	step(TickTime, benchPacket(1, segment.ACK))
+	begin := TickTime + bounceTime
+	gone := netip.AddrPort{}
+	for now := begin; now < begin+2*time.Second; now += bounceTime {
+		due := bounces
+		bounces = nil
+		if i := int((now - begin) / away); rolled[i] != gone {
+			if gone.IsValid() {
+				agents.say[gone] = relay.Unsure
+			}
+			gone = rolled[i]
+			hears(c, now, gone, stopping(relay.ReasonNone))
+			delete(agents.say, gone)
+		}
+		for i := range due {
+			step(now, &due[i])
+		}
+		if now%TickTime == 0 {
+			step(now, CatalogConfirmed{})
+			step(now, Tick{})
+		}
+		if now%(400*time.Millisecond) == 0 {
+			step(now, benchPacket(1, segment.ACK))
+		}
+	}
+	t.Logf("strays %d, packets of the owner in 2 s %d", strays, agents.delivered)
+	is.True(strays < 3 || agents.delivered > 0)
+}
