Ask the agents of a new list before a search resets its flow

A flow could be reset though its agent was never asked: a confirmed list that named a new target came, and the answer of another agent before the next tick ended the search. Only ticks asked the agents of a new list. settle now asks them first, whatever led to it.

TestNewListIsAskedBeforeReset failed before: one reset.

--- a/core/steer/evidence_test.go
+++ b/core/steer/evidence_test.go
@@ -366,3 +366,31 @@
 	is.True(sent <= int(700*time.Millisecond/askAgain)+1)
 	is.Equal(agents.probes, 0)
 }
+
+// Guards against a reset by a search that has not asked the agents of a list that came a
+// moment ago: an answer of another agent before the next tick ends the search.
+func TestNewListIsAskedBeforeReset(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	full := c.snapshot
+	owner := c.listing[0]
+	relist(c, 0, false, owner)
+	agents := newTestAgents(c.listing[1:], relay.NotOwned)
+	late := c.listing[0]
+	agents.run(c, TickTime, 200*time.Millisecond, true, TickTime)
+	is.Equal(agents.resets, 0)
+	is.Equal(len(c.searches), 1)
+	now := 205 * time.Millisecond
+	c.Update(now, CatalogChanged{
+		Snapshot:  full,
+		Confirmed: true,
+	})
+	agents.update(c, now+time.Millisecond, &AgentMessage{
+		From: late,
+		Message: relay.Message{
+			Kind: relay.NotOwned,
+			Key:  flowOne,
+		},
+	})
+	is.Equal(agents.resets, 0)
+}
--- a/core/steer/search.go
+++ b/core/steer/search.go
@@ -243,7 +243,6 @@
 			s.since = now
 		}
 		if s.stage == stageAll {
-			c.askNew(now, k, s)
 			c.settle(now, k, s)
 			continue
 		}
--- a/core/steer/settle.go
+++ b/core/steer/settle.go
@@ -35,8 +35,10 @@
 // settle decides a search in which all agents were asked. A trial begins only when each
 // agent that may hold the flow is there: three packets of a flow at other targets and none
 // at its own count as misrouted, whichever entries sent them. For the same reason one that
-// has begun goes on with the agents that are there.
+// has begun goes on with the agents that are there. Agents of a list that came since the
+// last tick are asked first.
 func (c *Core) settle(now time.Duration, k segment.Key, s *search) {
+	c.askNew(now, k, s)
 	v := c.review(now, s)
 	s.waiting = len(v.missing) + len(v.tried)
 	switch {
