Await an agent whose target had ended for one wave

A flow could be reset though a target held it: an agent said that its target had ended, came back beside a new target that other entries knew and placed flows on, and this entry, whose list still had the old target, did not wait for its answer.

TestEndedAgentMayBeBack failed before: one reset. TestEndedAgentIsAwaitedForOneWave passes before and after, and bounds the wait.

--- a/core/steer/late_test.go
+++ b/core/steer/late_test.go
@@ -40,3 +40,43 @@
 	}
 	is.Equal(agents.resets, 0)
 }
+
+// Guards against a reset of a flow of a target that started at the address of one whose
+// agent told that it had ended: that agent is back, others place flows there, and its
+// answer takes 5 ms longer than those of the others.
+func TestEndedAgentMayBeBack(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	owner := c.listing[0]
+	agents := newTestAgents(c.listing[1:], relay.NotOwned)
+	for now := TickTime; now < time.Second; now += TickTime {
+		agents.update(c, now, CatalogConfirmed{})
+		agents.update(c, now, Tick{})
+	}
+	hears(c, time.Second, owner, stopping(relay.ReasonTargetDown))
+	for now := time.Second + TickTime; now < 2*time.Second; now += TickTime {
+		agents.update(c, now, CatalogConfirmed{})
+		agents.update(c, now, Tick{})
+	}
+	now := 2 * time.Second
+	agents.update(c, now, benchPacket(1, segment.ACK))
+	agents.update(c, now+TickTime, Tick{})
+	is.Equal(agents.resets, 0)
+	hears(c, now+TickTime+5*time.Millisecond, owner, relay.Message{
+		Kind: relay.Owned,
+		Key:  flowOne,
+	})
+	is.Equal(len(c.flows), 1)
+}
+
+// Guards against searches that wait for the agent of a target that has ended for as long
+// as for one that is silent without a word.
+func TestEndedAgentIsAwaitedForOneWave(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	agents := newTestAgents(c.listing[1:], relay.NotOwned)
+	hears(c, TickTime, c.listing[0], stopping(relay.ReasonTargetDown))
+	agents.run(c, 2*TickTime, time.Second, true)
+	agents.run(c, time.Second, time.Second+5*TickTime, true, time.Second)
+	is.Equal(agents.resets, 1)
+}
--- a/core/steer/settle.go
+++ b/core/steer/settle.go
@@ -64,7 +64,7 @@
 	v.tried = v.tried[:0]
 	for i := range s.replies {
 		r := &s.replies[i]
-		if r.answer == answerNo || c.lost(now, r.agent) {
+		if r.answer == answerNo || c.gone(now, s, r) {
 			continue
 		}
 		if r.answer == answerProbed && now-r.at >= trialTime<<min(r.tries-1, maxDoublings) {
@@ -84,6 +84,17 @@
 	return v
 }
 
+// gone reports whether an agent's silence shows that it holds no flow. One that announced
+// that its target had ended may be back beside a target that others know already, so its
+// answer is awaited for one wave.
+func (c *Core) gone(now time.Duration, s *search, r *reply) bool {
+	if r.agent.ended && now-r.agent.stopping > lateTime {
+		return now-max(r.at, s.since) >= farWaveTime
+	}
+
+	return c.lost(now, r.agent)
+}
+
 // present reports whether an agent that is unsure is probably still there, and will not
 // know more in a moment.
 func (c *Core) present(now time.Duration, a *agent) bool {
