Don't try a target again that has bounced the packet

A target could get a second stray of one flow: its agent's earlier answer, that it is unsure, came late or twice, after the target had bounced the packet, and put the agent back among those to try. The bounce now stands for the rest of the search.

--- a/core/steer/late_test.go
+++ b/core/steer/late_test.go
@@ -80,3 +80,29 @@
 	agents.run(c, time.Second, time.Second+5*TickTime, true, time.Second)
 	is.Equal(agents.resets, 1)
 }
+
+// Guards against a second stray at a target that has bounced the packet: its agent's
+// earlier answer comes after that, late or twice.
+func TestLateUnsureIsNotTriedAgain(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	// The list is not current, so the search stays open.
+	c.evidence.confirmed = false
+	agents := newTestAgents(c.listing, relay.Unsure)
+	agents.update(c, TickTime, benchPacket(1, segment.ACK))
+	agents.update(c, 2*TickTime, Tick{})
+	agents.update(c, 3*TickTime, Tick{})
+	is.Equal(agents.probes, 6)
+	agents.update(c, 4*TickTime, benchPacket(1, segment.ACK))
+	agents.update(c, 5*TickTime, Tick{})
+	before := agents.probes
+	agents.update(c, 6*TickTime, &AgentMessage{
+		From: c.listing[0],
+		Message: relay.Message{
+			Kind: relay.Unsure,
+			Key:  flowOne,
+		},
+	})
+	agents.update(c, 7*TickTime, Tick{})
+	is.Equal(agents.probes, before)
+}
--- a/core/steer/search.go
+++ b/core/steer/search.go
@@ -149,8 +149,9 @@
 		i = c.enlist(s, from)
 	}
 	r := &s.replies[i]
-	if x == answerUnsure && r.answer == answerProbed {
-		// It was told before the packet on trial arrived.
+	if x == answerUnsure && (r.answer == answerProbed || r.answer == answerNo && r.tries > 0) {
+		// It was told before the packet on trial arrived, or came twice: the target's
+		// reaction says more.
 		return
 	}
 	if asked && (r.answer == answerNone || r.answer == answerProbed) {
