End searches while the process is behind

While ticks were behind, or pauses followed one another, every tick counted as the last packet of each search, so searches that no caller waits for stayed in memory, up to their bound, beyond which the packets of others are dropped.

--- a/core/steer/pause_test.go
+++ b/core/steer/pause_test.go
@@ -130,3 +130,24 @@
 		w.is.True(after <= bound)
 	}
 }
+
+// Guards against searches that a process which stays behind, or is paused again and
+// again, never ends: they take memory, and no caller waits for them.
+func TestSearchEndsWhileBehind(t *testing.T) {
+	for _, step := range []time.Duration{TickTime, pauseTime + TickTime} {
+		is := is.New(t)
+		c := newTestCore(6)
+		// The list is not current, so the search stays open.
+		c.evidence.confirmed = false
+		agents := newTestAgents(c.listing, relay.NotOwned)
+		agents.update(c, TickTime, benchPacket(1, segment.ACK))
+		now := 2 * TickTime
+		for ; now < 2*searchTime+2*step; now += step {
+			agents.update(c, now, Tick{
+				Behind: step == TickTime,
+			})
+		}
+		is.Equal(len(c.searches), 0)
+		is.Equal(agents.resets, 0)
+	}
+}
--- a/core/steer/search.go
+++ b/core/steer/search.go
@@ -79,10 +79,12 @@
 	unsure bool
 	trial  trial
 	// held are copies of the caller's packets, the oldest first, never empty; last is
-	// when the last of them came.
+	// when the last of them came, or when this process was late for the first time since.
 	held []waitingPacket
 	last time.Duration
-	ack  uint32
+	// prolonged means that last is not when a packet came.
+	prolonged bool
+	ack       uint32
 }
 
 // waitingPacket is a packet that waits for the end of a search.
@@ -127,6 +129,7 @@
 // than searchTime.
 func (s *search) hold(now time.Duration, packet []byte) {
 	s.last = now
+	s.prolonged = false
 	s.held = slices.DeleteFunc(s.held, func(h waitingPacket) bool {
 		return now-h.at > searchTime
 	})
@@ -254,10 +257,15 @@
 	}
 }
 
-// forgive restarts the waits of a search after a pause of this process.
+// forgive restarts the waits of a search after a pause of this process. It prolongs the
+// search once for each packet of its caller: a process that stays behind would never end
+// it otherwise.
 func (s *search) forgive(now time.Duration) {
 	s.since = now
-	s.last = now
+	if !s.prolonged {
+		s.prolonged = true
+		s.last = now
+	}
 	for i := range s.replies {
 		s.replies[i].at = now
 	}
