Test that the denial of a flow's owner is no evidence for a reset

A review proposed to reset a flow at once when the agent that owned it returns a packet with ReasonNotHeld, whatever the state of the list, so that callers need not wait for their deadline while the store is down. That agent may be wrong about having owned it: an unsure agent whose target does not bounce a packet on trial within 40 ms says Owned, and NotHeld when a bounce comes (TestAssumedFlowIsGivenBack). The entry may also remember the owner of an earlier flow of the same ports. So the search stays.

Both tests pass on the code as it is. With the proposed rule TestDenialOfOwnerIsNoEvidence fails: one reset of a flow that another target holds.

--- /dev/null
+++ b/core/steer/denial_test.go
@@ -0,0 +1,42 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// Guards against a reset of a flow that another target holds, because the agent that said
+// it owned the flow denies it. An unsure agent says so where its target did not bounce a
+// packet on trial in time, and an entry remembers the owner of an earlier flow of the same ports.
+func TestDenialOfOwnerIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	first, owner := c.listing[0], c.listing[1]
+	agents := newTestAgents(c.listing, relay.NotOwned)
+	delete(agents.say, first)
+	agents.update(c, TickTime, benchPacket(1, segment.ACK))
+	hears(c, TickTime, first, relay.Message{
+		Kind: relay.Owned,
+		Key:  flowOne,
+	})
+	agents.say[first] = relay.NotOwned
+	agents.say[owner] = relay.Owned
+	agents.owner = owner
+	b := bounce(&Send{
+		To: first,
+		Message: relay.Message{
+			Kind:   relay.Deliver,
+			Key:    flowOne,
+			Packet: []byte{1},
+		},
+	})
+	agents.update(c, 100*time.Millisecond, &b)
+	agents.run(c, 100*time.Millisecond, time.Second, true)
+	is.Equal(agents.resets, 0)
+	is.Equal(agents.delivered, 1)
+}
