--- /dev/null
+++ b/core/steer/late_test.go
@@ -0,0 +1,108 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisfold.example/core/relay"
+	"ibisfold.example/core/segment"
+)
+
+// Guards against resets of the flows of an agent that stops as planned: an answer of it from
+// before, 200 ms late, comes 201 ms after the announcement and is taken for its return.
+func TestLateAnswerIsNoReturn(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	owner := c.listing[0]
+	agents := newTestAgents(c.listing[1:], relay.NotOwned)
+	owned := relay.Message{
+		Kind: relay.Owned,
+		Key:  flowOne,
+	}
+	agents.update(c, 0, benchPacket(1, segment.ACK))
+	hears(c, time.Millisecond, owner, owned)
+	hears(c, 100*time.Millisecond, owner, stopping(relay.ReasonNone))
+	for now := 120 * time.Millisecond; now < 620*time.Millisecond; now += TickTime {
+		if now == 300*time.Millisecond {
+			hears(c, now+time.Millisecond, owner, owned)
+		}
+		// Another agent is heard all the while.
+		hears(c, now, c.listing[1], relay.Message{
+			Kind: relay.NotOwned,
+			Key:  flowOne,
+		})
+		agents.update(c, now+time.Millisecond, Tick{})
+		if now%(100*time.Millisecond) == 0 {
+			agents.update(c, now+time.Millisecond, benchPacket(1, segment.ACK))
+		}
+	}
+	is.Equal(agents.resets, 0)
+}
+
+// Guards against a reset of a flow of a target that started at the address of one whose
+// agent told that it had ended: that agent is back, others place flows there, and its
+// answer takes 5 ms longer than those of the others.
+func TestEndedAgentMayBeBack(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	owner := c.listing[0]
+	agents := newTestAgents(c.listing[1:], relay.NotOwned)
+	for now := TickTime; now < time.Second; now += TickTime {
+		agents.update(c, now, CatalogConfirmed{})
+		agents.update(c, now, Tick{})
+	}
+	hears(c, time.Second, owner, stopping(relay.ReasonTargetDown))
+	for now := time.Second + TickTime; now < 2*time.Second; now += TickTime {
+		agents.update(c, now, CatalogConfirmed{})
+		agents.update(c, now, Tick{})
+	}
+	now := 2 * time.Second
+	agents.update(c, now, benchPacket(1, segment.ACK))
+	agents.update(c, now+TickTime, Tick{})
+	is.Equal(agents.resets, 0)
+	hears(c, now+TickTime+5*time.Millisecond, owner, relay.Message{
+		Kind: relay.Owned,
+		Key:  flowOne,
+	})
+	is.Equal(len(c.flows), 1)
+}
+
+// Guards against searches that wait for the agent of a target that has ended for as long
+// as for one that is silent without a word.
+func TestEndedAgentIsAwaitedForOneWave(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	agents := newTestAgents(c.listing[1:], relay.NotOwned)
+	hears(c, TickTime, c.listing[0], stopping(relay.ReasonTargetDown))
+	agents.run(c, 2*TickTime, time.Second, true)
+	agents.run(c, time.Second, time.Second+5*TickTime, true, time.Second)
+	is.Equal(agents.resets, 1)
+}
+
+// Guards against a second stray at a target that has bounced the packet: its agent's
+// earlier answer comes after that, late or twice.
+func TestLateUnsureIsNotTriedAgain(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	// The list is not current, so the search stays open.
+	c.evidence.confirmed = false
+	agents := newTestAgents(c.listing, relay.Unsure)
+	agents.update(c, TickTime, benchPacket(1, segment.ACK))
+	agents.update(c, 2*TickTime, Tick{})
+	agents.update(c, 3*TickTime, Tick{})
+	is.Equal(agents.probes, 6)
+	agents.update(c, 4*TickTime, benchPacket(1, segment.ACK))
+	agents.update(c, 5*TickTime, Tick{})
+	before := agents.probes
+	agents.update(c, 6*TickTime, &AgentMessage{
+		From: c.listing[0],
+		Message: relay.Message{
+			Kind: relay.Unsure,
+			Key:  flowOne,
+		},
+	})
+	agents.update(c, 7*TickTime, Tick{})
+	is.Equal(agents.probes, before)
+}
--- a/core/steer/search.go
+++ b/core/steer/search.go
@@ -79,10 +79,12 @@
 	unsure bool
 	trial  trial
 	// held are copies of the caller's packets, the oldest first, never empty; last is
-	// when the last of them came.
+	// when the last of them came, or when this process was late for the first time since.
 	held []waitingPacket
 	last time.Duration
-	ack  uint32
+	// prolonged means that last is not when a packet came.
+	prolonged bool
+	ack       uint32
 }
 
 // waitingPacket is a packet that waits for the end of a search.
@@ -127,6 +129,7 @@
 // than searchTime.
 func (s *search) hold(now time.Duration, packet []byte) {
 	s.last = now
+	s.prolonged = false
 	s.held = slices.DeleteFunc(s.held, func(h waitingPacket) bool {
 		return now-h.at > searchTime
 	})
@@ -149,8 +152,9 @@
 		i = c.enlist(s, from)
 	}
 	r := &s.replies[i]
-	if x == answerUnsure && r.answer == answerProbed {
-		// It was told before the packet on trial arrived.
+	if x == answerUnsure && (r.answer == answerProbed || r.answer == answerNo && r.tries > 0) {
+		// It was told before the packet on trial arrived, or came twice: the target's
+		// reaction says more.
 		return
 	}
 	if asked && (r.answer == answerNone || r.answer == answerProbed) {
@@ -243,7 +247,6 @@
 			s.since = now
 		}
 		if s.stage == stageAll {
-			c.askNew(now, k, s)
 			c.settle(now, k, s)
 			continue
 		}
@@ -254,10 +257,15 @@
 	}
 }
 
-// forgive restarts the waits of a search after a pause of this process.
+// forgive restarts the waits of a search after a pause of this process. It prolongs the
+// search once for each packet of its caller: a process that stays behind would never end
+// it otherwise.
 func (s *search) forgive(now time.Duration) {
 	s.since = now
-	s.last = now
+	if !s.prolonged {
+		s.prolonged = true
+		s.last = now
+	}
 	for i := range s.replies {
 		s.replies[i].at = now
 	}
