conntrack: be sure after MaxFlowAge of running

An agent that was killed and whose target went on stayed unsure for life: 120 s after its start it still answered Unsure for any flow it did not know, so each search needed trials, and the table of its next planned stop was marked as incomplete.

Every packet of a flow passes the agent, and the ends discard a flow that was idle for MaxFlowAge. So an agent that has run for as long has seen all flows that are left. The time is counted from tick to tick on the process's clock; a gap that counts as a pause is left out. TestUnsureAgentIsSureAfterMaxFlowAge failed before (unsure != not_owned).

--- a/core/conntrack/command.go
+++ b/core/conntrack/command.go
@@ -129,6 +129,8 @@
 	Restored
 	// RestoredUnsure: it came back in part, or that process did not know all flows.
 	RestoredUnsure
+	// Acquainted: the agent has run for so long that it knows all flows of its target.
+	Acquainted
 	decisions
 )
 
@@ -148,6 +150,7 @@
 	HandedOver:     "flow table handed over",
 	Restored:       "flow table restored",
 	RestoredUnsure: "flow table restored: may lack flows",
+	Acquainted:     "all flows known: none is idle since the start",
 }
 
 // DecisionNames returns the names of all decisions, in the order of their values.
--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -42,8 +42,8 @@
 type Core struct {
 	// Service identifies the target's service.
 	Service uint64
-	// Complete means that no flow is older than this process, so that a flow which
-	// is not known here is not held by the target.
+	// Complete means that a flow which is not known here is not held by the target: no
+	// flow is older than this process, or it has run for MaxFlowAge.
 	Complete bool
 	// MaxFlowAge is the age from which the ends discard a flow, by default 60 s. An
 	// idle flow is remembered as long.
@@ -79,6 +79,9 @@
 	now time.Duration
 	// lastTick is when the last Tick or the last pause ended.
 	lastTick time.Duration
+	// ran is for how long the process has run without the time that it was paused, as far
+	// as it was unsure.
+	ran time.Duration
 	// load is the mean number of requests in progress, active the number of flows
 	// lately in use.
 	load     float64
@@ -177,6 +180,7 @@
 	if behind {
 		c.forgive(now, now-c.lastTick)
 	}
+	c.run(now)
 	c.lastTick = now
 	share := float64(TickTime) / float64(c.Policy.LoadTime)
 	c.load += share * (float64(c.work.progress) - c.load)
