conntrack: keep a flow whose SYN copy is bounced

A target that takes no new flows bounces a late copy of the SYN of a flow that it holds. The agent forgot the flow and, if it knows all flows, denied it from then on, so entries reset it. A bounced SYN now ends only a flow that the target has not opened: one that was answered, is held or was assumed to be held stays. The entry is told nothing; it would take the bounce for a refusal of the flow. TestBouncedCopyOfSYNDoesNotEndFlow failed before (not_owned != owned).

--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -94,6 +94,16 @@
 	return f.state != stateFree && f.state != stateEnded
 }
 
+// open reports whether the target has opened the flow, as far as is known.
+func (f *flow) open() bool {
+	switch f.state {
+	case stateAnswered, stateHeld, stateAssumed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *Core) refusal(now time.Duration, m *EntryMessage) relay.Reason {
 	if m.Message.Service != c.Service {
 		return relay.ReasonWrongService
--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -235,6 +235,8 @@
 		return
 	}
 	switch {
+	case m.Segment.Opens() && f.open():
+		// A copy: the target has opened the flow and takes no new ones now.
 	case m.Segment.Opens():
 		c.forget(k)
 		c.giveBack(now, m, f, relay.ReasonFull, Refused)
