conntrack: an unsure agent does not deny a flow for a copy of its SYN

An agent that started after the flow, and passed a copy of its SYN, took the flow for one that began there: it told entries NotOwned and refused the caller's packets, though the target may have held the flow from before the start. While the agent does not know all flows it now answers Unsure, passes the packet to the target, which takes or bounces it, and remembers the flow for MaxFlowAge. The target's answer to the SYN ends the trial of a packet, so a late one is no claim. TestCopyOfSYNIsNoDenial failed before (not_owned != unsure), as did TestLateAnswerToSYNIsNoClaim without the latter.

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -201,7 +201,7 @@
 	c.active = 0
 	for k, f := range c.flows {
 		keep := c.MaxFlowAge
-		if f.state == stateEnded || f.state == statePlaced {
+		if f.state == stateEnded || f.state == statePlaced && c.Complete {
 			keep = endedTime
 		}
 		if now-f.used > keep {
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -152,6 +152,9 @@
 		}
 		c.flows[k] = f
 	}
+	if c.mayPrecede(f) {
+		f.state = stateProbed
+	}
 	if !f.takes(&m.Segment) {
 		c.work.met(k)
 		c.refuse(now, m, relay.ReasonNotHeld)
@@ -188,6 +191,12 @@
 	}
 }
 
+// mayPrecede reports whether the target may have held the flow since before the agent's start,
+// though all that passed was a SYN: it may have been a copy.
+func (c *Core) mayPrecede(f *flow) bool {
+	return f.state == statePlaced && !c.Complete
+}
+
 // takes reports whether a caller's packet may go to the target.
 func (f *flow) takes(s *segment.Segment) bool {
 	switch f.state {
@@ -278,6 +287,9 @@
 	case !ok:
 		return relay.Unsure
 	}
+	if c.mayPrecede(f) {
+		return relay.Unsure
+	}
 	switch f.state {
 	case stateHeld, stateEnded:
 		return relay.Owned
--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -193,6 +193,7 @@
 	first := f.state != stateAnswered
 	f.state = stateAnswered
 	f.synAck = seq
+	delete(c.probes, k)
 	if !first {
 		return
 	}
