conntrack: a held flow does not claim a later one of the same ports

A caller may use a port again within 60 s. The agent of the earlier flow ignored its target's answer to the new SYN, so it claimed the new flow though the caller had chosen another target's answer, and the target got its packets. And when a target bounced a packet of such a flow, the agent reset the flow, which lived elsewhere.

An answer to a SYN with another sequence number than that of the held flow now replaces it; where that number is not known, as after a restart, one that is far from what the target sent last. A bounce whose acknowledgement is far from that goes back to the entry, and the agent is unsure until its target sends something.

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -119,6 +119,10 @@
 	synAck uint32
 	// ack is what the caller acknowledged last.
 	ack uint32
+	// sent is the end of what the target sent last, if located is set; otherwise nothing
+	// is known of it.
+	sent    uint32
+	located bool
 	// entry got or sent the last packet of the caller.
 	entry netip.AddrPort
 	// used is when the last packet passed, opened when the SYN did.
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -41,7 +41,11 @@
 	f, ok := c.flows[m.Message.Key]
 	switch {
 	case ok && f.opening():
-		// A copy. To refuse it would end a flow that the target may have opened.
+		// A copy. To refuse it would end a flow that the target may have opened. Or the
+		// caller uses the port of a held flow again.
+		if f.state == stateHeld {
+			f.opened = now
+		}
 		c.passOpen(now, f, m)
 	case c.room():
 		c.backlog.remove(m.Message.Key)
--- a/core/conntrack/restore.go
+++ b/core/conntrack/restore.go
@@ -178,9 +178,13 @@
 	case relay.FlowAnswered:
 		f.state = stateAnswered
 		f.synAck = x.Seq
+		f.sent = x.Seq
+		f.located = true
 	case relay.FlowHeld:
 		f.state = stateHeld
 		f.ack = x.Seq
+		f.sent = x.Seq
+		f.located = true
 	case relay.FlowAssumed:
 		f.state = stateAssumed
 		f.ack = x.Seq
--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -148,10 +148,15 @@
 	}
 	f.used = now
 	if m.Segment.Flags.Has(segment.SYN) {
+		if f.replaces(m.Segment.Seq) {
+			c.replace(now, k, f)
+		}
+		f.notePosition(&m.Segment)
 		c.learnAnswer(now, k, f, m.Segment.Seq)
 
 		return
 	}
+	f.notePosition(&m.Segment)
 	if m.Segment.Flags.Has(segment.RST) {
 		if _, busy := c.work.requests[k]; busy {
 			// A target that takes flows and resets their requests seems idle.
@@ -246,6 +251,12 @@
 		f.state = stateFree
 		delete(c.probes, k)
 		c.giveBack(now, m, f, relay.ReasonNotHeld, NotHeld)
+	case f.state == stateHeld && f.another(m.Segment.Ack):
+		// The packet is of another flow, which may live elsewhere or be over. Which one the
+		// target holds, if any, its next packets show.
+		c.work.drop(k)
+		f.state = stateAssumed
+		c.giveBack(now, m, f, relay.ReasonNotHeld, NotHeld)
 	case f.state == stateHeld, f.state == stateEnded:
 		c.flaps.flowLost(now)
 		c.loseFlow(now, k, f, m.Segment.Ack)
