steer: bound the agents that are not listed, and forget them

Each address from which a message came made an agent that was never forgotten, and that all searches asked for MaxFlowAge: 100,000 addresses left 100,000 agents. At most 1024 are now known beside one for each listed or departed target; messages of further addresses are dropped. Those that are neither listed nor departed are forgotten once they were not heard for MaxFlowAge, when no search or question refers to them. To send something no longer makes an agent.

--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -115,7 +115,9 @@
 	case *CallerPacket:
 		c.callerPacket(now, m)
 	case *AgentMessage:
-		c.agentMessage(now, m)
+		if c.admits(m.From) {
+			c.agentMessage(now, m)
+		}
 	case CatalogChanged:
 		c.setSnapshot(now, m)
 		c.replayEarly(now)
@@ -170,7 +172,9 @@
 	c.sent++
 	s.To = to
 	s.Message = m
-	s.Message.Leaving = c.agent(to).leaving
+	if a, ok := c.agents[to]; ok {
+		s.Message.Leaving = a.leaving
+	}
 	c.commands = append(c.commands, s)
 }
 
@@ -212,6 +216,7 @@
 	if now-c.swept >= sweepTime {
 		c.swept = now
 		c.sweep(now)
+		c.evictStrangers(now)
 	}
 }
 
