--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -10,6 +10,7 @@
 
 func (c *Core) entryMessage(now time.Duration, m *EntryMessage) {
 	c.entries[m.From] = now
+	c.leaving.hear(now, m.Message.Leaving)
 	if c.blockedByStop(now, m) {
 		return
 	}
@@ -18,6 +19,9 @@
 		c.open(now, m)
 	case relay.Deliver, relay.Confirm, relay.Probe:
 		c.deliver(now, m)
+	case relay.Withdraw:
+		c.backlog.remove(m.Message.Key)
+		c.work.met(m.Message.Key)
 	case relay.Find:
 		c.learnStart(now, m)
 		c.find(now, m)
@@ -40,7 +44,11 @@
 	f, ok := c.flows[m.Message.Key]
 	switch {
 	case ok && f.opening():
-		// A copy. To refuse it would end a flow that the target may have opened.
+		// A copy. To refuse it would end a flow that the target may have opened. Or the
+		// caller uses the port of a held flow again.
+		if f.state == stateHeld {
+			f.opened = now
+		}
 		c.passOpen(now, f, m)
 	case c.room():
 		c.backlog.remove(m.Message.Key)
@@ -93,6 +101,16 @@
 	return f.state != stateFree && f.state != stateEnded
 }
 
+// open reports whether the target has opened the flow, as far as is known.
+func (f *flow) open() bool {
+	switch f.state {
+	case stateAnswered, stateHeld, stateAssumed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *Core) refusal(now time.Duration, m *EntryMessage) relay.Reason {
 	if m.Message.Service != c.Service {
 		return relay.ReasonWrongService
@@ -141,6 +159,9 @@
 		}
 		c.flows[k] = f
 	}
+	if c.mayPrecede(f) {
+		f.state = stateProbed
+	}
 	if !f.takes(&m.Segment) {
 		c.work.met(k)
 		c.refuse(now, m, relay.ReasonNotHeld)
@@ -177,6 +198,12 @@
 	}
 }
 
+// mayPrecede reports whether the target may have held the flow since before the agent's start,
+// though all that passed was a SYN: it may have been a copy.
+func (c *Core) mayPrecede(f *flow) bool {
+	return f.state == statePlaced && !c.Complete
+}
+
 // takes reports whether a caller's packet may go to the target.
 func (f *flow) takes(s *segment.Segment) bool {
 	switch f.state {
@@ -267,6 +294,9 @@
 	case !ok:
 		return relay.Unsure
 	}
+	if c.mayPrecede(f) {
+		return relay.Unsure
+	}
 	switch f.state {
 	case stateHeld, stateEnded:
 		return relay.Owned
--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -148,10 +148,15 @@
 	}
 	f.used = now
 	if m.Segment.Flags.Has(segment.SYN) {
+		if f.replaces(m.Segment.Seq) {
+			c.replace(now, k, f)
+		}
+		f.notePosition(&m.Segment)
 		c.learnAnswer(now, k, f, m.Segment.Seq)
 
 		return
 	}
+	f.notePosition(&m.Segment)
 	if m.Segment.Flags.Has(segment.RST) {
 		if _, busy := c.work.requests[k]; busy {
 			// A target that takes flows and resets their requests seems idle.
@@ -193,6 +198,7 @@
 	first := f.state != stateAnswered
 	f.state = stateAnswered
 	f.synAck = seq
+	delete(c.probes, k)
 	if !first {
 		return
 	}
@@ -235,6 +241,8 @@
 		return
 	}
 	switch {
+	case m.Segment.Opens() && f.open():
+		// A copy: the target has opened the flow and takes no new ones now.
 	case m.Segment.Opens():
 		c.forget(k)
 		c.giveBack(now, m, f, relay.ReasonFull, Refused)
@@ -243,6 +251,12 @@
 		f.state = stateFree
 		delete(c.probes, k)
 		c.giveBack(now, m, f, relay.ReasonNotHeld, NotHeld)
+	case f.state == stateHeld && f.another(m.Segment.Ack):
+		// The packet is of another flow, which may live elsewhere or be over. Which one the
+		// target holds, if any, its next packets show.
+		c.work.drop(k)
+		f.state = stateAssumed
+		c.giveBack(now, m, f, relay.ReasonNotHeld, NotHeld)
 	case f.state == stateHeld, f.state == stateEnded:
 		c.flaps.flowLost(now)
 		c.loseFlow(now, k, f, m.Segment.Ack)
--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -25,8 +25,9 @@
 	// agent is heard.
 	hearingAsks = 2
 	// lateTime is how long after the announcement messages from before it may arrive.
-	// A process that ended is started again after about 0.5 s.
-	lateTime = 200 * time.Millisecond
+	// It covers delays of 200 ms. A process that ended is started again after about 0.5 s,
+	// 300 ms after an announcement that was that late: lateTime is halfway between.
+	lateTime = 250 * time.Millisecond
 	// awayTime is how long an agent leaves a question unanswered from which it may
 	// have missed what was sent since. The way to another zone and back is shorter.
 	awayTime = 40 * time.Millisecond
@@ -65,6 +66,8 @@
 	// unheard holds copies of the packets that were passed on since the agent was
 	// heard, for an agent that was away: see resend.
 	unheard []heldPacket
+	// leaving means that the target beside it is draining or has left the list.
+	leaving bool
 	// load and flows are the agent's last report; opened counts the flows that
 	// were placed here since.
 	load     float64
@@ -339,7 +342,7 @@
 	k := m.Message.Key
 	switch m.Message.Kind {
 	case relay.Accepted:
-		c.accepted(now, k)
+		c.accepted(now, k, m.From)
 	case relay.Owned, relay.NotOwned, relay.Unsure:
 		c.told(now, k, m.From, m.Message.Kind)
 	case relay.Answers:
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -89,6 +89,11 @@
 	// refused holds those of tried that handed the SYN back. Each of the others may
 	// still open the flow.
 	refused []netip.AddrPort
+	// accepted holds those of tried whose target answered the SYN.
+	accepted []netip.AddrPort
+	// passed holds the agents that got each packet since the first, until they returned
+	// one. An agent that is not in it may lack packets that another returned.
+	passed []netip.AddrPort
 	// first means that the first copy of the SYN came here.
 	first bool
 	// began is when the caller sent the first SYN, opened when one came here, due when
@@ -115,12 +120,14 @@
 	case *CallerPacket:
 		c.callerPacket(now, m)
 	case *AgentMessage:
-		c.agentMessage(now, m)
+		if c.admits(m.From) {
+			c.agentMessage(now, m)
+		}
 	case CatalogChanged:
 		c.setSnapshot(now, m)
 		c.replayEarly(now)
 	case CatalogConfirmed:
-		c.listConfirmed(now)
+		c.listConfirmed(now - m.Age)
 	case Tick:
 		c.tick(now, m.Behind)
 	}
@@ -170,6 +177,9 @@
 	c.sent++
 	s.To = to
 	s.Message = m
+	if a, ok := c.agents[to]; ok {
+		s.Message.Leaving = a.leaving
+	}
 	c.commands = append(c.commands, s)
 }
 
@@ -211,6 +221,7 @@
 	if now-c.swept >= sweepTime {
 		c.swept = now
 		c.sweep(now)
+		c.evictStrangers(now)
 	}
 }
 
--- a/core/steer/settle.go
+++ b/core/steer/settle.go
@@ -32,15 +32,21 @@
 	tried []*reply
 }
 
-// settle decides a search in which all agents were asked. A packet goes on trial only
-// when each agent that may hold the flow is there: three packets of a flow at other
-// targets and none at its own count as misrouted, whichever entries sent them.
+// settle decides a search in which all agents were asked. A trial begins only when each
+// agent that may hold the flow is there: three packets of a flow at other targets and none
+// at its own count as misrouted, whichever entries sent them. For the same reason one that
+// has begun goes on with the agents that are there. Agents of a list that came since the
+// last tick are asked first.
 func (c *Core) settle(now time.Duration, k segment.Key, s *search) {
+	c.askNew(now, k, s)
 	v := c.review(now, s)
 	s.waiting = len(v.missing) + len(v.tried)
 	switch {
 	case len(v.tried) > 0:
 	case len(v.missing) > 0:
+		if s.trial.packets > 0 && len(v.unsure) > 0 {
+			c.try(now, k, s, v.unsure)
+		}
 		c.release(s)
 		c.chase(now, k, s, v)
 	case len(v.unsure) > 0:
@@ -58,7 +64,7 @@
 	v.tried = v.tried[:0]
 	for i := range s.replies {
 		r := &s.replies[i]
-		if r.answer == answerNo || c.lost(now, r.agent) {
+		if r.answer == answerNo || c.gone(now, s, r) {
 			continue
 		}
 		if r.answer == answerProbed && now-r.at >= trialTime<<min(r.tries-1, maxDoublings) {
@@ -78,6 +84,17 @@
 	return v
 }
 
+// gone reports whether an agent's silence shows that it holds no flow. One that announced
+// that its target had ended may be back beside a target that others know already, so its
+// answer is awaited for one wave.
+func (c *Core) gone(now time.Duration, s *search, r *reply) bool {
+	if r.agent.ended && now-r.agent.stopping > lateTime {
+		return now-max(r.at, s.since) >= farWaveTime
+	}
+
+	return c.lost(now, r.agent)
+}
+
 // present reports whether an agent that is unsure is probably still there, and will not
 // know more in a moment.
 func (c *Core) present(now time.Duration, a *agent) bool {
