Let the test of a flood hold on a machine without a free core

Traced: with 14 busy loops and GOMAXPROCS=2 it fails at 'l.taken[0] > before[0]' (one of 25 runs): the goroutine that reads the socket got no core within the 10 ms of a tick, which the loop can't promise. The test now asks of each tick that it keeps to its bound and that it either tells that it is behind or has handled all that had come, and that both sockets get their turn while the flood lasts, within 10 s. It fails if ticks never say that they are behind (tried). 40 runs beside the same load pass.

--- a/core/opaque/tick_test.go
+++ b/core/opaque/tick_test.go
@@ -127,8 +127,12 @@
 	stop  context.CancelFunc
 }
 
-// floodMost bounds the datagrams of a flood.
-const floodMost = 500_000
+const (
+	// floodMost bounds the datagrams of a flood.
+	floodMost = 500_000
+	// floodTime bounds the wait for what a flood has to bring about.
+	floodTime = 10 * time.Second
+)
 
 func (l *testLoop) flood(gap time.Duration, inputs int) *flood {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -186,14 +190,21 @@
 	batches := l.pump(t)
 	f := l.flood(0, len(l.Inputs))
 	time.Sleep(testTickTime)
-	for n := range 5 {
+	start := l.taken
+	behind := 0
+	// On a busy machine a goroutine may get no core for the whole of a tick.
+	for end := time.Now().Add(floodTime); time.Now().Before(end) && (behind < 5 || l.taken[0] == start[0] || l.taken[1] == start[1]); {
 		before := l.taken
-		l.tick(time.Now(), batches)
-		is.Equal(l.behind, n+1)
+		told := l.behind
+		begin := time.Now()
+		l.tick(begin, batches)
+		is.True(l.behind > told || l.drained(begin))
 		is.True(l.taken[0]+l.taken[1]-before[0]-before[1] <= catchUpBatches*udp.BatchSize)
-		is.True(l.taken[0] > before[0])
-		is.True(l.taken[1] > before[1])
+		behind = l.behind
 	}
+	is.True(behind >= 5)
+	is.True(l.taken[0] > start[0])
+	is.True(l.taken[1] > start[1])
 	f.end()
 	for range 100 {
 		l.tick(time.Now(), batches)
