--- a/core/steer/late_test.go
+++ b/core/steer/late_test.go
@@ -106,3 +106,60 @@
 	agents.update(c, 7*TickTime, Tick{})
 	is.Equal(agents.probes, before)
 }
+
+// Guards against resets of all flows of an agent whose datagrams take 200 ms for a while.
+func TestLateAnswersAreNoSilence(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(6)
+	owner := c.listing[0]
+	agents := newTestAgents(c.listing[1:], relay.NotOwned)
+	agents.update(c, 0, benchPacket(1, segment.ACK))
+	hears(c, time.Millisecond, owner, relay.Message{
+		Kind: relay.Owned,
+		Key:  flowOne,
+	})
+	type due struct {
+		at time.Duration
+		m  AgentMessage
+	}
+	late := []due{}
+	resets := 0
+	for now := TickTime; now < time.Second; now += TickTime {
+		for len(late) > 0 && late[0].at <= now {
+			m := late[0].m
+			late = late[1:]
+			c.Update(now, &m)
+		}
+		// Others are heard all the while.
+		hears(c, now, c.listing[1], relay.Message{
+			Kind: relay.NotOwned,
+			Key:  flowOne,
+		})
+		messages := []Message{Tick{}}
+		if now%(100*time.Millisecond) == 0 {
+			messages = append(messages, benchPacket(1, segment.ACK))
+		}
+		for _, m := range messages {
+			for _, x := range c.Update(now, m) {
+				switch x := x.(type) {
+				case *Send:
+					if x.To == owner && x.Message.Kind == relay.Find {
+						late = append(late, due{
+							at: now + 200*time.Millisecond,
+							m: AgentMessage{
+								From: owner,
+								Message: relay.Message{
+									Kind: relay.Owned,
+									Key:  x.Message.Key,
+								},
+							},
+						})
+					}
+				case Reset:
+					resets++
+				}
+			}
+		}
+	}
+	is.Equal(resets, 0)
+}
--- a/core/steer/open_test.go
+++ b/core/steer/open_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"ibisfold.example/core/catalog"
 	"ibisfold.example/core/relay"
 	"ibisfold.example/core/segment"
 )
@@ -151,3 +152,44 @@
 		is.Equal(c.agent(a).spread, time.Duration(0))
 	}
 }
+
+// Guards against a reset of a flow that a copy of its SYN has opened through another
+// entry: the first copy came here, waited at an agent, and was handed back a second later.
+func TestRefusedFlowMayBeOpenElsewhere(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(1)
+	to, _ := opened(c.Update(0, synPacket(0)))
+	for now := TickTime; now < 900*time.Millisecond; now += TickTime {
+		c.Update(now, Tick{})
+	}
+	// Copies at 200 and 600 ms went to another entry.
+	_, reset := opened(c.Update(900*time.Millisecond, refusal(to[0])))
+	is.True(!reset)
+}
+
+// Guards against a reset by an entry whose list names no target, though the copy of the
+// SYN says that an earlier one went elsewhere and may have opened the flow.
+func TestCopyWithoutTargetIsNotReset(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(1)
+	relist(c, 0, true, c.listing[0])
+	_, reset := opened(c.Update(time.Millisecond, synPacket(1)))
+	is.True(!reset)
+}
+
+// Guards against the same where the route is missing.
+func TestCopyWithoutRouteIsNotReset(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(1)
+	n := *c.snapshot
+	config := *n.Config
+	config.Version++
+	config.Routes = map[netip.AddrPort]catalog.Route{}
+	n.Config = &config
+	c.Update(0, CatalogChanged{
+		Snapshot:  &n,
+		Confirmed: true,
+	})
+	_, reset := opened(c.Update(time.Millisecond, synPacket(1)))
+	is.True(!reset)
+}
--- a/core/steer/search.go
+++ b/core/steer/search.go
@@ -19,7 +19,8 @@
 	// maxHeld bounds the packets that wait for the end of a search.
 	maxHeld = 4
 	// maxSearches bounds the searches, and with their packets and answers the memory
-	// that they take to about 40 MB. A caller whose packet is dropped sends a copy.
+	// that they take to about 40 MB before 60 agents. A caller whose packet is dropped sends
+	// a copy.
 	maxSearches = 4096
 )
 
