--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -231,8 +231,9 @@
 }
 
 // stop tells all entries that the coming silence is planned, hands the SYNs that wait
-// back to them, and the flow table over to some. Where the target has ended, callers are told too: those of idle
-// flows open another one before their next request, which they may be unable to repeat.
+// back to them, and the flow table over to some. Where the target has ended, callers are
+// told too: those of idle flows open another one before their next request, which they may
+// be unable to repeat.
 func (c *Core) stop(now time.Duration, m Stop) {
 	reason := relay.ReasonNone
 	if m.TargetEnded {
--- a/core/feed/follower.go
+++ b/core/feed/follower.go
@@ -16,8 +16,7 @@
 	// for a source's own watch, and sourceWait for a watch at a source. ownWait is shorter
 	// by the time of a call, so that a watch at a source ends with the source's answer from
 	// the service, not just before it. So confirmations reach all within ownWait, sourceGather
-	// and sourceTime, 1.8 s, and the ways. It costs 1.1 calls a second of each source, instead of
-	// 1, and as many of each follower at its source. They bound the time
+	// and sourceTime, 1.8 s, and the ways. They bound the time
 	// until a silent connection is noticed. A new configuration has to be in force
 	// after 3 s also where the source is cut off or stands still.
 	serviceWait = 1300 * time.Millisecond
