--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,7 +20,8 @@
 type scenario func(w *world) (rule string, err error)
 
 var scenarios = map[string]scenario{
-	"store-copy": playStoreCopy,
+	"new-frontends": playNewFrontends,
+	"store-copy":    playStoreCopy,
 }
 
 func main() {
