--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -40,9 +40,7 @@
 	mu       sync.Mutex
 	flows    map[segment.Key]*endpointFlow
 	draining bool
-	// drainedAt is when the endpoint was told to leave.
-	drainedAt time.Time
-	seqNo     int
+	seqNo    int
 	// era is that of the store's last answer.
 	era int
 	// stopped ends the check-ins.
@@ -59,8 +57,7 @@
 	expected uint32
 	open     bool
 	// lastAnswer is sent again if the client repeats its last request.
-	lastAnswer  []byte
-	lastSegment segment.Segment
+	lastAnswer []byte
 }
 
 // startEndpoint starts the endpoint of a machine. Its clock is ahead of the true time by
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 type scenario func(w *world) (rule string, err error)
 
 var scenarios = map[string]scenario{
+	"clock-step":    playClockStep,
 	"new-frontends": playNewFrontends,
 	"store-copy":    playStoreCopy,
 }
