--- a/review/standin/clockstep.go
+++ b/review/standin/clockstep.go
@@ -12,7 +12,7 @@
 	// clockAhead is how far the clocks of some machines are ahead for a while.
 	clockAhead = 2400 * time.Millisecond
 	// busyFlows is the number of flows of each endpoint that are in use all the while.
-	busyFlows = 4
+	busyFlows = 6
 )
 
 // playClockStep lets one endpoint of each zone crash and come back under its id, while the
@@ -23,6 +23,7 @@
 	for zone := range zones {
 		w.addFrontend(zone, 1, true)
 		w.addFrontend(zone, 2, false)
+		w.addFrontend(zone, 3, false)
 	}
 	chosen := []*endpoint{}
 	for zone := range zones {
