--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"clock-step":    playClockStep,
 	"new-frontends": playNewFrontends,
 	"store-copy":    playStoreCopy,
+	"store-passed":  playStorePassed,
 }
 
 func main() {
--- a/review/standin/storecopy.go
+++ b/review/standin/storecopy.go
@@ -87,14 +87,11 @@
 	close(stop)
 	clients.Wait()
 
+	w.checkEvacuated(0, evacuated)
 	w.mu.Lock()
 	openings := w.openings
 	w.mu.Unlock()
 	for _, o := range openings {
-		if o.endpoint.machine.zone == 0 && o.arrived.Sub(evacuated) > evacuateTime {
-			w.violate("EVAC", "flow %v through %s reached %s in %s %.1f s after the evacuation was acknowledged", o.key, o.entry.name, o.endpoint.id,
-				zones[0], o.arrived.Sub(evacuated).Seconds())
-		}
 		if o.key.Service() == sheetAddress && o.endpoint.machine.service == "sheet" && o.sent.Sub(moved) > configTime {
 			w.violate("CONFIG", "flow %v through %s was taken by the old service %.1f s after the ack of the version that moved the route", o.key, o.entry.name,
 				o.sent.Sub(moved).Seconds())
