--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 var scenarios = map[string]scenario{
 	"clock-step":    playClockStep,
 	"new-frontends": playNewFrontends,
+	"store-flow":    playStoreFlow,
 	"store-copy":    playStoreCopy,
 	"store-passed":  playStorePassed,
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -232,7 +232,7 @@
 		Name, HealthPath string
 		MaxConns         int
 		Protocol         string
-		Tls              bool
+		TLS              bool `json:"Tls"`
 		ColdStartS       float64
 		ColdPerS         float64
 	}
