--- a/review/standin/storecopy.go
+++ b/review/standin/storecopy.go
@@ -14,8 +14,8 @@
 )
 
 var (
-	deskAddress  = netip.MustParseAddrPort("198.18.0.1:8443")
-	sheetAddress = netip.MustParseAddrPort("198.18.0.2:8443")
+	deskAddress  = netip.MustParseAddrPort("127.240.0.1:8443")
+	sheetAddress = netip.MustParseAddrPort("127.240.0.2:8443")
 	services     = []string{"desk", "sheet"}
 )
 
