Stop: a socket that is closed at a planned stop is no failure

Cause: udp.Closer closes the sockets as soon as the context of the services is done. The readers use a context derived from it, which learns of the cancellation a moment later, so Pump took the closed socket for a fault. Loop.Run now decides by the context that it was given, which is done before any socket is closed; the token agent's traffic does the same.

--- a/core/opaque/process.go
+++ b/core/opaque/process.go
@@ -151,9 +151,10 @@
 	Flush func()
 }
 
-// Run implements kernel.Runner. It returns early if a socket fails.
-func (l *Loop) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+// Run implements kernel.Runner. It returns early if a socket fails. A socket that is closed
+// because parent is done is no failure.
+func (l *Loop) Run(parent context.Context) error {
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	defer close(l.Process.ended)
 
@@ -177,6 +178,11 @@
 		case due := <-tick.C:
 			l.tick(due, batches)
 		case err := <-failed:
+			if parent.Err() != nil {
+				// The cancellation may reach ctx after the socket has been closed.
+				return nil
+			}
+
 			return err
 		case <-ctx.Done():
 			return nil
--- a/ibisfold-agent/traffic.go
+++ b/ibisfold-agent/traffic.go
@@ -58,8 +58,8 @@
 
 // Run implements kernel.Runner. It serves until the core reports that the graceful
 // shutdown is complete.
-func (t *traffic) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+func (t *traffic) Run(parent context.Context) error {
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 
 	plane, err := kernel.Find[*control.Plane](&t.process.kernel, control.ServiceName)
@@ -82,8 +82,13 @@
 	})
 	t.serve(ctx, fromProcesses, fromTarget)
 	cancel()
+	err = g.Wait()
+	if parent.Err() != nil {
+		// The sockets may be closed before the cancellation has reached ctx.
+		return nil
+	}
 
-	return g.Wait()
+	return err
 }
 
 func (t *traffic) serve(ctx context.Context, fromProcesses, fromTarget <-chan udp.Batch) {
