Catalog: an older copy of the store reverts nothing that is known

Callers saw, after the store came back from a copy some seconds old: new flows to a zone that operators had taken out, to a target that had said it was leaving or had left (its address may be another service's by now).

Cause: State.applyListing took each listing for the newest knowledge. A copy is older than what the process knows until its writers have written again. The configuration was guarded by its version; zones, targets that left, targets that drain and starts of targets were not.

Safe directions apply at once: a zone that is out, a longer warm-up.

Tests: core/catalog/restore_test.go. With the two branches on Restored switched off TestZoneStaysOutAfterRestore, TestDepartedTargetStaysAwayAfterRestore, TestReturnOfTargetAfterRestore and TestRestartedTargetAfterRestore fail.

--- a/core/catalog/change.go
+++ b/core/catalog/change.go
@@ -46,6 +46,9 @@
 	// AfterOutage means that the configuration service was unavailable for a while, so
 	// the entries of living targets may have expired.
 	AfterOutage bool
+	// Restored means that the configuration service came back from an older copy of its
+	// data less than RestoreGrace ago, so what it lists may be out of date.
+	Restored bool
 }
 
 func (ConfigChange) change()   {}
--- a/core/catalog/departed.go
+++ b/core/catalog/departed.go
@@ -87,6 +87,13 @@
 	return ok
 }
 
+// Contains reports whether a target is known as departed.
+func (d *Departures) Contains(t Target) bool {
+	_, ok := d.departed[keyOf(t)]
+
+	return ok
+}
+
 // Expire drops the targets that have reached MaxAge and reports whether there were any.
 func (d *Departures) Expire(now time.Duration) bool {
 	before := len(d.departed)
--- a/core/catalog/state.go
+++ b/core/catalog/state.go
@@ -26,6 +26,8 @@
 	// departed holds the targets that left; none of them is in targets with the same
 	// address.
 	departed Departures
+	// unconfirmed is what Restored listings say against the fields above.
+	unconfirmed unconfirmed
 	// listed means that a Listing has been applied.
 	listed bool
 }
@@ -42,7 +44,12 @@
 		s.zonesOut = map[string]bool{}
 		s.lapsed = map[string]time.Duration{}
 		s.departed.MaxAge = s.MaxAge
+		s.unconfirmed = unconfirmed{
+			targets: map[string]unconfirmedTarget{},
+			zones:   map[string]time.Duration{},
+		}
 	}
+	s.unconfirmed.confirm(c)
 	switch c := c.(type) {
 	case ConfigChange:
 		return s.setConfig(c.Config)
@@ -128,6 +135,10 @@
 func (s *State) applyListing(now time.Duration, l Listing) bool {
 	changed := !s.listed
 	s.listed = true
+	apply := s.Apply
+	if l.Restored {
+		apply = s.applyRestored
+	}
 	zones := map[string]bool{}
 	targets := map[string]bool{}
 	for _, c := range l.Changes {
@@ -137,12 +148,20 @@
 		case TargetChange:
 			targets[c.Target.ID] = true
 		}
-		changed = s.Apply(now, c) || changed
+		changed = apply(now, c) || changed
 	}
+	maps.DeleteFunc(s.unconfirmed.targets, func(id string, _ unconfirmedTarget) bool {
+		return !targets[id]
+	})
 	for z := range maps.Clone(s.zonesOut) {
-		if !zones[z] {
-			delete(s.zonesOut, z)
-			changed = true
+		switch {
+		case zones[z]:
+		case l.Restored:
+			s.keepZone(now, z)
+		default:
+			changed = s.Apply(now, ZoneChange{
+				Zone: z,
+			}) || changed
 		}
 	}
 	for id := range maps.Clone(s.targets) {
@@ -185,9 +204,11 @@
 }
 
 // Expire removes the lapsed targets whose grace period has ended, drops the departed ones
-// that have reached MaxAge, and reports whether there were any of either.
+// that have reached MaxAge, applies what was held back against Restored listings, and reports
+// whether anything changed.
 func (s *State) Expire(now time.Duration) bool {
 	changed := s.departed.Expire(now)
+	changed = s.expireUnconfirmed(now) || changed
 	for id, at := range maps.Clone(s.lapsed) {
 		if now >= at {
 			changed = s.removeTarget(now, id) || changed
