Feed: order what the store tells by era before revision

Cause: nothing but the revision ordered versions of the store, and the store gives revisions out again. A source's Log kept the higher revision of before (max) and told followers 'no changes', confirmed; a follower that listed the store itself went back to the old revision with the source's next answer. Ruled out: a lost watch (the source itself had each change), the age of the confirmation (0.9 s).

A Position (era, revision) now orders them, in the answers of the store (header Store-Era), in messages between entries, in the Log and in the Follower. An earlier era than the known one is never used, whether from the store, from a source that is cut off, or by a process that has just become a source. Only an answer of the store may move a position back. A follower that is in an earlier era than its source gets a listing. A Log keeps the newest configuration, and a starting process learns it from the sources. The return is logged and counted (ibisfold_store_restores_total).

--- a/core/feed/age_test.go
+++ b/core/feed/age_test.go
@@ -21,7 +21,7 @@
 	source := &Log{}
 	source.Add(listingOf(4))
 	source.Add(Batch{
-		Revision: 5,
+		Position: at(5),
 		Changes:  []catalog.Change{targetAt("a", "10.0.0.1:80")},
 	})
 	source.lastAnswer = time.Now().Add(-age)
@@ -30,7 +30,8 @@
 		f, _ := newTestFollower(&fakeUpstream{})
 		f.Follow(false, []Upstream{client})
 		f.failing = true
-		f.revision = after
+		f.position = at(after)
+		f.listed = after > 0
 		ages := []time.Duration{}
 		f.Change = func(_ []catalog.Change, c Confirmation) {
 			is.True(c.Current)
@@ -81,11 +82,11 @@
 	)
 	service := &fakeUpstream{
 		list: emptyListing(5),
-		watch: func(after uint64, wait time.Duration) (Batch, error) {
+		watch: func(after Position, wait time.Duration) (Batch, error) {
 			time.Sleep(wait + callDelay)
 
 			return Batch{
-				Revision: after,
+				Position: after,
 			}, nil
 		},
 	}
--- a/core/feed/body.go
+++ b/core/feed/body.go
@@ -11,6 +11,7 @@
 
 // body is the JSON form of a Batch, as sources send it.
 type body struct {
+	Era         uint64 `json:",omitempty"`
 	Revision    uint64
 	Complete    bool
 	AfterOutage bool
@@ -32,7 +33,8 @@
 
 func encodeBatch(b Batch) ([]byte, error) {
 	x := body{
-		Revision:    b.Revision,
+		Era:         b.Position.Era,
+		Revision:    b.Position.Revision,
 		Complete:    b.Complete,
 		AfterOutage: b.AfterOutage,
 		Current:     b.Current,
@@ -71,7 +73,10 @@
 		return Batch{}, errors.WithType(err, ErrInvalidAnswer)
 	}
 	b := Batch{
-		Revision:    x.Revision,
+		Position: Position{
+			Era:      x.Era,
+			Revision: x.Revision,
+		},
 		Complete:    x.Complete,
 		AfterOutage: x.AfterOutage,
 		Current:     x.Current,
--- a/core/feed/client.go
+++ b/core/feed/client.go
@@ -39,21 +39,22 @@
 }
 
 // Watch implements Upstream.
-func (c *SourceClient) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
+func (c *SourceClient) Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	return c.fetch(ctx, pathChanges, url.Values{
-		"after": {strconv.FormatUint(after, 10)},
+		"era":   {strconv.FormatUint(after.Era, 10)},
+		"after": {strconv.FormatUint(after.Revision, 10)},
 		"wait":  {wait.String()},
 	})
 }
 
 func (c *SourceClient) fetch(ctx context.Context, path string, q url.Values) (Batch, error) {
-	status, b, err := c.Get(ctx, path, q)
+	r, err := c.Get(ctx, path, q)
 	if err != nil {
 		return Batch{}, errors.WithType(err, ErrUnavailable)
 	}
-	if status != http.StatusOK {
-		return Batch{}, errors.Annotatef(ErrUnavailable, "%s: status %d", c.Address(), status)
+	if r.Status != http.StatusOK {
+		return Batch{}, errors.Annotatef(ErrUnavailable, "%s: status %d", c.Address(), r.Status)
 	}
 
-	return decodeBatch(b)
+	return decodeBatch(r.Body)
 }
--- a/core/feed/confirm_test.go
+++ b/core/feed/confirm_test.go
@@ -49,9 +49,9 @@
 	is.Equal(*n, confirmations{calls: 1, changes: 1})
 	f.step(context.Background())
 	is.Equal(*n, confirmations{calls: 2, changes: 1})
-	service.watch = func(uint64, time.Duration) (Batch, error) {
+	service.watch = func(Position, time.Duration) (Batch, error) {
 		return Batch{
-			Revision: 6,
+			Position: at(6),
 			Changes:  []catalog.Change{targetChange("i-1")},
 		}, nil
 	}
@@ -113,21 +113,21 @@
 	is := is.New(t)
 	l := &Log{}
 	l.Add(listingOf(4))
-	b, err := l.Watch(context.Background(), 4, time.Millisecond)
+	b, err := l.Watch(context.Background(), at(4), time.Millisecond)
 	is.NoErr(err)
 	is.True(b.Current)
 	l.lastAnswer = time.Now().Add(-maxCurrentAge)
-	_, err = l.Watch(context.Background(), 4, time.Millisecond)
+	_, err = l.Watch(context.Background(), at(4), time.Millisecond)
 	is.True(errors.Is(err, ErrUnavailable))
-	_, err = l.Watch(context.Background(), 3, time.Millisecond)
+	_, err = l.Watch(context.Background(), at(3), time.Millisecond)
 	is.True(errors.Is(err, ErrUnavailable))
 	b, err = l.List()
 	is.NoErr(err)
 	is.True(!b.Current)
 	l.Add(Batch{
-		Revision: 4,
+		Position: at(4),
 	})
-	_, err = l.Watch(context.Background(), 4, time.Millisecond)
+	_, err = l.Watch(context.Background(), at(4), time.Millisecond)
 	is.NoErr(err)
 }
 
@@ -140,17 +140,17 @@
 	changed := false
 	service := &fakeUpstream{
 		list: emptyListing(5),
-		watch: func(after uint64, wait time.Duration) (Batch, error) {
+		watch: func(after Position, wait time.Duration) (Batch, error) {
 			waits = append(waits, wait)
 			changed = !changed
 			if !changed {
 				return Batch{
-					Revision: after,
+					Position: after,
 				}, nil
 			}
 
 			return Batch{
-				Revision: after + 1,
+				Position: at(after.Revision + 1),
 				Changes:  []catalog.Change{targetChange("i-1")},
 			}, nil
 		},
@@ -175,11 +175,11 @@
 	is := is.New(t)
 	f, _ := newTestFollower(&fakeUpstream{
 		list: emptyListing(5),
-		watch: func(after uint64, wait time.Duration) (Batch, error) {
+		watch: func(after Position, wait time.Duration) (Batch, error) {
 			time.Sleep(wait + serviceTimeout + 50*time.Millisecond)
 
 			return Batch{
-				Revision: after,
+				Position: after,
 			}, nil
 		},
 	})
--- a/core/feed/departed_test.go
+++ b/core/feed/departed_test.go
@@ -29,7 +29,7 @@
 
 func listingOf(revision uint64, changes ...catalog.Change) Batch {
 	return Batch{
-		Revision: revision,
+		Position: at(revision),
 		Complete: true,
 		Changes: append([]catalog.Change{
 			catalog.ConfigChange{
@@ -89,7 +89,7 @@
 	l.Add(listingOf(1, targetAt("a", "10.0.0.1:80"), targetAt("b", "10.0.0.2:80"), targetAt("c", "10.0.0.3:80"),
 		targetAt("d", "10.0.0.4:80")))
 	l.Add(Batch{
-		Revision: 2,
+		Position: at(2),
 		Changes: []catalog.Change{
 			catalog.TargetGone{
 				ID: "a",
@@ -119,7 +119,7 @@
 	is.Equal(b.Departed[2].Target.Address, netip.MustParseAddrPort("10.0.0.4:80"))
 
 	// A watch from before the history is answered with a complete listing too.
-	b, err = client.Watch(context.Background(), 1, time.Millisecond)
+	b, err = client.Watch(context.Background(), at(1), time.Millisecond)
 	is.NoErr(err)
 	is.Equal(departedIDs(b), []string{"a", "c", "d", "e"})
 }
@@ -137,7 +137,7 @@
 	is.NoErr(err)
 	is.Equal(departedIDs(b), []string{"a", "b"})
 	l.Add(Batch{
-		Revision: 3,
+		Position: at(3),
 		Changes:  []catalog.Change{targetAt("a", "10.0.0.1:80")},
 	})
 	b, err = l.List()
@@ -158,7 +158,7 @@
 		old := &Log{}
 		old.Add(listingOf(1, targetAt("a", "10.0.0.1:80"), targetAt("b", "10.0.0.2:80"), targetAt("c", "10.0.0.3:80")))
 		old.Add(Batch{
-			Revision: 2,
+			Position: at(2),
 			Changes: []catalog.Change{
 				catalog.TargetGone{
 					ID: "b",
@@ -205,7 +205,7 @@
 	return Batch{}, ErrUnavailable
 }
 
-func (u silentUpstream) Watch(ctx context.Context, _ uint64, _ time.Duration) (Batch, error) {
+func (u silentUpstream) Watch(ctx context.Context, _ Position, _ time.Duration) (Batch, error) {
 	return u.List(ctx)
 }
 
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -20,14 +20,17 @@
 	ErrUnavailable = errors.ConstError("upstream is not available")
 	// ErrHistoryGone means that the upstream no longer has the changes since the revision.
 	ErrHistoryGone = errors.ConstError("upstream no longer has this history")
+	// ErrOutdated means that the answer of the upstream is from an earlier position than
+	// what is known, so the upstream is behind or the answer is late.
+	ErrOutdated = errors.ConstError("answer is older than what is known")
 	// ErrInvalidAnswer means that the answer of the upstream is invalid.
 	ErrInvalidAnswer = errors.ConstError("invalid answer from upstream")
 )
 
 // Batch holds the changes up to a revision of the configuration service.
 type Batch struct {
-	// Revision is the revision from which the next Watch continues.
-	Revision uint64
+	// Position is where the next Watch continues.
+	Position Position
 	// Complete means that Changes lists the whole catalog: what it lacks is gone.
 	Complete bool
 	// AfterOutage means that the service was unavailable for a while, so the entries of
@@ -60,9 +63,10 @@
 type Upstream interface {
 	// List returns a complete Batch.
 	List(ctx context.Context) (Batch, error)
-	// Watch waits at most for wait until there are changes after a revision. The Batch may
-	// be complete. Errors include ErrHistoryGone.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	// Watch waits at most for wait until there are changes after a position. The Batch may
+	// be complete. If it is not and its Position does not continue from after, its Changes
+	// are of another era and are no continuation. Errors include ErrHistoryGone.
+	Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error)
 	// Disconnect closes idle connections, so that the next call opens a new one.
 	Disconnect()
 }
--- a/core/feed/follower.go
+++ b/core/feed/follower.go
@@ -75,6 +75,9 @@
 	// Recovered is called when an upstream answers again, with the time since the last
 	// answer.
 	Recovered func(time.Duration)
+	// Restored is called when an answer shows that the service came back from an older copy
+	// of its data.
+	Restored func(Restore)
 
 	mutex sync.Mutex
 	// isSource means that other processes follow this one, relist that it has just become a
@@ -92,7 +95,14 @@
 	learning            bool
 	pendingConfirmation time.Time
 
-	revision   uint64
+	// position is that of the newest answer that was reported. It only goes back on an
+	// answer of the service, never on one of a source.
+	position Position
+	// listed means that the catalog was listed, and that changes continue from position.
+	listed bool
+	// restoredAt is when an answer first showed the last return of the service from an
+	// older copy.
+	restoredAt time.Time
 	started    time.Time
 	lastAnswer time.Time
 	failing    bool
@@ -175,12 +185,12 @@
 	if f.relist {
 		// The Log of a new source has to begin with a listing.
 		f.relist = false
-		f.revision = 0
+		f.listed = false
 	}
-	if f.serviceNext || (f.isSource || f.revision == 0) && !f.failing {
+	if f.serviceNext || (f.isSource || !f.listed) && !f.failing {
 		return f.isSource, nil
 	}
-	if f.isSource && f.revision != 0 {
+	if f.isSource && f.listed {
 		return true, nil
 	}
 	for _, s := range f.sources {
@@ -205,15 +215,18 @@
 	limit = min(limit+time.Duration(f.failures)*timeoutStep, maxTimeout)
 	f.Called(false)
 	b, err := f.call(ctx, f.Service, f.needsListing(), wait, limit)
+	if err == nil {
+		err = f.checkServiceAnswer(&b)
+	}
 	if errors.Is(err, ErrHistoryGone) {
-		f.revision = 0
+		f.listed = false
 		f.Failed(err)
 
 		return 0
 	}
 	if err != nil {
 		pause := f.recordFailure(ctx, err, isSource)
-		if isSource && f.revision != 0 && time.Since(f.lastAnswer) > minOutageTime {
+		if isSource && f.listed && time.Since(f.lastAnswer) > minOutageTime {
 			return f.followOtherSources(ctx, pause)
 		}
 
@@ -222,6 +235,8 @@
 
 	f.serviceNext = false
 	f.recordSuccess()
+	f.moveTo(b.Position)
+	f.listed = true
 	if isSource && f.Log != nil {
 		b.AfterOutage = f.afterOutage()
 		f.Log.Add(b)
@@ -241,7 +256,7 @@
 // needsListing reports whether the next call to the service has to be a listing. After an
 // outage a watch could miss that entries of living targets expired.
 func (f *Follower) needsListing() bool {
-	return f.revision == 0 || f.failing && time.Since(f.lastAnswer) > minOutageTime
+	return !f.listed || f.failing && time.Since(f.lastAnswer) > minOutageTime
 }
 
 // call lists the catalog or watches it for changes. It rejects an answer that comes after the
@@ -258,7 +273,7 @@
 	if list {
 		b, err = u.List(c)
 	} else {
-		b, err = u.Watch(c, f.revision, wait)
+		b, err = u.Watch(c, f.position, wait)
 	}
 	if err == nil && time.Now().After(end) {
 		return Batch{}, errors.Annotate(ErrUnavailable, "answer came after the deadline")
@@ -269,11 +284,11 @@
 
 // callSource makes one call to a source. If it fails, the service is called at once.
 func (f *Follower) callSource(ctx context.Context, s *followedSource) time.Duration {
-	list := f.revision == 0
+	list := !f.listed
 	f.Called(true)
 	b, err := f.call(ctx, s.upstream, list, sourceWait, sourceTimeout)
-	if err == nil && b.Revision < f.revision {
-		err = errors.Annotate(ErrUnavailable, "source has an older revision")
+	if err == nil {
+		err = f.checkSourceAnswer(&b)
 	}
 	if err != nil {
 		f.avoidSource(ctx, s, err)
@@ -282,6 +297,8 @@
 	}
 	s.avoidTime = 0
 	f.recordSuccess()
+	f.moveTo(b.Position)
+	f.listed = true
 	// Only a source that is current answers a watch.
 	f.apply(b, b.Current || !list)
 
@@ -289,19 +306,22 @@
 }
 
 // bootstrapFromSource lists the catalog from another source while a source that has just
-// started can't reach the service. It does not take over the revision, and the next call goes
-// to the service again: the Log has to begin with a listing of the service, so that its
-// history has no gap.
+// started can't reach the service. The next call goes to the service again and lists it: the
+// Log has to begin with a listing of the service, so that its history has no gap.
 func (f *Follower) bootstrapFromSource(ctx context.Context, s *followedSource) time.Duration {
 	f.Called(true)
 	b, err := f.call(ctx, s.upstream, true, 0, sourceTimeout)
+	if err == nil {
+		err = f.checkSourceAnswer(&b)
+	}
 	if err != nil {
 		f.avoidSource(ctx, s, err)
 
 		return 0
 	}
 	f.serviceNext = true
-	f.report(b.stateChanges(b.AfterOutage), b.confirmation(b.Current))
+	f.moveTo(b.Position)
+	f.apply(b, b.Current)
 	if f.Log != nil {
 		f.Log.Learn(b)
 	}
--- a/core/feed/follower_test.go
+++ b/core/feed/follower_test.go
@@ -14,7 +14,7 @@
 // fakeUpstream answers with the functions of the test; without one it does not answer.
 type fakeUpstream struct {
 	list  func() (Batch, error)
-	watch func(after uint64, wait time.Duration) (Batch, error)
+	watch func(after Position, wait time.Duration) (Batch, error)
 	calls int
 }
 
@@ -29,7 +29,7 @@
 	return u.list()
 }
 
-func (u *fakeUpstream) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
+func (u *fakeUpstream) Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	u.calls++
 	if u.watch == nil {
 		<-ctx.Done()
@@ -42,26 +42,33 @@
 
 func (u *fakeUpstream) Disconnect() {}
 
+// at returns a position in the first era.
+func at(revision uint64) Position {
+	return Position{
+		Revision: revision,
+	}
+}
+
 // emptyListing answers a listing with an empty catalog at a revision.
 func emptyListing(revision uint64) func() (Batch, error) {
 	return func() (Batch, error) {
 		return Batch{
-			Revision: revision,
+			Position: at(revision),
 			Complete: true,
 		}, nil
 	}
 }
 
 // emptyWatch answers a watch without changes.
-func emptyWatch(revision uint64) func(uint64, time.Duration) (Batch, error) {
-	return func(uint64, time.Duration) (Batch, error) {
+func emptyWatch(revision uint64) func(Position, time.Duration) (Batch, error) {
+	return func(Position, time.Duration) (Batch, error) {
 		return Batch{
-			Revision: revision,
+			Position: at(revision),
 		}, nil
 	}
 }
 
-func failingWatch(uint64, time.Duration) (Batch, error) {
+func failingWatch(Position, time.Duration) (Batch, error) {
 	return Batch{}, ErrUnavailable
 }
 
@@ -76,6 +83,7 @@
 		Called:    func(bool) {},
 		Failed:    func(error) {},
 		Recovered: func(time.Duration) {},
+		Restored:  func(Restore) {},
 	}
 	f.started = time.Now()
 	f.lastAnswer = f.started
@@ -94,7 +102,7 @@
 
 			return emptyListing(5)()
 		},
-		watch: func(uint64, time.Duration) (Batch, error) {
+		watch: func(Position, time.Duration) (Batch, error) {
 			return Batch{}, ErrHistoryGone
 		},
 	})
@@ -113,7 +121,8 @@
 func TestSilentWatch(t *testing.T) {
 	is := is.New(t)
 	f, _ := newTestFollower(&fakeUpstream{})
-	f.revision = 1
+	f.position = at(1)
+	f.listed = true
 	begin := time.Now()
 	pause := f.step(context.Background())
 	is.True(f.failing)
@@ -128,7 +137,8 @@
 		list:  emptyListing(5),
 		watch: failingWatch,
 	})
-	f.revision = 1
+	f.position = at(1)
+	f.listed = true
 	f.step(context.Background())
 	f.lastAnswer = time.Now().Add(-2 * minOutageTime)
 	f.step(context.Background())
@@ -183,11 +193,11 @@
 	is := is.New(t)
 	service := &fakeUpstream{
 		list: emptyListing(5),
-		watch: func(after uint64, _ time.Duration) (Batch, error) {
-			is.Equal(after, uint64(5))
+		watch: func(after Position, _ time.Duration) (Batch, error) {
+			is.Equal(after, at(5))
 
 			return Batch{
-				Revision: 6,
+				Position: at(6),
 				Changes: []catalog.Change{
 					catalog.ZoneChange{
 						Zone: "a",
@@ -216,7 +226,7 @@
 		watch: emptyWatch(9),
 	}
 	behind := &fakeUpstream{
-		watch: func(uint64, time.Duration) (Batch, error) {
+		watch: func(Position, time.Duration) (Batch, error) {
 			return emptyListing(7)()
 		},
 	}
@@ -225,7 +235,7 @@
 	for range 3 {
 		f.step(context.Background())
 	}
-	is.Equal(f.revision, uint64(9))
+	is.Equal(f.position, at(9))
 	is.Equal(len(*changes), 1)
 	is.Equal(behind.calls, 1)
 	is.Equal(service.calls, 2)
@@ -260,8 +270,8 @@
 		for range 3 {
 			f.step(context.Background())
 		}
-		is.Equal(f.revision, uint64(5))
-		_, err = f.Log.Watch(context.Background(), 4, time.Millisecond)
+		is.Equal(f.position, at(5))
+		_, err = f.Log.Watch(context.Background(), at(4), time.Millisecond)
 		is.Equal(err == nil, isSource)
 	}
 }
@@ -277,10 +287,10 @@
 	f.Log = &Log{}
 	f.Follow(true, nil)
 	f.step(context.Background())
-	_, err := f.Log.Watch(context.Background(), 5, time.Millisecond)
+	_, err := f.Log.Watch(context.Background(), at(5), time.Millisecond)
 	is.NoErr(err)
 	f.step(context.Background())
-	_, err = f.Log.Watch(context.Background(), 5, time.Hour)
+	_, err = f.Log.Watch(context.Background(), at(5), time.Hour)
 	is.True(errors.Is(err, ErrUnavailable))
 }
 
@@ -289,9 +299,9 @@
 	is := is.New(t)
 	service := &fakeUpstream{
 		list: emptyListing(5),
-		watch: func(uint64, time.Duration) (Batch, error) {
+		watch: func(Position, time.Duration) (Batch, error) {
 			return Batch{
-				Revision: 6,
+				Position: at(6),
 				Changes: []catalog.Change{
 					catalog.TargetGone{
 						ID: "i-1",
--- a/core/feed/learn.go
+++ b/core/feed/learn.go
@@ -41,7 +41,7 @@
 		group.Go(func() {
 			f.Called(true)
 			if b, err := f.call(c, u, true, 0, maxLearnTime); err == nil {
-				f.reportDeparted(b)
+				f.reportLearned(b)
 			}
 		})
 	}
@@ -59,13 +59,19 @@
 	return list
 }
 
-// reportDeparted reports the targets of a batch that may hold flows. A catalog.State ignores
-// those that it lists.
-func (f *Follower) reportDeparted(b Batch) {
+// reportLearned reports the targets of a batch that may hold flows, and its configuration,
+// which may be newer than that of the service if this came back from an older copy. A
+// catalog.State ignores targets that it lists and older configurations.
+func (f *Follower) reportLearned(b Batch) {
 	if f.Log != nil {
 		f.Log.Learn(b)
 	}
 	changes := []catalog.Change{}
+	for _, c := range b.Changes {
+		if c, ok := c.(catalog.ConfigChange); ok {
+			changes = append(changes, c)
+		}
+	}
 	for _, d := range b.possibleHolders() {
 		changes = append(changes, d)
 	}
--- a/core/feed/learn_test.go
+++ b/core/feed/learn_test.go
@@ -53,12 +53,13 @@
 	client := newTestSource(t, source)
 	watch := func(wait time.Duration) *catalog.State {
 		f, stateChanges := newTestFollower(&fakeUpstream{})
-		f.revision = 5
+		f.position = at(5)
+		f.listed = true
 		b, err := f.call(context.Background(), client, false, wait, sourceTimeout)
 		is.NoErr(err)
 		f.apply(b, true)
 
-		return stateOf(append(listing.stateChanges(false), *stateChanges...))
+		return stateOf(append(listing.stateChanges(false, false), *stateChanges...))
 	}
 	began := time.Now()
 	time.AfterFunc(100*time.Millisecond, func() {
--- a/core/feed/log.go
+++ b/core/feed/log.go
@@ -31,12 +31,14 @@
 	reachable bool
 	// lastAnswer is when the service last answered.
 	lastAnswer time.Time
-	// revision is that of the newest batch. history holds the changes after historyStart.
-	revision     uint64
-	historyStart uint64
+	// position is that of the newest batch. history holds the changes after historyStart;
+	// all of it is of one era.
+	position     Position
+	historyStart Position
 	history      []Batch
-	config       *catalog.Config
-	targets      map[string]seenTarget
+	// config is the newest version seen, also if the service came back with an older one.
+	config  *catalog.Config
+	targets map[string]seenTarget
 	// departed holds targets that left, also those that other sources reported; none of them
 	// is in targets with the same address. Its times count from clockStart.
 	departed   catalog.Departures
@@ -57,12 +59,12 @@
 	receivedAt time.Time
 }
 
-// Add records an answer of the service. Each batch has to continue from the one before unless
-// it is complete; until the first complete one, others are ignored.
+// Add records an answer of the service. A batch that neither is complete nor continues from
+// the one before is ignored. A complete one may go back to an earlier position.
 func (l *Log) Add(b Batch) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !b.Complete && l.targets == nil {
+	if !b.Complete && (l.targets == nil || !b.Position.continues(l.position)) {
 		return
 	}
 	l.reachable = true
@@ -72,14 +74,14 @@
 		l.targets = map[string]seenTarget{}
 		l.zones = map[string]bool{}
 		l.history = nil
-		l.historyStart = b.Revision
+		l.historyStart = b.Position
 	} else if len(b.Changes) > 0 {
 		l.history = append(l.history, b)
 	}
 	if b.AfterOutage {
 		l.outageEnd = time.Now()
 	}
-	l.revision = max(l.revision, b.Revision)
+	l.position = b.Position
 	for _, c := range b.Changes {
 		l.merge(c)
 	}
@@ -87,7 +89,7 @@
 		l.departMissing(before)
 	}
 	if len(l.history) > maxHistoryBatches {
-		l.historyStart = l.history[0].Revision
+		l.historyStart = l.history[0].Position
 		l.history = slices.Delete(l.history, 0, 1)
 	}
 	l.notifyWatchers()
@@ -114,7 +116,9 @@
 func (l *Log) merge(c catalog.Change) {
 	switch c := c.(type) {
 	case catalog.ConfigChange:
-		l.config = c.Config
+		if l.config == nil || c.Config.Version > l.config.Version {
+			l.config = c.Config
+		}
 	case catalog.TargetChange:
 		l.setTarget(c.Target)
 	case catalog.TargetGone:
@@ -138,7 +142,7 @@
 
 func (l *Log) list() Batch {
 	b := Batch{
-		Revision:    l.revision,
+		Position:    l.position,
 		Complete:    true,
 		AfterOutage: !l.outageEnd.IsZero() && time.Since(l.outageEnd) < catalog.LapseGrace,
 		Current:     l.isCurrent(),
@@ -167,11 +171,20 @@
 	return b
 }
 
-// Watch waits at most for wait until there are changes after a revision or the service has
+// Position returns the position of the newest batch.
+func (l *Log) Position() Position {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	return l.position
+}
+
+// Watch waits at most for wait until there are changes after a position or the service has
 // confirmed that there are none. A follower's confirmation is therefore older than the
-// source's by the network delay only. Error: ErrUnavailable, at once if the source is not
-// current, and after the wait if the follower has seen a newer revision than this source.
-func (l *Log) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
+// source's by the network delay only. A follower that is still in an earlier era gets a
+// listing. Error: ErrUnavailable, at once if the source is not current, and after the wait if
+// the follower has seen a later position than this source.
+func (l *Log) Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	began := time.Now()
@@ -194,32 +207,32 @@
 }
 
 // finalBatch is the answer to a watch that no change has ended.
-func (l *Log) finalBatch(after uint64) (Batch, error) {
+func (l *Log) finalBatch(after Position) (Batch, error) {
 	b, changed, err := l.changesSince(after)
 	if err != nil || changed == nil {
 		return b, err
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.revision < after {
+	if l.position.Before(after) {
 		return Batch{}, ErrUnavailable
 	}
 
 	return Batch{
-		Revision: l.revision,
+		Position: l.position,
 		Current:  true,
 		Age:      time.Since(l.lastAnswer),
 		Departed: l.listLearned(),
 	}, nil
 }
 
-// hasAnswer reports whether a watch from a revision that is still the newest can be answered:
+// hasAnswer reports whether a watch from a position that is still the newest can be answered:
 // since it began the service has answered, or another source reported departed targets.
-func (l *Log) hasAnswer(revision uint64, began time.Time) bool {
+func (l *Log) hasAnswer(after Position, began time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 
-	return l.revision == revision && (l.lastAnswer.After(began) || l.learnedSince(began))
+	return l.position == after && (l.lastAnswer.After(began) || l.learnedSince(began))
 }
 
 // isCurrent reports whether the last call to the service succeeded, less than maxCurrentAge
@@ -228,32 +241,32 @@
 	return l.reachable && time.Since(l.lastAnswer) < maxCurrentAge
 }
 
-// changesSince returns the changes after a revision, or if there are none a channel that is
+// changesSince returns the changes after a position, or if there are none a channel that is
 // closed at the next one.
-func (l *Log) changesSince(after uint64) (Batch, <-chan struct{}, error) {
+func (l *Log) changesSince(after Position) (Batch, <-chan struct{}, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if !l.isCurrent() || l.targets == nil {
 		return Batch{}, nil, ErrUnavailable
 	}
-	if l.revision <= after {
+	if !after.Before(l.position) {
 		if l.changed == nil {
 			l.changed = make(chan struct{})
 		}
 
 		return Batch{}, l.changed, nil
 	}
-	if after < l.historyStart {
+	if after.Before(l.historyStart) {
 		return l.list(), nil, nil
 	}
 	b := Batch{
-		Revision: l.revision,
+		Position: l.position,
 		Current:  true,
 		Age:      time.Since(l.lastAnswer),
 		Departed: l.listLearned(),
 	}
 	for _, h := range l.history {
-		if h.Revision > after {
+		if after.Before(h.Position) {
 			b.AfterOutage = b.AfterOutage || h.AfterOutage
 			b.Changes = append(b.Changes, h.Changes...)
 		}
--- a/core/feed/log_test.go
+++ b/core/feed/log_test.go
@@ -37,7 +37,7 @@
 	for range 200 {
 		l := &Log{}
 		l.Add(Batch{
-			Revision: 1,
+			Position: at(1),
 			Complete: true,
 		})
 		server := httptest.NewServer((&Server{
@@ -52,13 +52,13 @@
 			if random.IntN(2) == 0 {
 				want[id] = true
 				l.Add(Batch{
-					Revision: revision,
+					Position: at(revision),
 					Changes:  []catalog.Change{targetChange(id)},
 				})
 			} else {
 				delete(want, id)
 				l.Add(Batch{
-					Revision: revision,
+					Position: at(revision),
 					Changes: []catalog.Change{
 						catalog.TargetGone{
 							ID: id,
@@ -93,7 +93,7 @@
 
 func catchUp(t *testing.T, client *SourceClient, s *catalog.State, after uint64) uint64 {
 	t.Helper()
-	b, err := client.Watch(context.Background(), after, time.Millisecond)
+	b, err := client.Watch(context.Background(), at(after), time.Millisecond)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -107,14 +107,14 @@
 		}
 	}
 
-	return b.Revision
+	return b.Position.Revision
 }
 
 // Guards against a change that is lost or altered by encoding and decoding.
 func TestBatchBody(t *testing.T) {
 	is := is.New(t)
 	b := Batch{
-		Revision:    7,
+		Position:    at(7),
 		Complete:    true,
 		AfterOutage: true,
 		Changes: []catalog.Change{
@@ -166,20 +166,20 @@
 	is := is.New(t)
 	l := &Log{}
 	l.Add(Batch{
-		Revision: 1,
+		Position: at(1),
 		Complete: true,
 		Changes:  []catalog.Change{targetChange("i-1")},
 	})
 	go func() {
 		time.Sleep(20 * time.Millisecond)
 		l.Add(Batch{
-			Revision: 2,
+			Position: at(2),
 			Changes:  []catalog.Change{targetChange("i-2")},
 		})
 	}()
-	b, err := l.Watch(context.Background(), 1, time.Minute)
+	b, err := l.Watch(context.Background(), at(1), time.Minute)
 	is.NoErr(err)
-	is.Equal(b.Revision, uint64(2))
+	is.Equal(b.Position, at(2))
 	is.Equal(len(b.Changes), 1)
 
 	all, err := l.List()
--- a/core/feed/othersources.go
+++ b/core/feed/othersources.go
@@ -28,7 +28,8 @@
 		}
 		f.Called(true)
 		b, err := f.call(ctx, s.upstream, false, wait, sourceTimeout)
-		if err == nil && b.Revision >= f.revision {
+		if err == nil && f.checkSourceAnswer(&b) == nil {
+			f.moveTo(b.Position)
 			f.apply(b, true)
 			if f.Log != nil {
 				f.Log.Learn(b)
--- a/core/feed/othersources_test.go
+++ b/core/feed/othersources_test.go
@@ -35,7 +35,7 @@
 		confirmed++
 	}
 	other.Add(Batch{
-		Revision: 6,
+		Position: at(6),
 		Changes:  []catalog.Change{targetAt("a", "10.0.0.1:80")},
 	})
 
@@ -49,7 +49,7 @@
 	for range 5 {
 		time.Sleep(f.step(context.Background()))
 		other.Add(Batch{
-			Revision: 6,
+			Position: at(6),
 		})
 	}
 	is.Equal(len(*changes), 2)
@@ -59,16 +59,16 @@
 	// Six consecutive failures pause for 50 to 800 ms each, less up to half of it.
 	is.True(time.Since(begin) >= (100+200+400+800+800)*time.Millisecond/2)
 
-	_, err := f.Log.Watch(context.Background(), 5, time.Millisecond)
+	_, err := f.Log.Watch(context.Background(), at(5), time.Millisecond)
 	is.True(errors.Is(err, ErrUnavailable))
 	// It lists the service when that answers again, as its Log lacks the changes in between.
 	service.list = func() (Batch, error) {
 		return listingOf(9, targetAt("b", "10.0.0.2:80")), nil
 	}
 	f.step(context.Background())
-	b, err := f.Log.Watch(context.Background(), 5, time.Millisecond)
+	b, err := f.Log.Watch(context.Background(), at(5), time.Millisecond)
 	is.NoErr(err)
-	is.Equal(b.Revision, uint64(9))
+	is.Equal(b.Position, at(9))
 	is.True(b.AfterOutage)
 }
 
@@ -121,12 +121,12 @@
 	}
 	third := &fakeUpstream{}
 	waits := []time.Duration{}
-	third.watch = func(after uint64, wait time.Duration) (Batch, error) {
+	third.watch = func(after Position, wait time.Duration) (Batch, error) {
 		waits = append(waits, wait)
 		time.Sleep(wait)
 
 		return Batch{
-			Revision: after,
+			Position: after,
 		}, nil
 	}
 	f, _ := newTestFollower(service)
--- a/core/feed/report.go
+++ b/core/feed/report.go
@@ -7,11 +7,12 @@
 )
 
 // stateChanges returns a complete batch as changes for a catalog.State.
-func (b *Batch) stateChanges(afterOutage bool) []catalog.Change {
+func (b *Batch) stateChanges(afterOutage, restored bool) []catalog.Change {
 	list := []catalog.Change{
 		catalog.Listing{
 			Changes:     b.Changes,
 			AfterOutage: afterOutage,
+			Restored:    restored,
 		},
 	}
 	for _, d := range b.Departed {
@@ -38,10 +39,9 @@
 
 // apply reports an answer; current means that the upstream was current.
 func (f *Follower) apply(b Batch, current bool) {
-	f.revision = max(f.revision, b.Revision)
 	after := b.AfterOutage || f.afterOutage()
 	if b.Complete {
-		f.report(b.stateChanges(after), b.confirmation(current))
+		f.report(b.stateChanges(after, f.recentlyRestored()), b.confirmation(current))
 
 		return
 	}
--- a/core/feed/server.go
+++ b/core/feed/server.go
@@ -38,7 +38,7 @@
 		writeBatch(w, b, err)
 	})
 	m.HandleFunc("GET "+pathChanges, func(w http.ResponseWriter, r *http.Request) {
-		after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+		after, err := s.parsePosition(r)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 
@@ -57,6 +57,25 @@
 	return m
 }
 
+// parsePosition returns the position of a follower's watch. A follower of an earlier version
+// names no era; it is assumed to be in that of the Log.
+func (s *Server) parsePosition(r *http.Request) (Position, error) {
+	p := Position{
+		Era: s.Log.Position().Era,
+	}
+	err := error(nil)
+	if v := r.FormValue("era"); v != "" {
+		if p.Era, err = strconv.ParseUint(v, 10, 64); err != nil {
+			return Position{}, errors.Annotate(err, "era")
+		}
+	}
+	if p.Revision, err = strconv.ParseUint(r.FormValue("after"), 10, 64); err != nil {
+		return Position{}, errors.Annotate(err, "after")
+	}
+
+	return p, nil
+}
+
 func writeBatch(w http.ResponseWriter, b Batch, err error) {
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/core/web/client.go
+++ b/core/web/client.go
@@ -43,9 +43,15 @@
 	return c.address
 }
 
-// Get makes a request with the deadline of ctx and returns the status and the body of the
-// response.
-func (c *Client) Get(ctx context.Context, path string, q url.Values) (int, []byte, error) {
+// Response is the response to a request.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Get makes a request with the deadline of ctx.
+func (c *Client) Get(ctx context.Context, path string, q url.Values) (Response, error) {
 	u := url.URL{
 		Scheme:   "http",
 		Host:     c.address.String(),
@@ -54,16 +60,20 @@
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
-		return 0, nil, errors.Trace(err)
+		return Response{}, errors.Trace(err)
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return 0, nil, errors.Trace(err)
+		return Response{}, errors.Trace(err)
 	}
 	defer response.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(response.Body, c.maxBodyBytes))
 
-	return response.StatusCode, b, errors.Trace(err)
+	return Response{
+		Status: response.StatusCode,
+		Header: response.Header,
+		Body:   b,
+	}, errors.Trace(err)
 }
 
 // Disconnect closes the idle connection, so that the next request opens a new one.
--- a/ibisfold-entry/catalog.go
+++ b/ibisfold-entry/catalog.go
@@ -28,6 +28,9 @@
 	// afterOutage means that the answer came after an outage of the configuration service,
 	// so the entries of living targets may have expired. It is logged.
 	afterOutage bool
+	// restored means that the listing is of a configuration service that came back from an
+	// older copy of its data. It is logged.
+	restored bool
 	// confirmation states whether the answer confirms the list of targets.
 	confirmation feed.Confirmation
 }
@@ -44,6 +47,7 @@
 		case catalog.Listing:
 			u.origin = "listing"
 			u.afterOutage = c.AfterOutage
+			u.restored = c.Restored
 		case catalog.TargetGone:
 			u.afterOutage = u.afterOutage || c.AfterOutage
 		case catalog.TargetDeparted:
@@ -115,7 +119,8 @@
 	for _, g := range n.Groups {
 		targets += len(g)
 	}
-	p.Log.Info("catalog changed", "version", n.Config.Version, "routes", len(n.Config.Routes), "targets", targets)
+	p.Log.Info("catalog changed", "version", n.Config.Version, "routes", len(n.Config.Routes), "targets", targets,
+		"restored", u.restored, "unconfirmed", p.state.Unconfirmed())
 	d := n.Since(p.published)
 	if d.Empty() {
 		return
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -56,6 +56,8 @@
 	// service and to other entries.
 	storeCalls  *metrics.Counter
 	sourceCalls *metrics.Counter
+	// storeRestores counts how often the configuration service came back from an older copy.
+	storeRestores *metrics.Counter
 }
 
 func runOpaque(term context.Context, policy string) error {
@@ -111,11 +113,13 @@
 		Called:    p.countUpstreamCall,
 		Failed:    p.logUpstreamFailure,
 		Recovered: p.logUpstreamRecovery,
+		Restored:  p.logStoreRestore,
 	}
 	p.followSources(s)
 	p.decisions = p.DecisionCounters(steer.DecisionNames())
 	p.storeCalls = p.Metrics.NewCounter(`ibisfold_catalog_calls_total{to="store"}`)
 	p.sourceCalls = p.Metrics.NewCounter(`ibisfold_catalog_calls_total{to="source"}`)
+	p.storeRestores = p.Metrics.NewCounter("ibisfold_store_restores_total")
 	p.histograms = p.Histograms(steer.MeasureNames())
 	p.registerCatalogGauges()
 
@@ -208,6 +212,14 @@
 	})
 }
 
+func (p *opaqueEntry) logStoreRestore(r feed.Restore) {
+	p.storeRestores.Inc()
+	p.Post(func() {
+		p.Log.Info("store came back from an older copy", "era_before", r.From.Era, "era", r.To.Era,
+			"revision_before", r.From.Revision, "revision", r.To.Revision)
+	})
+}
+
 func (p *opaqueEntry) logInvalidStoreEntry(err error) {
 	p.Post(func() {
 		p.Log.Info("store entry not used", "error", err)
