Feed: a watch that crosses the return of the store is no continuation

Cause: the store's revision had passed the known one before anyone asked, so there is no 410: the answer to the watch says 'no changes after 112' although 111 and 112 were given out anew. Nothing listed the store again, as it was away for less than a second.

The answer to a watch now has to continue from the position that it was asked from: the same era, no earlier revision. Otherwise the process lists the store again and confirms nothing before.

--- a/core/feed/restore.go
+++ b/core/feed/restore.go
@@ -15,14 +15,24 @@
 	To   Position
 }
 
-// checkServiceAnswer checks an answer of the service against the known position. Error:
-// ErrOutdated.
+// checkServiceAnswer checks an answer of the service against the known position. Errors:
+// ErrOutdated, and ErrHistoryGone for an answer to a watch that is no continuation because
+// the service came back from an older copy.
 func (f *Follower) checkServiceAnswer(b *Batch) error {
-	if b.Position.Era < f.position.Era {
-		return errors.Annotatef(ErrOutdated, "service is at %v, known is %v", b.Position, f.position)
+	p := b.Position
+	switch {
+	case p.Era < f.position.Era:
+		return errors.Annotatef(ErrOutdated, "service is at %v, known is %v", p, f.position)
+	case b.Complete || p.continues(f.position):
+		return nil
+	}
+	if p.Era > f.position.Era {
+		f.moveTo(Position{
+			Era: p.Era,
+		})
 	}
 
-	return nil
+	return errors.Annotatef(ErrHistoryGone, "service is at %v", p)
 }
 
 // checkSourceAnswer checks an answer of a source against the known position. A source that
--- a/core/feed/restore_test.go
+++ b/core/feed/restore_test.go
@@ -209,3 +209,41 @@
 	f.learn(context.Background())
 	is.Equal(*changes, []catalog.Change{config})
 }
+
+// Guards against a follower that takes the answer to a watch for a continuation although the
+// service came back from an older copy, because the revisions have passed the known one: it
+// would miss what was given out anew in between, and confirm its list.
+func TestWatchAcrossRestore(t *testing.T) {
+	for _, p := range []Position{inEra(2, 112), inEra(2, 120), inEra(2, 90), inEra(1, 90)} {
+		is := is.New(t)
+		service := &fakeUpstream{
+			watch: func(Position, time.Duration) (Batch, error) {
+				return Batch{
+					Position: p,
+				}, nil
+			},
+			list: func() (Batch, error) {
+				return listingAt(p, zoneChange(true)), nil
+			},
+		}
+		f, changes := newTestFollower(service)
+		f.Log = &Log{}
+		f.Follow(true, nil)
+		f.Log.Add(listingAt(inEra(1, 112)))
+		f.position = inEra(1, 112)
+		f.listed = true
+		f.relist = false
+		confirmed := countConfirmations(f)
+		f.step(context.Background())
+		is.Equal(*confirmed, confirmations{})
+		f.Change = func(c []catalog.Change, _ Confirmation) {
+			*changes = append(*changes, c...)
+		}
+		f.step(context.Background())
+		is.Equal(service.calls, 2)
+		is.Equal(f.position, p)
+		is.Equal(f.Log.Position(), p)
+		is.Equal(len(*changes), 1)
+		is.True((*changes)[0].(catalog.Listing).Restored)
+	}
+}
--- a/ibisfold-entry/restore_process_test.go
+++ b/ibisfold-entry/restore_process_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"ibisfold.example/core/catalog"
 	"ibisfold.example/platform/platformtest"
 )
@@ -130,3 +132,44 @@
 	x.setConfig(12)
 	x.awaitAll(t, "the version after the return", hasVersion(12))
 }
+
+// Guards against entries that miss for good what the store gave out anew while they were not
+// watching, because its revision has reached the one that they know again (review/3).
+func TestRestoreWithRevisionPassed(t *testing.T) {
+	x := newRestoreTest(t, 21)
+	backup := x.store.Backup()
+	x.setConfig(2)
+	x.setConfig(3)
+	x.awaitAll(t, "version 3", hasVersion(3))
+	x.store.Restore(backup)
+	x.store.SetZoneOut("a", true)
+	x.setConfig(3)
+
+	x.awaitAll(t, "the zone taken out at the return", zoneOut("a"))
+	x.setConfig(5)
+	x.awaitAll(t, "the version after the return", hasVersion(5))
+}
+
+// Guards against an entry that stays in an earlier era of the store than others, or mixes up
+// two of them, because the store came back twice within its watch, and the second time with
+// the same revision as before.
+func TestTwoRestores(t *testing.T) {
+	x := newRestoreTest(t, 31)
+	backup := x.store.Backup()
+	x.setConfig(2)
+	x.awaitAll(t, "version 2", hasVersion(2))
+	x.store.Restore(backup)
+	x.setConfig(2)
+	x.store.Restore(backup)
+	x.store.SetZoneOut("b", true)
+
+	x.awaitAll(t, "the zone taken out at the second return", zoneOut("b"))
+	joined := runEntry(t, 33, x.url, x.seed)
+	is.New(t).True(await(maxChangeTime, func() bool {
+		s := publishedBy(joined)
+
+		return s != nil && zoneOut("b")(s)
+	}))
+	x.setConfig(4)
+	x.awaitAll(t, "the version after the second return", hasVersion(4))
+}
