Agents: a start time alone never makes a target new

The VM's clock had been set back by the target's age in between. The conclusion also threw away the flow table that the process before had handed over, which shows the contrary. Ruled out: a lost table (entries offered it within 60 ms).

Now start times only count while nothing contradicts them: an entry tells, with the start, for how long it has known it by its steady clock, and a table that is offered is evidence too. The agent waits 150 ms for either and leaves lookups open until then, so no packet is tried at a target after a loss of power, as before (TestOpaquePowerLostAtScale unchanged).

Tried and reverted: no conclusion from start times at all.

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -40,6 +40,9 @@
 	// listening then may report to have started: it may read the clock shortly after it
 	// starts to listen.
 	maxStartLag = 100 * time.Millisecond
+	// startEvidenceTime is how long after its start an agent waits for evidence that its
+	// target is older than the clocks say. Entries offer flow tables every 60 ms.
+	startEvidenceTime = maxLookupWait
 )
 
 // Core makes the decisions of one agent. Set the exported fields before the first Update.
@@ -77,6 +80,11 @@
 	lastStop plannedStop
 	leaving  leaving
 	restore  tableRestore
+	// freshClaimed means that by its start time, which freshClaimedBy told, the target is no
+	// older than this process; targetOlder that an entry has known it for longer.
+	freshClaimed   bool
+	freshClaimedBy netip.AddrPort
+	targetOlder    bool
 	// lookups are the ownership lookups that the flow table of the previous process may
 	// still answer.
 	lookups []lookup
@@ -177,6 +185,7 @@
 	case Tick:
 		c.tick(now, m.Behind)
 	}
+	c.concludeFresh(now)
 	c.admitWaiting(now)
 	c.answerDeferredLookups(now)
 
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -221,12 +221,32 @@
 }
 
 // checkTargetStart sets Complete if the target started no earlier than the agent: such a
-// target holds no flow that the agent does not know.
+// target holds no flow that the agent does not know. Clocks may have been set since, so they
+// decide only if nothing else shows that the target is older: an entry that has known it for
+// longer, or the flow table of the previous process. For startEvidenceTime after the agent's
+// start such evidence is awaited.
 func (c *Core) checkTargetStart(now time.Duration, m *EntryMessage) {
-	if c.Complete || m.Message.Born == 0 || !c.isFreshStart(m.Message.Born) {
+	if c.Complete || m.Message.Born == 0 {
 		return
 	}
-	c.markComplete(now, m.From)
+	uptime := now - c.restore.startedAt
+	if time.Duration(m.Message.Age)*time.Millisecond > uptime+maxTargetLead {
+		c.targetOlder = true
+	}
+	if c.isFreshStart(m.Message.Born) {
+		c.freshClaimed = true
+		c.freshClaimedBy = m.From
+	}
+	c.concludeFresh(now)
+}
+
+// concludeFresh sets Complete once a start time shows that the target is new and no evidence
+// against it has come in time.
+func (c *Core) concludeFresh(now time.Duration) {
+	if !c.freshClaimed || c.targetOlder || c.restore.parts > 0 || now-c.restore.startedAt < startEvidenceTime {
+		return
+	}
+	c.markComplete(now, c.freshClaimedBy)
 }
 
 // isFreshStart reports whether a target with the given start time started together with
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -190,7 +190,9 @@
 	// Slots is, in Open, the number of requests that the target works on at once; zero if
 	// it is not known.
 	Slots uint16
-	// Age is, in Open, how long ago the caller sent the flow's first SYN, in milliseconds.
+	// Age is, in Open, how long ago the caller sent the flow's first SYN, and, in Find and
+	// FindMany, how long the entry has known of the start of the target that Born tells, both
+	// in milliseconds.
 	Age uint16
 	// Timeout is, in Open, how long callers of the route wait for an answer, in
 	// milliseconds; zero if it is not known.
--- a/core/steer/liststate.go
+++ b/core/steer/liststate.go
@@ -57,13 +57,24 @@
 	if !known && m.startedWithin(now, t, c.Policy.SpreadTime) {
 		c.agent(addr).spreadUntil = now + c.Policy.SpreadTime
 	}
-	if a, ok := c.agents[addr]; ok && (!known || before.ID != t.ID || before.Born != t.Born) {
-		a.targetEnded = false
+	if !known || before.ID != t.ID || before.Born != t.Born {
+		c.recordStart(now, addr, t)
 	}
 	c.listed[addr] = t
 	c.listedOrder = append(c.listedOrder, addr)
 }
 
+// recordStart notes that the list tells another start of an agent's target than before. One
+// that left the list and is back is not new.
+func (c *Core) recordStart(now time.Duration, addr netip.AddrPort, t *catalog.Member) {
+	a := c.agent(addr)
+	a.targetEnded = false
+	d, departed := c.listState.departed[addr]
+	if !departed || d.ID != t.ID || d.Born != t.Born {
+		a.startKnownSince = now
+	}
+}
+
 // setDeparted sets the targets that left the list, without those whose address another
 // target has now.
 func (c *Core) setDeparted(members []catalog.Member) {
--- a/core/steer/queryqueue.go
+++ b/core/steer/queryqueue.go
@@ -104,6 +104,7 @@
 			Kind: relay.FindMany,
 			Keys: keys[:n:n],
 			Born: c.bornOf(to),
+			Age:  c.startKnownFor(now, to),
 		})
 		keys = keys[n:]
 	}
