Agents: only the start that an entry tells counts as evidence of its age

Found in reading the diff: an entry that has not heard yet of a target's new start tells the one before, and how long it has known that. The agent took this for evidence against the new start and would have stayed unsure for a minute after a loss of power. TestFormerStartIsNoEvidence failed before.

--- a/core/conntrack/clock_test.go
+++ b/core/conntrack/clock_test.go
@@ -74,6 +74,19 @@
 	is.Equal(lookupReply(c, startEvidenceTime, flowKey(2)), relay.Owned)
 }
 
+// Guards against an agent that stays unsure of all flows after a power loss because an entry
+// has not heard yet of the target's new start, and has known the one before for long.
+func TestFormerStartIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	const started = 1_000_000
+	c := Core{
+		Started: started,
+	}
+	c.Update(0, findWithStart(started-30_000, 30*time.Second))
+	c.Update(startEvidenceTime, findWithStart(started, 0))
+	is.True(c.Complete)
+}
+
 // Guards against packets that are tried at targets after a power loss because their agents
 // answer that they are unsure while they wait for evidence.
 func TestLookupWaitsForEvidence(t *testing.T) {
--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -81,7 +81,7 @@
 	leaving  leaving
 	restore  tableRestore
 	// freshClaimed means that by its start time, which freshClaimedBy told, the target is no
-	// older than this process; targetOlder that an entry has known it for longer.
+	// older than this process; targetOlder that an entry has known of that start for longer.
 	freshClaimed   bool
 	freshClaimedBy netip.AddrPort
 	targetOlder    bool
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -226,17 +226,14 @@
 // longer, or the flow table of the previous process. For startEvidenceTime after the agent's
 // start such evidence is awaited.
 func (c *Core) checkTargetStart(now time.Duration, m *EntryMessage) {
-	if c.Complete || m.Message.Born == 0 {
+	if c.Complete || m.Message.Born == 0 || !c.isFreshStart(m.Message.Born) {
 		return
 	}
+	c.freshClaimed = true
+	c.freshClaimedBy = m.From
 	uptime := now - c.restore.startedAt
-	if time.Duration(m.Message.Age)*time.Millisecond > uptime+maxTargetLead {
-		c.targetOlder = true
-	}
-	if c.isFreshStart(m.Message.Born) {
-		c.freshClaimed = true
-		c.freshClaimedBy = m.From
-	}
+	known := time.Duration(m.Message.Age) * time.Millisecond
+	c.targetOlder = c.targetOlder || known > uptime+maxTargetLead
 	c.concludeFresh(now)
 }
 
