Soak: the store comes back from a copy

A fault of the soak: the store returns from a copy up to 2 s old, the operator writes again at once, each target up to 2 s later. The soak judges only while store and entries have been free of faults for a while, and has few flows.

--- a/ibisfold-standin/soak/fault.go
+++ b/ibisfold-standin/soak/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -38,6 +39,7 @@
 		b.scheduleStoreFaultEnd(func() { b.store.SetStatus(0) })
 	}},
 	{"store compacted", func(b *testbed) { b.store.Compact() }},
+	{"store restored", (*testbed).restoreStore},
 	{"store link silent", func(b *testbed) {
 		e := pick(b, b.entries)
 		e.store.silent.Store(true)
@@ -103,6 +105,29 @@
 	time.AfterFunc(d, end)
 }
 
+// restoreStore brings the store back from a copy up to maxFaultTime old. The operator writes the
+// configuration again at once, each target its entry up to maxFaultTime later.
+func (b *testbed) restoreStore() {
+	backup := b.store.Backup()
+	agents := slices.Clone(b.agents)
+	delays := []time.Duration{}
+	for range agents {
+		delays = append(delays, b.randomFaultTime())
+	}
+	b.scheduleStoreFaultEnd(func() {
+		b.store.Restore(backup)
+		b.writeConfig()
+		b.mu.Lock()
+		b.storeFaultEnd = time.Now().Add(maxFaultTime)
+		b.mu.Unlock()
+		for i, v := range agents {
+			time.AfterFunc(delays[i], func() {
+				b.register(v)
+			})
+		}
+	})
+}
+
 // moveRoute points the route to a random service.
 func (b *testbed) moveRoute() {
 	b.mu.Lock()
