Entries, agents: log which service a SYN was sent for, and how it came

Lines of a flow that opened at the wrong service could not tell whether an entry repeated a waiting SYN (no line at all), sent it as a packet of a known flow, or whether the agent took flows for a service that its target no longer served. 'flow placed', 'flow placed again' and the new 'flow's SYN repeated' name the expected service, 'flow opened' the agent's own and the kind of message that brought the SYN. No decision changes.

--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -93,6 +93,7 @@
 
 func (c *Core) forwardOpen(now time.Duration, f *flow, m *EntryMessage) {
 	f.entry = m.From
+	f.synVia = m.Message.Kind
 	f.lastUsed = now
 	c.forwardToTarget(now, m.Message.Packet, true)
 }
@@ -177,6 +178,9 @@
 	}
 
 	f.entry = m.From
+	if m.Segment.Opens() {
+		f.synVia = m.Message.Kind
+	}
 	f.lastUsed = now
 	f.lastAck = m.Segment.Ack
 	switch f.state {
--- a/core/steer/command.go
+++ b/core/steer/command.go
@@ -42,6 +42,9 @@
 	Count int
 	// Reason is the reason that the agent gave.
 	Reason relay.Reason
+	// Service is the name of the service that the agent's target is expected to serve; empty
+	// if the note is not about a SYN that was sent.
+	Service string
 	// Asked, Unsure and Unanswered are set at the end of a search: the numbers of agents
 	// that were queried, that did not know, and that did not answer and are not presumed
 	// gone. Tried is the number of probes that were sent.
@@ -101,6 +104,9 @@
 	// PlacedAgain means that a target did not answer the SYN in time or refused it, and
 	// that the SYN was sent to another one.
 	PlacedAgain
+	// SYNRepeated means that the SYN was sent once more to a target that already got it,
+	// because no further target is left.
+	SYNRepeated
 	// NoRoute means that the flow was reset because no route has the service address.
 	NoRoute
 	// NoTarget means that the flow was reset because no target of the route can accept it.
@@ -145,6 +151,7 @@
 	DecisionNone:     "none",
 	Placed:           "flow placed",
 	PlacedAgain:      "flow placed again",
+	SYNRepeated:      "flow's SYN repeated",
 	NoRoute:          "flow reset: no route",
 	NoTarget:         "flow reset: no target",
 	NoCatalog:        "packet dropped: no catalog yet",
--- a/core/steer/open.go
+++ b/core/steer/open.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"ibisfold.example/core/catalog"
@@ -76,10 +77,20 @@
 		Key:      k,
 		Agent:    addr,
 		Count:    len(f.tried),
+		Service:  c.serviceName(chosen.Service),
 	})
 	c.sendOpen(now, addr, k, f, chosen)
 }
 
+// serviceName returns the name of a service, or its ID if the configuration does not have it.
+func (c *Core) serviceName(id uint64) string {
+	if s, ok := c.snapshot.Config.Services[id]; ok {
+		return s.Name
+	}
+
+	return strconv.FormatUint(id, 16)
+}
+
 func (c *Core) sendOpen(now time.Duration, addr netip.AddrPort, k segment.Key, f *flow, m *catalog.Member) {
 	route := c.routeOf(k)
 	if route == nil {
@@ -120,6 +131,13 @@
 	addr := f.tried[len(f.tried)-1]
 	f.due = now + c.Policy.AcceptTime
 	if m, ok := c.listed[addr]; ok && m.Usable() {
+		c.note(now, Note{
+			Decision: SYNRepeated,
+			Key:      k,
+			Agent:    addr,
+			Count:    len(f.tried),
+			Service:  c.serviceName(m.Service),
+		})
 		c.sendOpen(now, addr, k, f, m)
 	}
 }
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -35,6 +35,8 @@
 	toTarget *udp.Writer
 
 	core conntrack.Core
+	// service is the name of the service that the core takes new flows for.
+	service string
 	// decisions has a counter for each conntrack.Decision, histograms a histogram for each
 	// conntrack.Measure.
 	decisions  []*metrics.Counter
@@ -83,6 +85,7 @@
 		toEntry:  relays.NewWriter(),
 		toCaller: outbound.NewWriter(),
 		toTarget: target.NewWriter(),
+		service:  s.Service,
 		core: conntrack.Core{
 			Service:        catalog.ServiceID(s.Service),
 			Complete:       s.FirstStart || !mayListen,
@@ -162,6 +165,7 @@
 			return
 		}
 		p.Log.Info("settings changed", "service", s.Service)
+		p.service = s.Service
 		p.execute(p.core.Update(p.Clock(), conntrack.ServiceChanged{
 			Service: catalog.ServiceID(s.Service),
 		}))
@@ -341,5 +345,9 @@
 	if p.recordTableDecision(n) {
 		return
 	}
-	p.Log.Info(n.Decision.String(), "flow", n.Key, "entry", n.Entry, "heard", n.Age, "count", n.Count, "reason", n.Reason)
+	fields := []any{"flow", n.Key, "entry", n.Entry, "heard", n.Age, "count", n.Count, "reason", n.Reason}
+	if n.Decision == conntrack.Opened {
+		fields = append(fields, "service", p.service, "via", n.Via)
+	}
+	p.Log.Info(n.Decision.String(), fields...)
 }
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -351,6 +351,9 @@
 func (p *opaqueEntry) recordDecision(n steer.Note) {
 	p.decisions[n.Decision].Inc()
 	fields := []any{"flow", n.Key, "agent", n.Agent, "version", n.Version, "heard", n.Age, "count", n.Count, "reason", n.Reason}
+	if n.Service != "" {
+		fields = append(fields, "service", n.Service)
+	}
 	if n.Asked > 0 {
 		fields = append(fields, "asked", n.Asked, "unsure", n.Unsure, "unanswered", n.Unanswered, "tried", n.Tried, "listed", n.ListAge)
 	}
