--- a/ibisfold-standin/soak/command.go
+++ b/ibisfold-standin/soak/command.go
@@ -24,6 +24,8 @@
 	entries int
 	agents  int
 	callers int
+	// only is the name of the only fault to inject; empty for all.
+	only string
 }
 
 // Command is the soak subcommand.
@@ -58,6 +60,7 @@
 	f.IntVar(&c.seconds, "seconds", 20, "time with faults")
 	f.IntVar(&c.entries, "entries", 2, "entries in each zone")
 	f.IntVar(&c.agents, "agents", 3, "agents in each zone, with a target each")
+	f.StringVar(&c.only, "only", "", "name of the only fault to inject, such as 'service replaced'; by default all")
 	f.IntVar(&c.callers, "callers", 8, "callers in each zone")
 }
 
@@ -100,11 +103,11 @@
 		return 0, err
 	}
 	begin := time.Now()
-	count := b.injectFaults(ctx, begin.Add(time.Duration(c.seconds)*time.Second), func(name string) {
+	count := b.injectFaults(ctx, begin.Add(time.Duration(c.seconds)*time.Second), c.only, func(name string) {
 		fmt.Printf("%s %s\n", time.Now().Format("15:04:05.000"), name)
 	})
 	select {
-	case <-time.After(maxDrainTime + maxFaultTime + maxRecoveryTime):
+	case <-time.After(max(maxDrainTime+maxFaultTime, maxReplacedTime) + maxRecoveryTime):
 	case <-ctx.Done():
 		return 0, ctx.Err()
 	}
--- a/ibisfold-standin/soak/fault.go
+++ b/ibisfold-standin/soak/fault.go
@@ -57,6 +57,7 @@
 	{"route moved", (*testbed).moveRoute},
 	{"target crashed", (*testbed).crashTarget},
 	{"target drained", (*testbed).drainTarget},
+	{"service replaced", (*testbed).replaceService},
 }
 
 // pick returns a random element of list.
@@ -140,6 +141,9 @@
 // a random duration.
 func (b *testbed) crashTarget() {
 	v := pick(b, b.agents)
+	if v.target.lent() {
+		return
+	}
 	d := b.randomFaultTime()
 	v.markImpaired(d)
 	v.target.crash()
@@ -153,6 +157,9 @@
 // sending it new flows, it restarts and registers again.
 func (b *testbed) drainTarget() {
 	v := pick(b, b.agents)
+	if v.target.lent() {
+		return
+	}
 	v.target.mu.Lock()
 	v.target.drainingSince = time.Now()
 	v.target.mu.Unlock()
@@ -165,12 +172,15 @@
 	})
 }
 
-// injectFaults starts a random fault every 0.1 s to 1 s until end. Faults may overlap. It
-// returns the number of faults.
-func (b *testbed) injectFaults(ctx context.Context, end time.Time, log func(string)) int {
+// injectFaults starts a random fault every 0.1 s to 1 s until end. Faults may overlap. If only
+// is not empty, it is the name of the only fault. It returns the number of faults.
+func (b *testbed) injectFaults(ctx context.Context, end time.Time, only string, log func(string)) int {
 	count := 0
-	for ctx.Err() == nil && time.Now().Before(end) {
-		f := faults[b.random.IntN(len(faults))]
+	chosen := slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
+		return only != "" && f.name != only
+	})
+	for ctx.Err() == nil && time.Now().Before(end) && len(chosen) > 0 {
+		f := chosen[b.random.IntN(len(chosen))]
 		log(f.name)
 		f.run(b)
 		count++
--- a/ibisfold-standin/soak/target.go
+++ b/ibisfold-standin/soak/target.go
@@ -18,11 +18,13 @@
 type target struct {
 	testbed  *testbed
 	vm       *vm
-	service  string
 	conn     *net.UDPConn
 	outbound *net.UDPAddr
 
-	mu    sync.Mutex
+	mu      sync.Mutex
+	service string
+	// id is the key of the target's entry in the store.
+	id    string
 	flows map[segment.Key]*targetFlow
 	// drainingSince is when the target was registered as draining; zero if it was not.
 	drainingSince time.Time
@@ -49,6 +51,7 @@
 		testbed:  b,
 		vm:       v,
 		service:  service,
+		id:       v.name,
 		conn:     c,
 		outbound: net.UDPAddrFromAddrPort(v.settings.Outbound),
 		flows:    map[segment.Key]*targetFlow{},
--- a/ibisfold-standin/soak/testbed.go
+++ b/ibisfold-standin/soak/testbed.go
@@ -38,6 +38,8 @@
 // else is simulated.
 type testbed struct {
 	random  *rand.Rand
+	bin     string
+	dir     string
 	store   platformtest.Store
 	entries []*vm
 	agents  []*vm
@@ -59,6 +61,8 @@
 func newTestbed(o *options) (*testbed, error) {
 	b := &testbed{
 		random:       rand.New(rand.NewPCG(o.seed, 0)),
+		bin:          o.bin,
+		dir:          o.dir,
 		routeService: services[0],
 	}
 	b.router.rotation = map[*vm]bool{}
@@ -156,7 +160,7 @@
 	v.target.mu.Lock()
 	defer v.target.mu.Unlock()
 	b.store.SetTarget(catalog.Target{
-		ID:       v.name,
+		ID:       v.target.id,
 		Address:  linkAddress(v.settings.Target),
 		Zone:     v.zone,
 		Slots:    4,
@@ -204,6 +208,9 @@
 // checkOpen checks that a target which gets a SYN belongs to the service of the route and
 // is not draining.
 func (b *testbed) checkOpen(t *target, s *segment.Segment) {
+	if t.service == unroutedService {
+		b.addViolation("ROUTE: flow %v reached %s of %s, to which no route leads", s.Key, t.vm.name, t.service)
+	}
 	if !b.unimpaired() || !t.vm.unimpaired() {
 		return
 	}
--- a/ibisfold-standin/soak/vm.go
+++ b/ibisfold-standin/soak/vm.go
@@ -52,7 +52,9 @@
 	// impairedUntil is the end of the last unplanned fault of the VM or its links.
 	impairedUntil time.Time
 	stopped       bool
-	firstStart    bool
+	// ended means that the VM is gone, so that its process is not restarted.
+	ended      bool
+	firstStart bool
 }
 
 // address returns the loopback address of a port of VM n in a zone.
@@ -114,7 +116,7 @@
 	c.Stderr = out
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.stopped {
+	if v.stopped || v.ended {
 		return nil
 	}
 	if err := c.Start(); err != nil {
@@ -144,6 +146,24 @@
 	_ = v.cmd.Process.Signal(s)
 }
 
+// end kills the process and prevents its restart until resume.
+func (v *vm) end() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.ended = true
+	// An error means that the process has just exited.
+	_ = v.cmd.Process.Kill()
+}
+
+// resume starts the process of the VM that takes the place of one that has ended.
+func (v *vm) resume(bin, dir string) error {
+	v.mu.Lock()
+	v.ended = false
+	v.mu.Unlock()
+
+	return v.start(bin, dir)
+}
+
 // markImpaired records an unplanned fault that lasts for d.
 func (v *vm) markImpaired(d time.Duration) {
 	v.mu.Lock()
--- a/proof/opaque_endpoints_test.go
+++ b/proof/opaque_endpoints_test.go
@@ -13,7 +13,9 @@
 // opaqueTarget is a model of a target: it runs requests in slots and bounces
 // packets of flows that it does not hold.
 type opaqueTarget struct {
-	service  string
+	service string
+	// starts counts the targets that the VM had before this one, each with an ID of its own.
+	starts   int
 	slots    int
 	workTime time.Duration
 	draining bool
@@ -82,6 +84,7 @@
 		return
 	}
 	if s.Opens() {
+		w.checkService(a, &s)
 		seq, ok := t.flows[s.Key]
 		if !ok {
 			seq = w.random.Uint32()
--- a/proof/opaque_fuzz_test.go
+++ b/proof/opaque_fuzz_test.go
@@ -181,6 +181,9 @@
 	if kind == opaqueDeparted {
 		faults = slices.Concat(opaqueFaults, opaqueDepartedFaults)
 	}
+	if kind == opaqueReused {
+		faults = slices.Concat(opaqueFaults, opaqueReuseFaults)
+	}
 	for z, zone := range []string{"a", "b", "c"} {
 		w.addAgent(zone, fmt.Sprintf("10.%d.3.1:%d", z, opaqueRelayPort), "kartendienst", true)
 	}
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -42,8 +42,10 @@
 	callers map[segment.Key]*opaqueCaller
 	// ports is the number of flows opened so far, each from a new caller address.
 	ports uint16
-	// routeService is the service that the route leads to.
+	// routeService is the service that the route leads to, routed has all those that it led to
+	// so far.
 	routeService string
+	routed       map[string]bool
 	// violations lists what the oracle found.
 	violations []string
 	// version is the version of the latest routes and targets.
@@ -129,6 +131,7 @@
 		random:       rand.New(rand.NewPCG(seed, 1)),
 		callers:      map[segment.Key]*opaqueCaller{},
 		routeService: opaqueService,
+		routed:       map[string]bool{},
 	}
 }
 
@@ -325,6 +328,7 @@
 // list brings the listing of the catalog up to date without sending it to any entry.
 func (w *opaqueWorld) list() {
 	w.version++
+	w.routed[w.routeService] = true
 	w.catalog.Apply(w.Now, catalog.ConfigChange{
 		Config: &catalog.Config{
 			Version:  w.version,
@@ -350,7 +354,7 @@
 		}
 		list.Changes = append(list.Changes, catalog.TargetChange{
 			Target: catalog.Target{
-				ID:       a.addr.String(),
+				ID:       a.targetID(),
 				Service:  catalog.ServiceID(a.target.service),
 				Address:  netip.AddrPortFrom(a.addr.Addr(), opaqueTargetPort),
 				Zone:     a.zone,
