Catalog: fixed order of the targets that a listing lacks

If a listing lacks all targets of a service, the one that is removed last stays in use for the grace period.

--- a/core/catalog/state.go
+++ b/core/catalog/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -164,7 +165,8 @@
 			}) || changed
 		}
 	}
-	for id := range maps.Clone(s.targets) {
+	// The order decides which target stays in use if all of a service are missing.
+	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
 		if !targets[id] {
 			changed = s.handleMissing(now, id, l.AfterOutage) || changed
 		}
