Entries: a SYN that waits goes only where its route leads now

Cause: once every target of a service had been tried, an entry repeated the SYN to the address that it tried last, and took the service to expect there from its list as it was then. If another service's target had got the address, the SYN named that service, so its agent had no reason to refuse it. It needs a service with fewer targets than a SYN is sent to (four) and targets that neither answer nor refuse, such as frozen ones. The SYN also went on for 65 s, long after its caller had given up.

Evidence:, the entries' lines 'flow's SYN repeated' with the other service and the agents' 'flow opened ... via=open'.

Fix: all SYNs leave an entry through sendOpen, which sends none for a service that the route does not lead to; a SYN is repeated only to a tried address whose listed target is one of the route's and may get new flows; it is dropped when its caller has given up. Lines about a waiting SYN are written once each.

TestOpaqueWaitingSYNsMeetAnotherService, TestWaitingSYNIsNotSentToAnotherService, TestWaitingSYNFollowsItsRoute, TestSYNWaitsNoLongerThanItsCaller: failed | pass.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"ibisfold.example/core/ticket"
@@ -23,6 +24,13 @@
 	Priority int
 }
 
+// Accepts reports whether the route sends new flows to a service.
+func (r *Route) Accepts(service uint64) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool {
+		return s.Service == service && s.Weight > 0
+	})
+}
+
 // Split is a service's share of a route.
 type Split struct {
 	// Service identifies the service: ServiceID of its name.
--- a/core/steer/command.go
+++ b/core/steer/command.go
@@ -107,6 +107,9 @@
 	// SYNRepeated means that the SYN was sent once more to a target that already got it,
 	// because no further target is left.
 	SYNRepeated
+	// SYNKept means that no target that got the SYN may open the flow any more, and that the
+	// SYN waits for another one.
+	SYNKept
 	// NoRoute means that the flow was reset because no route has the service address.
 	NoRoute
 	// NoTarget means that the flow was reset because no target of the route can accept it.
@@ -152,6 +155,7 @@
 	Placed:           "flow placed",
 	PlacedAgain:      "flow placed again",
 	SYNRepeated:      "flow's SYN repeated",
+	SYNKept:          "flow's SYN waits for a target",
 	NoRoute:          "flow reset: no route",
 	NoTarget:         "flow reset: no target",
 	NoCatalog:        "packet dropped: no catalog yet",
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -98,6 +98,9 @@
 	// that they returned. An agent that is not among them may lack packets that another
 	// agent returned.
 	recipients []netip.AddrPort
+	// waiting is the decision on the SYN that was last logged while no further target was
+	// left.
+	waiting Decision
 	// sawFirstSYN means that the first copy of the SYN came to this entry.
 	sawFirstSYN bool
 	// began is when the caller sent the first copy of the SYN, opened when a copy first
--- a/core/steer/open.go
+++ b/core/steer/open.go
@@ -91,10 +91,13 @@
 	return strconv.FormatUint(id, 16)
 }
 
+// sendOpen sends the SYN to the agent beside a target, unless the route does not lead to the
+// target's service. All SYNs are sent here. The agent refuses them if it takes flows for
+// another service than the one they name.
 func (c *Core) sendOpen(now time.Duration, addr netip.AddrPort, k segment.Key, f *flow, m *catalog.Member) {
 	route := c.routeOf(k)
-	if route == nil {
-		route = &catalog.Route{}
+	if route == nil || !route.Accepts(m.Service) {
+		return
 	}
 	rate := uint16(0)
 	if now < m.ColdUntil {
@@ -120,26 +123,57 @@
 }
 
 // handleNoTarget handles a SYN for which no further target is left. It rejects a flow that
-// no target got; otherwise it sends the SYN to the last target again, as some target may
-// still answer.
+// no target got; otherwise it sends the SYN again, as some target may still answer.
 func (c *Core) handleNoTarget(now time.Duration, k segment.Key, f *flow) {
 	if len(f.tried) == 0 {
 		c.rejectFlow(now, k, NoTarget, 0)
 
 		return
 	}
-	addr := f.tried[len(f.tried)-1]
+	c.repeatSYN(now, k, f)
+}
+
+// repeatSYN sends the SYN again to the last of the targets that got it and may still open the
+// flow.
+func (c *Core) repeatSYN(now time.Duration, k segment.Key, f *flow) {
 	f.due = now + c.Policy.AcceptTime
-	if m, ok := c.listed[addr]; ok && m.Usable() {
-		c.note(now, Note{
-			Decision: SYNRepeated,
-			Key:      k,
-			Agent:    addr,
-			Count:    len(f.tried),
-			Service:  c.serviceName(m.Service),
-		})
-		c.sendOpen(now, addr, k, f, m)
+	for _, addr := range slices.Backward(f.tried) {
+		if m, ok := c.acceptor(k, addr); ok {
+			c.noteWaiting(now, k, f, SYNRepeated, addr, c.serviceName(m.Service))
+			c.sendOpen(now, addr, k, f, m)
+
+			return
+		}
+	}
+	c.noteWaiting(now, k, f, SYNKept, netip.AddrPort{}, "")
+}
+
+// acceptor returns the target beside an agent if it may open a flow. An address does not
+// identify a target: once a target has ended, another one of any service may get it.
+func (c *Core) acceptor(k segment.Key, addr netip.AddrPort) (*catalog.Member, bool) {
+	m, listed := c.listed[addr]
+	if !listed || !m.Usable() {
+		return nil, false
+	}
+	route := c.routeOf(k)
+
+	return m, route != nil && route.Accepts(m.Service)
+}
+
+// noteWaiting adds a log line on a SYN for which no further target is left, unless the line
+// before it on the flow says the same.
+func (c *Core) noteWaiting(now time.Duration, k segment.Key, f *flow, d Decision, addr netip.AddrPort, service string) {
+	if f.waiting == d {
+		return
 	}
+	f.waiting = d
+	c.note(now, Note{
+		Decision: d,
+		Key:      k,
+		Agent:    addr,
+		Count:    len(f.tried),
+		Service:  service,
+	})
 }
 
 // rejectFlow resets a flow that is not open, so that its caller need not wait.
@@ -194,14 +228,15 @@
 	delete(c.opening, k)
 }
 
-// tickOpening tries another target for each SYN that was not answered in time.
+// tickOpening tries another target for each SYN that was not answered in time, as long as its
+// caller waits.
 func (c *Core) tickOpening(now time.Duration) {
 	for _, k := range segment.SortedKeys(c.opening) {
 		f := c.opening[k]
 		if now < f.due {
 			continue
 		}
-		if len(f.tried) >= c.Policy.MaxTried {
+		if len(f.tried) >= c.Policy.MaxTried || now-f.began >= segment.ConnectTimeout {
 			delete(c.opening, k)
 			continue
 		}
