Entries, agents: a SYN is always an Open, which names its service

Callers would have seen: a flow on a port that they use again within 65 s opens at another service, or is never answered.

Such messages name no service, and an agent that does not know all flows passes them to its target, whichever service has the address by then. The SYN also passed by the limit for cold targets, and went to owners that drain or whose zone is out. A SYN of an earlier, unanswered flow's port kept that flow's age and attempts, so agents refused it as too old.

An agent passes a SYN on only from an Open for the service of its target, and returns it from any other message.

--- a/core/conntrack/command.go
+++ b/core/conntrack/command.go
@@ -51,8 +51,6 @@
 	Entry netip.AddrPort
 	// Reason is the reason that the entry is told.
 	Reason relay.Reason
-	// Via is, in Opened, the kind of message that brought the flow's last SYN.
-	Via relay.Kind
 	// Age is the time since the last packet from the target.
 	Age time.Duration
 	// Count is, depending on Decision, the number of unanswered packets, of queued flows,
--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -141,8 +141,6 @@
 	sentEndKnown bool
 	// entry is the entry that sent the caller's last packet.
 	entry netip.AddrPort
-	// synVia is the kind of message that brought the last SYN; zero if none came.
-	synVia relay.Kind
 	// lastUsed is when the last packet passed, openedAt when the SYN did.
 	lastUsed time.Duration
 	openedAt time.Duration
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -93,7 +93,6 @@
 
 func (c *Core) forwardOpen(now time.Duration, f *flow, m *EntryMessage) {
 	f.entry = m.From
-	f.synVia = m.Message.Kind
 	f.lastUsed = now
 	c.forwardToTarget(now, m.Message.Packet, true)
 }
@@ -146,9 +145,14 @@
 
 // deliver passes a packet to the target if the target holds the flow. A packet of an
 // unknown flow is passed on only while Complete is not set: the agent may have missed the
-// start of the flow.
+// start of the flow. A SYN is never passed on: only an Open names the service that it is for.
 func (c *Core) deliver(now time.Duration, m *EntryMessage) {
 	k := m.Message.Key
+	if m.Segment.Opens() {
+		c.refuse(now, m, relay.ReasonNotHeld)
+
+		return
+	}
 	c.backlog.remove(k)
 	f, ok := c.flows[k]
 	if !ok {
@@ -178,9 +182,6 @@
 	}
 
 	f.entry = m.From
-	if m.Segment.Opens() {
-		f.synVia = m.Message.Kind
-	}
 	f.lastUsed = now
 	f.lastAck = m.Segment.Ack
 	switch f.state {
--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -214,7 +214,6 @@
 		Decision: Opened,
 		Key:      k,
 		Entry:    f.entry,
-		Via:      f.synVia,
 	})
 	if f.entry.IsValid() {
 		c.measure(AcceptTime, now-f.openedAt)
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -103,8 +103,9 @@
 	waiting Decision
 	// sawFirstSYN means that the first copy of the SYN came to this entry.
 	sawFirstSYN bool
-	// began is when the caller sent the first copy of the SYN, opened when a copy first
-	// came to this entry, and due when another target gets it if none has answered.
+	// began is when the caller sent the first copy of the SYN, or when the owner was found if
+	// no copy came here; opened is when a copy first came, and due when another target gets
+	// it if none has answered.
 	began    time.Duration
 	opened   time.Duration
 	due      time.Duration
--- a/core/steer/forward.go
+++ b/core/steer/forward.go
@@ -128,6 +128,7 @@
 func (c *Core) setOwner(now time.Duration, k segment.Key, owner netip.AddrPort) {
 	c.flows[k] = &flow{
 		owner:    owner,
+		began:    now,
 		lastUsed: now,
 	}
 }
--- a/core/steer/open.go
+++ b/core/steer/open.go
@@ -20,11 +20,14 @@
 func (c *Core) open(now time.Duration, m *CallerPacket) {
 	k := m.Segment.Key
 	f, ok := c.flows[k]
+	if ok && now-f.began >= segment.ConnectTimeout {
+		// No copy of the flow's own SYN comes that late: the caller uses its port again.
+		c.openAnew(now, f, m)
+
+		return
+	}
 	if ok && f.syn == nil {
-		// The flow is open; a late copy goes to its owner.
-		if f.owner.IsValid() {
-			c.forward(now, f.owner, m)
-		}
+		c.repeatToOwner(now, f, m)
 
 		return
 	}
@@ -33,21 +36,57 @@
 		return
 	}
 	if !ok {
-		f = &flow{
-			opened: now,
-		}
-		c.replaceSearch(now, k, f)
+		f = c.newFlow(now, m)
+	}
+	c.recordSYN(now, f, m)
+	c.place(now, k, f)
+}
+
+// newFlow returns the state of a flow whose first SYN here has come.
+func (c *Core) newFlow(now time.Duration, m *CallerPacket) *flow {
+	f := &flow{
+		opened: now,
+		began:  now - segment.SYNAge(m.Segment.Ack),
 	}
+	c.replaceSearch(now, m.Segment.Key, f)
+
+	return f
+}
+
+// recordSYN keeps the SYN until the flow is open.
+func (c *Core) recordSYN(now time.Duration, f *flow, m *CallerPacket) {
 	// In a SYN, Ack is the number of copies that the caller sent before.
 	f.sawFirstSYN = f.sawFirstSYN || m.Segment.Ack == 0
-	if !ok {
-		f.began = now - segment.SYNAge(m.Segment.Ack)
-	}
 	f.lastUsed = now
 	f.syn = slices.Clone(m.Packet)
+}
+
+// openAnew opens a flow with the key of an earlier one. The owner of that one is the first
+// choice if it may open flows of the route: while another target may hold the earlier flow,
+// searches could find either of the two.
+func (c *Core) openAnew(now time.Duration, earlier *flow, m *CallerPacket) {
+	k := m.Segment.Key
+	delete(c.flows, k)
+	delete(c.opening, k)
+	f := c.newFlow(now, m)
+	f.distrustUntil = now + searchTimeout
+	c.recordSYN(now, f, m)
+	if t, ok := c.acceptor(k, earlier.owner); ok && !c.avoided(now, c.agent(earlier.owner)) {
+		c.placeAt(now, k, f, t)
+
+		return
+	}
 	c.place(now, k, f)
 }
 
+// repeatToOwner handles a late copy of the SYN of an open flow. The flow's target repeats its
+// answer, in case the first one was lost.
+func (c *Core) repeatToOwner(now time.Duration, f *flow, m *CallerPacket) {
+	if t, ok := c.acceptor(m.Segment.Key, f.owner); ok {
+		c.sendOpen(now, f.owner, m.Segment.Key, f, m.Packet, t)
+	}
+}
+
 // place sends the SYN to a target that has not got it yet.
 func (c *Core) place(now time.Duration, k segment.Key, f *flow) {
 	route, ok := c.snapshot.Route(k.Service())
@@ -62,6 +101,11 @@
 
 		return
 	}
+	c.placeAt(now, k, f, chosen)
+}
+
+// placeAt sends the SYN to a target.
+func (c *Core) placeAt(now time.Duration, k segment.Key, f *flow, chosen *catalog.Member) {
 	addr := c.agentOf(chosen)
 	decision := Placed
 	if len(f.tried) > 0 {
@@ -79,7 +123,7 @@
 		Count:    len(f.tried),
 		Service:  c.serviceName(chosen.Service),
 	})
-	c.sendOpen(now, addr, k, f, chosen)
+	c.sendOpen(now, addr, k, f, f.syn, chosen)
 }
 
 // serviceName returns the name of a service, or its ID if the configuration does not have it.
@@ -94,7 +138,7 @@
 // sendOpen sends the SYN to the agent beside a target, unless the route does not lead to the
 // target's service. All SYNs are sent here. The agent refuses them if it takes flows for
 // another service than the one they name.
-func (c *Core) sendOpen(now time.Duration, addr netip.AddrPort, k segment.Key, f *flow, m *catalog.Member) {
+func (c *Core) sendOpen(now time.Duration, addr netip.AddrPort, k segment.Key, f *flow, syn []byte, m *catalog.Member) {
 	route := c.routeOf(k)
 	if route == nil || !route.Accepts(m.Service) {
 		return
@@ -113,7 +157,7 @@
 		Age:      milliseconds(now - f.began),
 		Timeout:  milliseconds(route.Timeout),
 		Priority: uint8(min(math.MaxUint8, max(0, route.Priority))),
-		Packet:   f.syn,
+		Packet:   syn,
 	})
 }
 
@@ -140,7 +184,7 @@
 	for _, addr := range slices.Backward(f.tried) {
 		if m, ok := c.acceptor(k, addr); ok {
 			c.noteWaiting(now, k, f, SYNRepeated, addr, c.serviceName(m.Service))
-			c.sendOpen(now, addr, k, f, m)
+			c.sendOpen(now, addr, k, f, f.syn, m)
 
 			return
 		}
--- a/core/steer/service_test.go
+++ b/core/steer/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -113,6 +114,20 @@
 	return ""
 }
 
+// ackPacket returns a packet with data of the flow of synPacket.
+func ackPacket() *CallerPacket {
+	return &CallerPacket{
+		Segment: segment.Segment{
+			Key:   testKey,
+			Flags: segment.ACK,
+			Seq:   100,
+			Ack:   7,
+			Len:   1,
+		},
+		Packet: []byte{1, 2},
+	}
+}
+
 // Guards against a SYN that is sent to another service: it waits while no target of its
 // service reacts, and the addresses of all of them come to belong to another service
 // (docs/incidents/inc-36.md).
@@ -165,3 +180,109 @@
 		is.True(len(to) == 0 || now < segment.ConnectTimeout)
 	}
 }
+
+// openTestFlow opens the flow of synPacket at the target that the entry chooses, and returns
+// its agent.
+func openTestFlow(c *Core, now time.Duration) netip.AddrPort {
+	to, _ := synRecipients(c.Update(now, synPacket(0)))
+	for _, kind := range []relay.Kind{relay.Accepted, relay.Owned} {
+		receive(c, now, to[0], relay.Message{
+			Kind: kind,
+			Key:  testKey,
+		})
+		c.Update(now, ackPacket())
+	}
+
+	return to[0]
+}
+
+// Guards against a SYN that is sent as a packet of an earlier flow with the same ports to
+// that flow's agent, which does not check the service, although the address has come to
+// belong to another service.
+func TestSYNOfUsedPortIsPlaced(t *testing.T) {
+	is := is.New(t)
+	c, l := newServiceTest(3)
+	owner := openTestFlow(c, 0)
+	for i := range l.services {
+		if c.agentOf(&catalog.Member{
+			Target: catalog.Target{
+				Address: l.address(i),
+			},
+		}) == owner {
+			l.services[i] = otherService
+		}
+	}
+	now := 5 * time.Second
+	c.Update(now, l.changed())
+	commands := c.Update(now, synPacket(0))
+	is.Equal(l.wrongSYN(c, commands), "")
+	to, _ := synRecipients(commands)
+	is.Equal(len(to), 1)
+}
+
+// Guards against a caller that waits in vain when it uses the port of an open flow, or of one
+// that no target has answered, for a new flow.
+func TestUsedPortIsServed(t *testing.T) {
+	is := is.New(t)
+	c, l := newServiceTest(3)
+	owner := openTestFlow(c, 0)
+	c.Update(5*time.Second, Tick{})
+	commands := c.Update(5*time.Second, synPacket(0))
+	is.Equal(l.wrongSYN(c, commands), "")
+	to, _ := synRecipients(commands)
+	is.Equal(to, []netip.AddrPort{owner})
+
+	c, l = newServiceTest(3)
+	c.Update(0, synPacket(0))
+	c.Update(5*time.Second, Tick{})
+	commands = c.Update(5*time.Second, synPacket(0))
+	is.Equal(l.wrongSYN(c, commands), "")
+	to, _ = synRecipients(commands)
+	is.Equal(len(to), 1)
+	is.Equal(commands[len(commands)-1].(*Send).Message.Age, uint16(0))
+}
+
+// Guards against any way by which a SYN gets to a service that its route does not lead to:
+// targets of different services take one another's addresses, routes change, and agents
+// refuse, accept, own, fall silent and stop, in any order.
+func TestSYNsGoToServiceOfRoute(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 36))
+		c, l := newServiceTest(4)
+		now := time.Duration(0)
+		for step := range 300 {
+			now += time.Duration(random.Int64N(int64(80 * time.Millisecond)))
+			from := c.agentOf(&catalog.Member{
+				Target: catalog.Target{
+					Address: l.address(random.IntN(4)),
+				},
+			})
+			m := Message(Tick{})
+			switch random.IntN(9) {
+			case 0:
+				l.services[random.IntN(4)] = []string{routedService, otherService, ""}[random.IntN(3)]
+				m = l.changed()
+			case 1:
+				l.routeTo = []string{routedService, otherService}[random.IntN(2)]
+				m = l.changed()
+			case 2, 3:
+				m = synPacket(uint32(random.IntN(3)))
+			case 4:
+				m = ackPacket()
+			case 5:
+				m = refusal(from)
+			case 6:
+				m = &AgentMessage{
+					From: from,
+					Message: relay.Message{
+						Kind: []relay.Kind{relay.Accepted, relay.Owned, relay.Unsure, relay.NotOwned, relay.Stopping}[random.IntN(5)],
+						Key:  testKey,
+					},
+				}
+			}
+			if wrong := l.wrongSYN(c, c.Update(now, m)); wrong != "" {
+				t.Fatalf("seed %d, step %d, %T: %s", seed, step, m, wrong)
+			}
+		}
+	}
+}
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -347,7 +347,7 @@
 	}
 	fields := []any{"flow", n.Key, "entry", n.Entry, "heard", n.Age, "count", n.Count, "reason", n.Reason}
 	if n.Decision == conntrack.Opened {
-		fields = append(fields, "service", p.service, "via", n.Via)
+		fields = append(fields, "service", p.service)
 	}
 	p.Log.Info(n.Decision.String(), fields...)
 }
--- a/proof/opaque_network_test.go
+++ b/proof/opaque_network_test.go
@@ -133,7 +133,7 @@
 		case conntrack.Reset:
 			w.toCaller(a.zone, c.Key, platform.AppendReset(nil, c.Key, c.Seq))
 		case conntrack.Note:
-			w.log = append(w.log, fmt.Sprintf("%v agent %v %v %v %v heard %v count %d %v via %v", w.Now, a.addr, c.Decision, c.Key, c.Entry, c.Age, c.Count, c.Reason, c.Via))
+			w.log = append(w.log, fmt.Sprintf("%v agent %v %v %v %v heard %v count %d %v", w.Now, a.addr, c.Decision, c.Key, c.Entry, c.Age, c.Count, c.Reason))
 		}
 	}
 }
