Settings: a change between the start and the first poll is not missed

Callers would have seen: flows that open at another service, or none at all at a target, for as long as its agent runs.

An agent whose settings changed in between kept the former service for good.

Fix: the watcher compares with the settings that the process started with.

--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -146,8 +146,11 @@
 		Settings: p.settings,
 		Process:  p.Process,
 		Healthy:  p.healthy,
-		Changed:  p.settingsChanged,
-		Sockets:  []*udp.Socket{p.relays, p.outbound, p.target},
+		Watcher: &platform.SettingsWatcher{
+			Initial: p.settings,
+			Changed: p.settingsChanged,
+		},
+		Sockets: []*udp.Socket{p.relays, p.outbound, p.target},
 	}
 
 	return p.Register(append([]kernel.Service{traffic}, f.Services()...)...)
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -181,8 +181,11 @@
 		Settings: p.settings,
 		Process:  p.Process,
 		Healthy:  p.healthy,
-		Changed:  p.settingsChanged,
-		Sockets:  []*udp.Socket{p.callers, p.relays},
+		Watcher: &platform.SettingsWatcher{
+			Initial: p.settings,
+			Changed: p.settingsChanged,
+		},
+		Sockets: []*udp.Socket{p.callers, p.relays},
 	}
 
 	return p.Register(append(services, f.Services()...)...)
