Agents: read the service from the settings whenever a SYN comes

Callers would have seen: their requests ran at a service to which no configuration sends them.

A target of another service beside it got the SYNs that came in between, from entries that still listed the former one.

Evidence: a new fault of the soak, 'target replaced': a target ends and 2 s later one of another service starts in its place, while the agent goes on or is paused; its settings change without a signal.

Fix: an agent passes a SYN to its target only within 50 ms of reading its settings; it reads them for each batch that brings a SYN, and at each tick while SYNs wait. SYNs wait too for 100 ms after a pause of 1 s or more, so that a signal that came meanwhile takes effect first. If the settings name another address for the target, the agent takes no flows.

--- a/core/conntrack/backlog.go
+++ b/core/conntrack/backlog.go
@@ -167,7 +167,7 @@
 // After a pause of the process it may run before the Tick that removes expired SYNs, so it
 // checks the deadline itself.
 func (c *Core) admitWaiting(now time.Duration) {
-	for c.backlog.size() > 0 && c.hasRoom() {
+	for c.backlog.size() > 0 && c.serviceConfirmed(now) && c.hasRoom() {
 		w, _ := c.backlog.popMostUrgent()
 		if now >= w.deadline {
 			c.refuse(now, &w.message, relay.ReasonFull)
--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -49,6 +49,9 @@
 type Core struct {
 	// Service identifies the target's service.
 	Service uint64
+	// ServiceValidity is how long after a ServiceConfirmed SYNs are passed to the target.
+	// Zero means that they need no ServiceConfirmed.
+	ServiceValidity time.Duration
 	// Complete means that the target holds no flow that is not known here: no flow of it
 	// is older than this process, the previous process handed over its whole flow table,
 	// or this process has observed the target for MaxFlowAge.
@@ -71,6 +74,7 @@
 	// entries holds when each entry was last heard.
 	entries  map[netip.AddrPort]time.Duration
 	target   target
+	evidence serviceEvidence
 	cold     coldLimiter
 	inflight inflight
 	damping  flapDamping
@@ -177,9 +181,8 @@
 		c.target.refused = true
 		c.checkTarget(now)
 		c.markComplete(now, netip.AddrPort{})
-	case ServiceChanged:
-		c.Service = m.Service
-		c.refuseAllWaiting(now, relay.ReasonWrongService)
+	case ServiceConfirmed:
+		c.confirmService(now, m.Service)
 	case Stop:
 		c.stop(now, m)
 	case Tick:
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -42,7 +42,11 @@
 		return
 	}
 	f, ok := c.flows[m.Message.Key]
+	confirmed := c.serviceConfirmed(now)
 	switch {
+	case ok && f.mayBeHeld() && !confirmed:
+		// Refusing it could end a flow that the target has opened. Its entry sends another
+		// copy.
 	case ok && f.mayBeHeld():
 		// A retransmitted SYN: refusing it would end a flow that the target may have
 		// opened. If the flow is held, its caller may also be reusing the port for a new
@@ -51,7 +55,7 @@
 			f.openedAt = now
 		}
 		c.forwardOpen(now, f, m)
-	case c.hasRoom():
+	case confirmed && c.hasRoom():
 		c.backlog.remove(m.Message.Key)
 		c.admit(now, m)
 	default:
--- a/core/conntrack/message.go
+++ b/core/conntrack/message.go
@@ -30,9 +30,8 @@
 // TargetRefused means that nothing listens at the target's address.
 type TargetRefused struct{}
 
-// ServiceChanged reports that the target beside the agent now belongs to the given
-// service.
-type ServiceChanged struct {
+// ServiceConfirmed reports the service that the target beside the agent belongs to now.
+type ServiceConfirmed struct {
 	Service uint64
 }
 
@@ -49,9 +48,9 @@
 	Behind bool
 }
 
-func (*EntryMessage) message()  {}
-func (*TargetPacket) message()  {}
-func (TargetRefused) message()  {}
-func (ServiceChanged) message() {}
-func (Stop) message()           {}
-func (Tick) message()           {}
+func (*EntryMessage) message()    {}
+func (*TargetPacket) message()    {}
+func (TargetRefused) message()    {}
+func (ServiceConfirmed) message() {}
+func (Stop) message()             {}
+func (Tick) message()             {}
--- a/core/conntrack/pause.go
+++ b/core/conntrack/pause.go
@@ -12,6 +12,7 @@
 func (c *Core) detectPause(now time.Duration) {
 	if gap := now - c.lastTick; gap > minPauseTime {
 		c.lastTick = now
+		c.evidence.recordPause(now, gap)
 		c.restartTimeouts(now, gap)
 	}
 }
--- /dev/null
+++ b/core/conntrack/service.go
@@ -0,0 +1,60 @@
+package conntrack
+
+import (
+	"time"
+
+	"ibisfold.example/core/relay"
+)
+
+const (
+	// minReplaceTime is the shortest pause of the process in which the target may have ended
+	// and another one of another service started at its address. That takes 2 s at least.
+	minReplaceTime = time.Second
+	// resumeTime is how long after such a pause SYNs wait: a signal or new settings that came
+	// during the pause take effect first.
+	resumeTime = 100 * time.Millisecond
+)
+
+// serviceEvidence is the state of the knowledge that the target belongs to Core.Service.
+type serviceEvidence struct {
+	// confirmedAt is when the last ServiceConfirmed came.
+	confirmedAt time.Duration
+	// resumedAt is when the last pause of minReplaceTime or more ended.
+	resumedAt time.Duration
+	resumed   bool
+}
+
+// confirmService handles a ServiceConfirmed.
+func (c *Core) confirmService(now time.Duration, service uint64) {
+	c.evidence.confirmedAt = now
+	if service == c.Service {
+		return
+	}
+	c.Service = service
+	c.refuseAllWaiting(now, relay.ReasonWrongService)
+}
+
+// serviceConfirmed reports whether SYNs for Service may be passed to the target. Otherwise
+// they wait.
+func (c *Core) serviceConfirmed(now time.Duration) bool {
+	if c.ServiceValidity == 0 {
+		return true
+	}
+	e := &c.evidence
+
+	return now-e.confirmedAt <= c.ServiceValidity && (!e.resumed || now-e.resumedAt >= resumeTime)
+}
+
+// recordPause notes a pause of the process that has just ended.
+func (e *serviceEvidence) recordPause(now, gap time.Duration) {
+	if gap >= minReplaceTime {
+		e.resumed = true
+		e.resumedAt = now
+	}
+}
+
+// Waiting returns the number of SYNs that wait for their target's capacity, or for a
+// ServiceConfirmed.
+func (c *Core) Waiting() int {
+	return c.backlog.size()
+}
--- a/core/conntrack/service_test.go
+++ b/core/conntrack/service_test.go
@@ -57,3 +57,98 @@
 
 	return false
 }
+
+// serviceOpen returns an Open of testKey for a service.
+func serviceOpen(service uint64) *EntryMessage {
+	m := openMessage(testKey, 0)
+	m.Message.Service = service
+
+	return m
+}
+
+// Guards against SYNs for the service that the target belonged to earlier: the agent knows its
+// service only from settings that it read some time ago (docs/incidents/inc-36.md).
+func TestSYNWaitsForCurrentService(t *testing.T) {
+	is := is.New(t)
+	c := Core{
+		Service:         1,
+		ServiceValidity: 50 * time.Millisecond,
+		Complete:        true,
+	}
+	c.Update(0, ServiceConfirmed{
+		Service: 1,
+	})
+	now := time.Duration(0)
+	for now < 100*time.Millisecond {
+		now += TickTime
+		c.Update(now, Tick{})
+	}
+	is.True(!forwarded(c.Update(now, serviceOpen(1))))
+	is.True(!forwarded(c.Update(now+TickTime, Tick{})))
+	is.True(forwarded(c.Update(now+TickTime, ServiceConfirmed{
+		Service: 1,
+	})))
+
+	c.Update(now+TickTime, messageFrom(testEntry, relay.Message{
+		Kind: relay.Withdraw,
+		Key:  testKey,
+	}, 0, 0))
+	is.True(!forwarded(c.Update(time.Second, serviceOpen(1))))
+	commands := c.Update(time.Second, ServiceConfirmed{
+		Service: 2,
+	})
+	is.True(!forwarded(commands))
+}
+
+// Guards against SYNs that wait at an agent and reach a target of another service after its
+// settings have changed.
+func TestWaitingSYNsAreReturnedWithService(t *testing.T) {
+	is := is.New(t)
+	c := Core{
+		Service:         1,
+		ServiceValidity: 50 * time.Millisecond,
+		Complete:        true,
+	}
+	c.Update(0, Tick{})
+	is.True(!forwarded(c.Update(100*time.Millisecond, serviceOpen(1))))
+	is.Equal(c.Waiting(), 1)
+	commands := c.Update(100*time.Millisecond, ServiceConfirmed{
+		Service: 2,
+	})
+	is.True(!forwarded(commands))
+	is.True(returnedTo(commands, relay.ReasonWrongService))
+}
+
+// Guards against SYNs that came during a long pause of the agent and are passed on before it
+// handles the signal or the settings that came meanwhile: its target may have ended, and the
+// address may belong to another service.
+func TestSYNsOfLongPauseWait(t *testing.T) {
+	is := is.New(t)
+	for _, pause := range []time.Duration{minReplaceTime / 2, 2 * minReplaceTime} {
+		c := Core{
+			Service:         1,
+			ServiceValidity: 50 * time.Millisecond,
+			Complete:        true,
+		}
+		confirmed := ServiceConfirmed{
+			Service: 1,
+		}
+		c.Update(0, Tick{})
+		now := pause
+		c.Update(now, confirmed)
+		is.Equal(forwarded(c.Update(now, serviceOpen(1))), pause < minReplaceTime)
+		is.Equal(c.Waiting() > 0, pause >= minReplaceTime)
+		if c.Waiting() == 0 {
+			continue
+		}
+		late := false
+		for now < pause+2*resumeTime {
+			now += TickTime
+			passed := forwarded(c.Update(now, Tick{}))
+			passed = forwarded(c.Update(now, confirmed)) || passed
+			is.True(!passed || now >= pause+resumeTime)
+			late = late || passed
+		}
+		is.True(late)
+	}
+}
--- a/core/conntrack/stop_test.go
+++ b/core/conntrack/stop_test.go
@@ -95,7 +95,7 @@
 func TestWaitingFlowsReturnedOnTargetChange(t *testing.T) {
 	is := is.New(t)
 	c, waiting := coreWithBacklog(is)
-	is.Equal(countReturned(c.Update(time.Millisecond, ServiceChanged{
+	is.Equal(countReturned(c.Update(time.Millisecond, ServiceConfirmed{
 		Service: 1,
 	}), relay.ReasonWrongService), waiting)
 	c, waiting = coreWithBacklog(is)
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -14,6 +14,7 @@
 	"ibisfold.example/core/conntrack"
 	"ibisfold.example/core/kernel"
 	"ibisfold.example/core/opaque"
+	"ibisfold.example/core/relay"
 	"ibisfold.example/core/segment"
 	"ibisfold.example/core/udp"
 	"ibisfold.example/platform"
@@ -34,7 +35,8 @@
 	toCaller *udp.Writer
 	toTarget *udp.Writer
 
-	core conntrack.Core
+	core    conntrack.Core
+	watcher platform.SettingsWatcher
 	// service is the name of the service that the core takes new flows for.
 	service string
 	// decisions has a counter for each conntrack.Decision, histograms a histogram for each
@@ -87,14 +89,17 @@
 		toTarget: target.NewWriter(),
 		service:  s.Service,
 		core: conntrack.Core{
-			Service:        catalog.ServiceID(s.Service),
-			Complete:       s.FirstStart || !mayListen,
-			TargetListened: listens,
-			Started:        time.Now().UnixMilli(),
-			MaxFlowAge:     s.MaxFlowAge,
-			Policy:         &policies.Agent,
+			Service:         catalog.ServiceID(s.Service),
+			ServiceValidity: serviceValidity,
+			Complete:        s.FirstStart || !mayListen,
+			TargetListened:  listens,
+			Started:         time.Now().UnixMilli(),
+			MaxFlowAge:      s.MaxFlowAge,
+			Policy:          &policies.Agent,
 		},
 	}
+	p.watcher.Initial = s
+	p.watcher.Changed = p.settingsChanged
 	p.decisions = p.DecisionCounters(conntrack.DecisionNames())
 	p.tableFlows = newTableCounters(p.Metrics)
 	p.histograms = p.Histograms(conntrack.MeasureNames())
@@ -146,11 +151,8 @@
 		Settings: p.settings,
 		Process:  p.Process,
 		Healthy:  p.healthy,
-		Watcher: &platform.SettingsWatcher{
-			Initial: p.settings,
-			Changed: p.settingsChanged,
-		},
-		Sockets: []*udp.Socket{p.relays, p.outbound, p.target},
+		Watcher:  &p.watcher,
+		Sockets:  []*udp.Socket{p.relays, p.outbound, p.target},
 	}
 
 	return p.Register(append([]kernel.Service{traffic}, f.Services()...)...)
@@ -167,14 +169,40 @@
 
 			return
 		}
-		p.Log.Info("settings changed", "service", s.Service)
-		p.service = s.Service
-		p.execute(p.core.Update(p.Clock(), conntrack.ServiceChanged{
-			Service: catalog.ServiceID(s.Service),
-		}))
+		p.confirmService(s)
 	})
 }
 
+// serviceValidity is how long the agent relies on the settings that it read last when it passes
+// SYNs to its target. It covers two ticks.
+const serviceValidity = 2*conntrack.TickTime + 10*time.Millisecond
+
+// readService reads the settings, so that the core knows which service the target belongs to
+// now. The error of settings that can't be used is logged by settingsChanged.
+func (p *opaqueAgent) readService() {
+	s, _ := p.watcher.Current()
+	p.confirmService(s)
+}
+
+// noService is the ID of no service.
+const noService = 0
+
+// confirmService tells the core the service of the target in the settings. If they name another
+// target than the one that this process sends packets to, no SYN is for that one.
+func (p *opaqueAgent) confirmService(s *platform.Settings) {
+	name, id := s.Service, catalog.ServiceID(s.Service)
+	if s.Target != p.settings.Target {
+		name, id = "", noService
+	}
+	if name != p.service {
+		p.Log.Info("settings changed", "service", s.Service, "target", s.Target)
+		p.service = name
+	}
+	p.execute(p.core.Update(p.Clock(), conntrack.ServiceConfirmed{
+		Service: id,
+	}))
+}
+
 // run serves until SIGTERM, and afterwards until awaitLeavingTarget returns. It then
 // announces the stop to the entries and hands the flow table over to them, so that the agent
 // can restore it at its next start.
@@ -256,6 +284,9 @@
 }
 
 func (p *opaqueAgent) tick(behind bool) {
+	if p.core.Waiting() > 0 {
+		p.readService()
+	}
 	p.execute(p.core.Update(p.Clock(), conntrack.Tick{
 		Behind: behind,
 	}))
@@ -271,12 +302,18 @@
 	defer b.Done()
 	now := p.Clock()
 	m := conntrack.EntryMessage{}
+	serviceRead := false
 	for i := range b.Count {
 		data, from := b.Packet(i)
 		if err := m.Message.Decode(data); err != nil {
 			p.Malformed.Inc()
 			continue
 		}
+		if m.Message.Kind == relay.Open && !serviceRead {
+			serviceRead = true
+			p.readService()
+			now = p.Clock()
+		}
 		m.Segment = segment.Segment{}
 		if m.Message.Kind.CarriesPacket() {
 			s, err := platform.FromCaller(m.Message.Packet)
--- a/ibisfold-standin/soak/fault.go
+++ b/ibisfold-standin/soak/fault.go
@@ -58,6 +58,7 @@
 	{"target crashed", (*testbed).crashTarget},
 	{"target drained", (*testbed).drainTarget},
 	{"service replaced", (*testbed).replaceService},
+	{"target replaced", (*testbed).replaceTarget},
 }
 
 // pick returns a random element of list.
--- a/ibisfold-standin/soak/reuse.go
+++ b/ibisfold-standin/soak/reuse.go
@@ -51,6 +51,40 @@
 	})
 }
 
+// replaceTarget ends a random target, and starts one of unroutedService in its place while the
+// VM's process goes on or is paused. Its settings change without a signal.
+func (b *testbed) replaceTarget() {
+	v := pick(b, b.agents)
+	if v.target.lent() {
+		return
+	}
+	service := v.settings.Service
+	v.markImpaired(maxReplacedTime)
+	if b.random.IntN(2) == 0 {
+		pause(v, reuseTime+b.randomFaultTime())
+	}
+	v.target.crash()
+	b.expireEntry(v)
+	time.AfterFunc(reuseTime, func() {
+		b.changeService(v, unroutedService)
+	})
+	time.AfterFunc(reuseTime+lendTime, func() {
+		v.target.crash()
+		b.expireEntry(v)
+		b.changeService(v, service)
+	})
+}
+
+// changeService starts a target of another service beside the process of a VM.
+func (b *testbed) changeService(v *vm, service string) {
+	v.settings.Service = service
+	if err := v.writeSettings(b.dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	v.target.replace(service)
+	b.register(v)
+}
+
 // replaceVM ends a VM. After reuseTime one of another service starts at its address.
 func (b *testbed) replaceVM(v *vm, service string) {
 	v.end()
--- a/ibisfold-standin/soak/vm.go
+++ b/ibisfold-standin/soak/vm.go
@@ -98,11 +98,10 @@
 	if v.agent {
 		program = "ibisfold-agent"
 	}
-	path := filepath.Join(dir, v.name+".conf")
 	v.settings.FirstStart = v.firstStart
 	v.firstStart = false
-	if err := platformtest.WriteSettings(path, &v.settings, v.agent); err != nil {
-		return errors.Trace(err)
+	if err := v.writeSettings(dir); err != nil {
+		return err
 	}
 	out, err := os.OpenFile(filepath.Join(dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
@@ -111,7 +110,7 @@
 	defer out.Close()
 
 	c := exec.Command(filepath.Join(bin, program), "-platform")
-	c.Env = platformtest.Environment(path)
+	c.Env = platformtest.Environment(v.settingsPath(dir))
 	c.Stdout = out
 	c.Stderr = out
 	v.mu.Lock()
@@ -128,6 +127,20 @@
 	return nil
 }
 
+func (v *vm) settingsPath(dir string) string {
+	return filepath.Join(dir, v.name+".conf")
+}
+
+// writeSettings writes the settings file, which the process may read at the same time.
+func (v *vm) writeSettings(dir string) error {
+	path := v.settingsPath(dir)
+	if err := platformtest.WriteSettings(path+".new", &v.settings, v.agent); err != nil {
+		return errors.Trace(err)
+	}
+
+	return errors.Trace(os.Rename(path+".new", path))
+}
+
 // restart waits for the process to exit and starts it again.
 func (v *vm) restart(c *exec.Cmd, bin, dir string) {
 	// The exit status is ignored: most exits are caused by injected faults.
