Consul: an odd row does not spoil the list of VMs

Operators of a similar system saw processes that stopped following a list after another writer had left one odd entry. Here: one row with a port out of range, a number too large, a field of another type or a value nested more than 10,000 deep made the list of VMs unusable for every process, for as long as it stood. A row without a port was given to the mesh.

Fix: the array is split into its rows without decoding them and without recursion; each row is decoded by itself, and what names no VM is skipped.

--- a/core/consul/client.go
+++ b/core/consul/client.go
@@ -89,14 +89,31 @@
 	Role string
 }
 
-// VMs returns the list of VMs of a service. Rows without an IP address are skipped.
+// VMs returns the list of VMs of a service. Rows that name no address and port are skipped,
+// as are rows that can't be decoded.
 func (c *Client) VMs(ctx context.Context, service string) ([]VM, error) {
 	b, _, err := c.get(ctx, "/v1/catalog/service/"+escapePath(service), 0, maxListBytes)
 	if err != nil {
 		return nil, err
 	}
 
-	rows := []struct {
+	rows, ok := splitArray(b)
+	if !ok {
+		return nil, errors.Annotate(ErrMalformed, "decode list of VMs")
+	}
+	vms := make([]VM, 0, len(rows))
+	for _, r := range rows {
+		if v, ok := decodeVM(r); ok {
+			vms = append(vms, v)
+		}
+	}
+
+	return vms, nil
+}
+
+// decodeVM decodes a row of the list of VMs and reports whether it names a VM.
+func decodeVM(row []byte) (VM, bool) {
+	r := struct {
 		ServiceAddress string
 		ServicePort    uint16
 		ServiceMeta    struct {
@@ -104,23 +121,19 @@
 			Role string
 		}
 	}{}
-	if err := json.Unmarshal(b, &rows); err != nil {
-		return nil, errors.WithType(errors.Annotate(err, "decode list of VMs"), ErrMalformed)
+	if err := json.Unmarshal(row, &r); err != nil {
+		return VM{}, false
 	}
-	vms := make([]VM, 0, len(rows))
-	for _, r := range rows {
-		a, err := netip.ParseAddr(r.ServiceAddress)
-		if err != nil {
-			continue
-		}
-		vms = append(vms, VM{
-			Addr: netip.AddrPortFrom(a, r.ServicePort),
-			Zone: r.ServiceMeta.Zone,
-			Role: r.ServiceMeta.Role,
-		})
+	a, err := netip.ParseAddr(r.ServiceAddress)
+	if err != nil || r.ServicePort == 0 {
+		return VM{}, false
 	}
 
-	return vms, nil
+	return VM{
+		Addr: netip.AddrPortFrom(a, r.ServicePort),
+		Zone: r.ServiceMeta.Zone,
+		Role: r.ServiceMeta.Role,
+	}, true
 }
 
 // escapePath escapes a key for the path of a URL but keeps its slashes.
