Catalog: targets with values that no target has are not used

Operators of a similar system saw processes that ended, or stopped following the list, after another writer had left one odd entry among those of the targets. Processes did not end here.

Fix: one check, catalog.Target.Validate, holds for what the store and what a source tells. A follower leaves out and logs a target that fails it, as the store's client does, and keeps the rest of the answer.

--- a/core/feed/body.go
+++ b/core/feed/body.go
@@ -66,8 +66,10 @@
 	return json.Marshal(x)
 }
 
-// decodeBatch decodes and checks a Batch. Error: ErrInvalidAnswer.
-func decodeBatch(p []byte) (Batch, error) {
+// decodeBatch decodes and checks a Batch. It leaves out targets that can't be used, as if their
+// entries were missing, and calls reportInvalid with the error of each: they must not keep the
+// other changes from the process. Error: ErrInvalidAnswer.
+func decodeBatch(p []byte, reportInvalid func(error)) (Batch, error) {
 	x := body{}
 	if err := json.Unmarshal(p, &x); err != nil {
 		return Batch{}, errors.WithType(err, ErrInvalidAnswer)
@@ -81,18 +83,19 @@
 		AfterOutage: x.AfterOutage,
 		Current:     x.Current,
 		Age:         x.Age,
-		Departed:    x.Departed,
 	}
 	if b.Age < 0 {
 		return Batch{}, errors.Annotatef(ErrInvalidAnswer, "negative age %v", b.Age)
 	}
-	if len(b.Departed) > catalog.MaxDeparted {
-		return Batch{}, errors.Annotatef(ErrInvalidAnswer, "too many departed targets: %d", len(b.Departed))
+	if len(x.Departed) > catalog.MaxDeparted {
+		return Batch{}, errors.Annotatef(ErrInvalidAnswer, "too many departed targets: %d", len(x.Departed))
 	}
-	for i := range b.Departed {
-		if err := checkDeparted(&b.Departed[i]); err != nil {
-			return Batch{}, err
+	for _, d := range x.Departed {
+		if err := checkDeparted(&d); err != nil {
+			reportInvalid(err)
+			continue
 		}
+		b.Departed = append(b.Departed, d)
 	}
 	for _, c := range x.Changes {
 		switch {
@@ -101,9 +104,7 @@
 				Config: c.Config,
 			})
 		case c.Target != nil:
-			b.Changes = append(b.Changes, catalog.TargetChange{
-				Target: *c.Target,
-			})
+			b.Changes = append(b.Changes, usableTarget(c.Target, reportInvalid))
 		case c.Gone != nil:
 			b.Changes = append(b.Changes, *c.Gone)
 		case c.Zone != nil:
@@ -111,38 +112,33 @@
 		default:
 			return Batch{}, errors.Annotate(ErrInvalidAnswer, "empty change")
 		}
-		if err := c.check(); err != nil {
-			return Batch{}, err
-		}
 	}
 
 	return b, nil
 }
 
-// check reports an error for a change that the placement of flows can't handle.
-// Error: ErrInvalidAnswer.
-func (c *bodyChange) check() error {
-	if c.Target == nil {
-		return nil
+// usableTarget returns the change that adds a target, or the removal of a target that can't be
+// used.
+func usableTarget(t *catalog.Target, reportInvalid func(error)) catalog.Change {
+	if err := t.Validate(); err != nil {
+		reportInvalid(err)
+
+		return catalog.TargetGone{
+			ID: t.ID,
+		}
 	}
 
-	return checkTarget(c.Target)
+	return catalog.TargetChange{
+		Target: *t,
+	}
 }
 
-// checkDeparted reports an error for a target without a usable address or with a negative
-// age. Error: ErrInvalidAnswer.
+// checkDeparted reports an error for a target that can't be used or has a negative age. Errors:
+// ErrInvalidAnswer, catalog.ErrInvalidTarget.
 func checkDeparted(d *catalog.TargetDeparted) error {
 	if d.Age < 0 {
 		return errors.Annotatef(ErrInvalidAnswer, "departed target %q has a negative age", d.Target.ID)
 	}
 
-	return checkTarget(&d.Target)
-}
-
-func checkTarget(t *catalog.Target) error {
-	if !t.Address.Addr().Is4() || t.Address.Port() == 0 {
-		return errors.Annotatef(ErrInvalidAnswer, "target %q has no IPv4 address and port", t.ID)
-	}
-
-	return nil
+	return d.Target.Validate()
 }
--- a/core/feed/client.go
+++ b/core/feed/client.go
@@ -24,12 +24,16 @@
 // SourceClient is the HTTP client for a source. It implements Upstream.
 type SourceClient struct {
 	*web.Client
+	// reportInvalid is called with the error of each target that can't be used.
+	reportInvalid func(error)
 }
 
-// NewSourceClient returns a client for the source at an address.
-func NewSourceClient(a netip.AddrPort) *SourceClient {
+// NewSourceClient returns a client for the source at an address. It calls reportInvalid with the
+// error of each target that can't be used.
+func NewSourceClient(a netip.AddrPort, reportInvalid func(error)) *SourceClient {
 	return &SourceClient{
-		Client: web.NewClient(a, dialTimeout, maxBodyBytes),
+		Client:        web.NewClient(a, dialTimeout, maxBodyBytes),
+		reportInvalid: reportInvalid,
 	}
 }
 
@@ -56,5 +60,5 @@
 		return Batch{}, errors.Annotatef(ErrUnavailable, "%s: status %d", c.Address(), r.Status)
 	}
 
-	return decodeBatch(r.Body)
+	return decodeBatch(r.Body, c.reportInvalid)
 }
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -106,7 +106,7 @@
 	p.state.MaxAge = s.MaxFlowAge
 	p.feedLog.MaxAge = s.MaxFlowAge
 	p.follower = feed.Follower{
-		Service:   platform.NewStore(s, p.logInvalidStoreEntry),
+		Service:   platform.NewStore(s, p.logInvalidTarget),
 		Log:       &p.feedLog,
 		Change:    p.applyChanges,
 		Confirmed: p.handleConfirmation,
@@ -136,7 +136,7 @@
 	for i := range s.Seeds {
 		a := s.Seeds[(first+i)%len(s.Seeds)]
 		if a != s.Control {
-			sources = append(sources, feed.NewSourceClient(a))
+			sources = append(sources, feed.NewSourceClient(a, p.logInvalidTarget))
 		}
 	}
 	p.follower.Follow(slices.Contains(s.Seeds, s.Control), sources)
@@ -223,7 +223,7 @@
 	})
 }
 
-func (p *opaqueEntry) logInvalidStoreEntry(err error) {
+func (p *opaqueEntry) logInvalidTarget(err error) {
 	p.Post(func() {
 		p.Log.Info("store entry not used", "error", err)
 	})
