Agents: a leaving target gets no new flow after SIGTERM

After a pause it may see another target listen at the address and take it for the same one.

Fix: from SIGTERM on it returns new flows, which then go to targets that stay. A copy of a SYN that the target got is dropped: a refusal could end the flow. TestLeavingTargetGetsNoNewFlow guards it.

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -183,6 +183,8 @@
 		c.markComplete(now, netip.AddrPort{})
 	case ServiceConfirmed:
 		c.confirmService(now, m.Service)
+	case TargetLeaves:
+		c.leaveTarget(now)
 	case Stop:
 		c.stop(now, m)
 	case Tick:
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -44,7 +44,7 @@
 	f, ok := c.flows[m.Message.Key]
 	confirmed := c.serviceConfirmed(now)
 	switch {
-	case ok && f.mayBeHeld() && !confirmed:
+	case ok && f.mayBeHeld() && (!confirmed || c.evidence.targetLeaves):
 		// Refusing it could end a flow that the target has opened. Its entry sends another
 		// copy.
 	case ok && f.mayBeHeld():
@@ -55,6 +55,8 @@
 			f.openedAt = now
 		}
 		c.forwardOpen(now, f, m)
+	case c.evidence.targetLeaves:
+		c.refuse(now, m, relay.ReasonFull)
 	case confirmed && c.hasRoom():
 		c.backlog.remove(m.Message.Key)
 		c.admit(now, m)
--- a/core/conntrack/message.go
+++ b/core/conntrack/message.go
@@ -35,6 +35,11 @@
 	Service uint64
 }
 
+// TargetLeaves announces that the process stops once its target, which is leaving, has ended.
+// From then on the target gets no new flow: what listens at its address later may be another
+// target.
+type TargetLeaves struct{}
+
 // Stop announces a planned stop of the process.
 type Stop struct {
 	// TargetEnded means that nothing listens at the target's address any more.
@@ -52,5 +57,6 @@
 func (*TargetPacket) message()    {}
 func (TargetRefused) message()    {}
 func (ServiceConfirmed) message() {}
+func (TargetLeaves) message()     {}
 func (Stop) message()             {}
 func (Tick) message()             {}
--- a/core/conntrack/service.go
+++ b/core/conntrack/service.go
@@ -22,6 +22,14 @@
 	// resumedAt is when the last pause of minReplaceTime or more ended.
 	resumedAt time.Duration
 	resumed   bool
+	// targetLeaves means that TargetLeaves came.
+	targetLeaves bool
+}
+
+// leaveTarget handles a TargetLeaves. Waiting SYNs go to other targets.
+func (c *Core) leaveTarget(now time.Duration) {
+	c.evidence.targetLeaves = true
+	c.refuseAllWaiting(now, relay.ReasonFull)
 }
 
 // confirmService handles a ServiceConfirmed.
--- a/core/conntrack/service_test.go
+++ b/core/conntrack/service_test.go
@@ -152,3 +152,34 @@
 		is.True(late)
 	}
 }
+
+// Guards against a new flow that reaches another target at the address of a leaving one: the
+// agent outlives its target until it notices the end, and after a pause that may be late.
+func TestLeavingTargetGetsNoNewFlow(t *testing.T) {
+	is := is.New(t)
+	c := Core{
+		Service:         1,
+		ServiceValidity: 50 * time.Millisecond,
+		Complete:        true,
+	}
+	c.Update(0, ServiceConfirmed{
+		Service: 1,
+	})
+	is.True(forwarded(c.Update(0, serviceOpen(1))))
+	other := serviceOpen(1)
+	other.Message.Key = testFlow(2)
+	other.Segment.Key = testFlow(2)
+	c.evidence.resumed = true
+	c.Update(0, other)
+	is.Equal(c.Waiting(), 1)
+	is.Equal(countReturned(c.Update(0, TargetLeaves{}), relay.ReasonFull), 1)
+	is.Equal(c.Waiting(), 0)
+
+	c.evidence.resumed = false
+	is.Equal(countReturned(c.Update(0, other), relay.ReasonFull), 1)
+	// A copy of a SYN that the target got is neither passed on nor refused: the target may have
+	// opened the flow.
+	commands := c.Update(0, serviceOpen(1))
+	is.True(!forwarded(commands))
+	is.Equal(countReturned(commands, relay.ReasonFull), 0)
+}
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -238,15 +238,19 @@
 
 // awaitLeavingTarget waits while a leaving target still runs and has active flows, because
 // the agent of such a target is probably not started again and nobody else could serve the
-// flows. It returns at the latest when only stopReserve is left. The loop keeps serving in
-// the meantime.
+// flows. It returns at the latest when only stopReserve is left. The loop keeps serving these
+// flows in the meantime and takes no new ones.
 func (p *opaqueAgent) awaitLeavingTarget() {
 	begin := p.Clock()
 	waiting := true
 	for waiting && p.Clock()-begin < p.settings.StopTime-stopReserve {
 		reply := make(chan bool, 1)
 		p.Post(func() {
-			reply <- p.core.TargetLeaving(p.Clock())
+			leaving := p.core.TargetLeaving(p.Clock())
+			if leaving {
+				p.execute(p.core.Update(p.Clock(), conntrack.TargetLeaves{}))
+			}
+			reply <- leaving
 		})
 		select {
 		case waiting = <-reply:
