Feed: the age of a confirmation can't overflow

The time that an answer waits in a process is added to the age that its source told; at the largest age the sum turned negative, and the list of targets counted as confirmed far in the future. TestLargeAgeDoesNotOverflow fails without the bound.

--- a/core/feed/body.go
+++ b/core/feed/body.go
@@ -66,6 +66,10 @@
 	return json.Marshal(x)
 }
 
+// maxAge bounds the age of a confirmation: a larger one would overflow when the time of its
+// delivery is added. A confirmation that old is of no use.
+const maxAge = 24 * time.Hour
+
 // decodeBatch decodes and checks a Batch. It leaves out targets that can't be used, as if their
 // entries were missing, and calls reportInvalid with the error of each: they must not keep the
 // other changes from the process. Error: ErrInvalidAnswer.
@@ -82,7 +86,7 @@
 		Complete:    x.Complete,
 		AfterOutage: x.AfterOutage,
 		Current:     x.Current,
-		Age:         x.Age,
+		Age:         min(x.Age, maxAge),
 	}
 	if b.Age < 0 {
 		return Batch{}, errors.Annotatef(ErrInvalidAnswer, "negative age %v", b.Age)
--- a/core/feed/odd_test.go
+++ b/core/feed/odd_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -100,3 +101,13 @@
 	is.NoErr(err)
 	is.Equal(len(b.Departed), 0)
 }
+
+// Guards against a list of targets that counts as confirmed in the future, because the age of its
+// confirmation overflows when the time of the delivery is added.
+func TestLargeAgeDoesNotOverflow(t *testing.T) {
+	is := is.New(t)
+	b, err := decodeBatch([]byte(`{"Current":true,"Age":9223372036854775807}`), failOnInvalid(t))
+	is.NoErr(err)
+	is.True(b.Age > time.Hour)
+	is.True(b.Age+time.Hour > 0)
+}
