--- a/core/conntrack/service.go
+++ b/core/conntrack/service.go
@@ -26,12 +26,6 @@
 	targetLeaves bool
 }
 
-// leaveTarget handles a TargetLeaves. Waiting SYNs go to other targets.
-func (c *Core) leaveTarget(now time.Duration) {
-	c.evidence.targetLeaves = true
-	c.refuseAllWaiting(now, relay.ReasonFull)
-}
-
 // confirmService handles a ServiceConfirmed.
 func (c *Core) confirmService(now time.Duration, service uint64) {
 	c.evidence.confirmedAt = now
@@ -61,6 +55,12 @@
 	}
 }
 
+// leaveTarget handles a TargetLeaves. Waiting SYNs go to other targets.
+func (c *Core) leaveTarget(now time.Duration) {
+	c.evidence.targetLeaves = true
+	c.refuseAllWaiting(now, relay.ReasonFull)
+}
+
 // Waiting returns the number of SYNs that wait for their target's capacity, or for a
 // ServiceConfirmed.
 func (c *Core) Waiting() int {
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -162,14 +162,15 @@
 	return !p.Stopping()
 }
 
-func (p *opaqueAgent) settingsChanged(s *platform.Settings, err error) {
+func (p *opaqueAgent) settingsChanged(_ *platform.Settings, err error) {
 	p.Post(func() {
 		if err != nil {
 			p.Log.Info("settings not used", "error", err)
 
 			return
 		}
-		p.confirmService(s)
+		// The settings may have changed again while this function waited.
+		p.readService()
 	})
 }
 
