--- a/core/conntrack/service_test.go
+++ b/core/conntrack/service_test.go
@@ -58,6 +58,15 @@
 	return false
 }
 
+// newServiceCore returns a core that takes flows for service 1 once this is confirmed.
+func newServiceCore() *Core {
+	return &Core{
+		Service:         1,
+		ServiceValidity: 50 * time.Millisecond,
+		Complete:        true,
+	}
+}
+
 // serviceOpen returns an Open of testKey for a service.
 func serviceOpen(service uint64) *EntryMessage {
 	m := openMessage(testKey, 0)
@@ -70,11 +79,7 @@
 // service only from settings that it read some time ago (docs/incidents/inc-36.md).
 func TestSYNWaitsForCurrentService(t *testing.T) {
 	is := is.New(t)
-	c := Core{
-		Service:         1,
-		ServiceValidity: 50 * time.Millisecond,
-		Complete:        true,
-	}
+	c := newServiceCore()
 	c.Update(0, ServiceConfirmed{
 		Service: 1,
 	})
@@ -104,11 +109,7 @@
 // settings have changed.
 func TestWaitingSYNsAreReturnedWithService(t *testing.T) {
 	is := is.New(t)
-	c := Core{
-		Service:         1,
-		ServiceValidity: 50 * time.Millisecond,
-		Complete:        true,
-	}
+	c := newServiceCore()
 	c.Update(0, Tick{})
 	is.True(!forwarded(c.Update(100*time.Millisecond, serviceOpen(1))))
 	is.Equal(c.Waiting(), 1)
@@ -125,11 +126,7 @@
 func TestSYNsOfLongPauseWait(t *testing.T) {
 	is := is.New(t)
 	for _, pause := range []time.Duration{minReplaceTime / 2, 2 * minReplaceTime} {
-		c := Core{
-			Service:         1,
-			ServiceValidity: 50 * time.Millisecond,
-			Complete:        true,
-		}
+		c := newServiceCore()
 		confirmed := ServiceConfirmed{
 			Service: 1,
 		}
@@ -157,11 +154,7 @@
 // agent outlives its target until it notices the end, and after a pause that may be late.
 func TestLeavingTargetGetsNoNewFlow(t *testing.T) {
 	is := is.New(t)
-	c := Core{
-		Service:         1,
-		ServiceValidity: 50 * time.Millisecond,
-		Complete:        true,
-	}
+	c := newServiceCore()
 	c.Update(0, ServiceConfirmed{
 		Service: 1,
 	})
--- a/core/steer/service_test.go
+++ b/core/steer/service_test.go
@@ -114,6 +114,20 @@
 	return ""
 }
 
+// allTriedTime is how long after its first SYN a flow has tried three targets that do not react.
+const allTriedTime = 300 * time.Millisecond
+
+// runTicks lets time pass and returns what wrongSYN finds first.
+func (l *serviceList) runTicks(c *Core, from, to time.Duration) string {
+	for now := from + TickTime; now <= to; now += TickTime {
+		if wrong := l.wrongSYN(c, c.Update(now, Tick{})); wrong != "" {
+			return wrong
+		}
+	}
+
+	return ""
+}
+
 // ackPacket returns a packet with data of the flow of synPacket.
 func ackPacket() *CallerPacket {
 	return &CallerPacket{
@@ -134,19 +148,12 @@
 func TestWaitingSYNIsNotSentToAnotherService(t *testing.T) {
 	is := is.New(t)
 	c, l := newServiceTest(3)
-	now := time.Duration(0)
-	c.Update(now, synPacket(0))
-	for now < 300*time.Millisecond {
-		now += TickTime
-		is.Equal(l.wrongSYN(c, c.Update(now, Tick{})), "")
-	}
+	c.Update(0, synPacket(0))
+	is.Equal(l.runTicks(c, 0, allTriedTime), "")
 	l.services = []string{otherService, otherService, otherService}
-	c.Update(now, l.changed())
-	for now < segment.ConnectTimeout {
-		now += TickTime
-		is.Equal(l.wrongSYN(c, c.Update(now, Tick{})), "")
-	}
-	is.Equal(l.wrongSYN(c, c.Update(now, synPacket(2))), "")
+	c.Update(allTriedTime, l.changed())
+	is.Equal(l.runTicks(c, allTriedTime, segment.ConnectTimeout), "")
+	is.Equal(l.wrongSYN(c, c.Update(segment.ConnectTimeout, synPacket(2))), "")
 }
 
 // Guards against a SYN that is sent to a service which its route no longer leads to: the new
@@ -154,18 +161,11 @@
 func TestWaitingSYNFollowsItsRoute(t *testing.T) {
 	is := is.New(t)
 	c, l := newServiceTest(3)
-	now := time.Duration(0)
-	c.Update(now, synPacket(0))
-	for now < 300*time.Millisecond {
-		now += TickTime
-		c.Update(now, Tick{})
-	}
+	c.Update(0, synPacket(0))
+	is.Equal(l.runTicks(c, 0, allTriedTime), "")
 	l.routeTo = otherService
-	c.Update(now, l.changed())
-	for now < segment.ConnectTimeout {
-		now += TickTime
-		is.Equal(l.wrongSYN(c, c.Update(now, Tick{})), "")
-	}
+	c.Update(allTriedTime, l.changed())
+	is.Equal(l.runTicks(c, allTriedTime, segment.ConnectTimeout), "")
 }
 
 // Guards against a SYN that an entry goes on sending long after its caller has given up.
--- a/ibisfold-entry/catalog_process_test.go
+++ b/ibisfold-entry/catalog_process_test.go
@@ -91,6 +91,18 @@
 	return true
 }
 
+// setTargets writes the entries of n targets of rufdienst, target-0 and so on.
+func setTargets(store *platformtest.Store, n byte) {
+	for i := range n {
+		store.SetTarget(catalog.Target{
+			ID:      fmt.Sprint("target-", i),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 33, 26, 100 + i}), 8165),
+			Zone:    "a",
+			Slots:   2,
+		}, "rufdienst")
+	}
+}
+
 // Guards against an entry that starts while the store lacks a living target and never
 // learns of that target from a source. Also guards against a list of targets that counts as
 // confirmed while the store does not answer, or as unconfirmed in normal operation.
@@ -106,14 +118,7 @@
 	server := httptest.NewServer(store)
 	defer server.Close()
 	store.SetConfig(1, nil, []string{"rufdienst"})
-	for i := range byte(2) {
-		store.SetTarget(catalog.Target{
-			ID:      fmt.Sprint("target-", i),
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 33, 26, 100 + i}), 8165),
-			Zone:    "a",
-			Slots:   2,
-		}, "rufdienst")
-	}
+	setTargets(store, 2)
 	seed := netip.MustParseAddrPort("127.33.26.1:8166")
 	source := runEntry(t, 1, server.URL, seed)
 	is.True(await(3*time.Second, source.ready.Load))
--- a/ibisfold-entry/odd_process_test.go
+++ b/ibisfold-entry/odd_process_test.go
@@ -24,14 +24,7 @@
 	server := httptest.NewServer(store)
 	defer server.Close()
 	store.SetConfig(1, nil, []string{"rufdienst"})
-	for i := range byte(3) {
-		store.SetTarget(catalog.Target{
-			ID:      fmt.Sprint("target-", i),
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 33, 26, 110 + i}), 8165),
-			Zone:    "a",
-			Slots:   2,
-		}, "rufdienst")
-	}
+	setTargets(store, 3)
 	source := runEntry(t, 11, server.URL, netip.MustParseAddrPort("127.33.26.11:8166"))
 	is.True(await(3*time.Second, source.ready.Load))
 	follower := runEntry(t, 12, server.URL, netip.MustParseAddrPort("127.33.26.11:8166"))
@@ -42,13 +35,13 @@
 	entry := `{"Service":"rufdienst","Address":%s,"Zone":"a","Version":"v1","Slots":%s,"State":"ready","ColdLeftMs":%s,"SeqNo":1,"born":%s}`
 	nested := strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000)
 	for i, values := range [][]any{
-		{`"127.33.26.113:0"`, "2", "0", "0"},
-		{`"127.33.26.113:65536"`, "2", "0", "0"},
+		{`"127.33.26.103:0"`, "2", "0", "0"},
+		{`"127.33.26.103:65536"`, "2", "0", "0"},
 		{`"0.0.0.0:8165"`, "2", "0", "0"},
-		{`"127.33.26.113:8165"`, nested, "0", "0"},
+		{`"127.33.26.103:8165"`, nested, "0", "0"},
 		{nested, "2", "0", "0"},
-		{`"127.33.26.113:8165"`, "1e400", "1e300", "0"},
-		{`"127.33.26.110:8165"`, "2", "0", "9223372036854775807"},
+		{`"127.33.26.103:8165"`, "1e400", "1e300", "0"},
+		{`"127.33.26.100:8165"`, "2", "0", "9223372036854775807"},
 	} {
 		store.SetEntry(fmt.Sprint("odd-", i), fmt.Appendf(nil, entry, values...))
 	}
