--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -49,8 +49,8 @@
 type Core struct {
 	// Service identifies the target's service.
 	Service uint64
-	// ServiceValidity is how long after a ServiceConfirmed SYNs are passed to the target.
-	// Zero means that they need no ServiceConfirmed.
+	// ServiceValidity is how long a ServiceConfirmed holds: later on, SYNs wait for the next
+	// one. Zero means that they need none.
 	ServiceValidity time.Duration
 	// Complete means that the target holds no flow that is not known here: no flow of it
 	// is older than this process, the previous process handed over its whole flow table,
--- a/ibisfold-standin/soak/reuse.go
+++ b/ibisfold-standin/soak/reuse.go
@@ -36,6 +36,8 @@
 	}
 }
 
+// lendAddress freezes a VM for the time frozen and ends it. Its address belongs to a VM of
+// unroutedService for lendTime, then to one of the former service again.
 func (b *testbed) lendAddress(v *vm, service string, frozen time.Duration) {
 	v.markImpaired(maxReplacedTime)
 	v.signal(syscall.SIGSTOP)
@@ -85,7 +87,7 @@
 	b.register(v)
 }
 
-// replaceVM ends a VM. After reuseTime one of another service starts at its address.
+// replaceVM ends a VM and starts one of another service at its address reuseTime later.
 func (b *testbed) replaceVM(v *vm, service string) {
 	v.end()
 	time.AfterFunc(reuseTime, func() {
