--- a/core/conntrack/service.go
+++ b/core/conntrack/service.go
@@ -19,9 +19,8 @@
 type serviceEvidence struct {
 	// confirmedAt is when the last ServiceConfirmed came.
 	confirmedAt time.Duration
-	// resumedAt is when the last pause of minReplaceTime or more ended.
-	resumedAt time.Duration
-	resumed   bool
+	// waitUntil is until when SYNs wait after a pause of minReplaceTime or more.
+	waitUntil time.Duration
 	// targetLeaves means that TargetLeaves came.
 	targetLeaves bool
 }
@@ -44,14 +43,13 @@
 	}
 	e := &c.evidence
 
-	return now-e.confirmedAt <= c.ServiceValidity && (!e.resumed || now-e.resumedAt >= resumeTime)
+	return now-e.confirmedAt <= c.ServiceValidity && now >= e.waitUntil
 }
 
 // recordPause notes a pause of the process that has just ended.
 func (e *serviceEvidence) recordPause(now, gap time.Duration) {
 	if gap >= minReplaceTime {
-		e.resumed = true
-		e.resumedAt = now
+		e.waitUntil = now + resumeTime
 	}
 }
 
--- a/core/conntrack/service_test.go
+++ b/core/conntrack/service_test.go
@@ -162,13 +162,13 @@
 	other := serviceOpen(1)
 	other.Message.Key = testFlow(2)
 	other.Segment.Key = testFlow(2)
-	c.evidence.resumed = true
+	c.evidence.waitUntil = time.Second
 	c.Update(0, other)
 	is.Equal(c.Waiting(), 1)
 	is.Equal(countReturned(c.Update(0, TargetLeaves{}), relay.ReasonFull), 1)
 	is.Equal(c.Waiting(), 0)
 
-	c.evidence.resumed = false
+	c.evidence.waitUntil = 0
 	is.Equal(countReturned(c.Update(0, other), relay.ReasonFull), 1)
 	// A copy of a SYN that the target got is neither passed on nor refused: the target may have
 	// opened the flow.
