--- a/ibisfold-entry/odd_process_test.go
+++ b/ibisfold-entry/odd_process_test.go
@@ -50,7 +50,10 @@
 	is.True(await(5*time.Second, func() bool {
 		return gauge(t, source, departed) == 1 && gauge(t, follower, departed) == 1
 	}))
-	for _, p := range []*opaqueEntry{source, follower} {
+	// One that starts among the odd entries has the same targets.
+	joined := runEntry(t, 13, server.URL, netip.MustParseAddrPort("127.33.26.11:8166"))
+	is.True(await(3*time.Second, joined.ready.Load))
+	for _, p := range []*opaqueEntry{source, follower, joined} {
 		ids := make(chan string, 1)
 		p.Post(func() {
 			list := []string{}
