--- a/core/agent/flowbody.go
+++ b/core/agent/flowbody.go
@@ -15,8 +15,6 @@
 	// maxFlowBytes is the longest encoded flow; with the tunnel header it fits a
 	// packet. Cached answers that do not fit are left out.
 	maxFlowBytes = packet.MaxBytes - packet.TunnelBytes - 256
-	// maxAckBytes is the longest accepted encoding of an ack.
-	maxAckBytes = 160
 	// maxFieldOverhead is the largest size of a field's tag and length, in bytes.
 	maxFieldOverhead = 8
 )
@@ -46,16 +44,6 @@
 	answerPart   protowire.Number = 5
 )
 
-// Field numbers of an acknowledgement.
-const (
-	ackFlow      protowire.Number = 1
-	ackEpoch     protowire.Number = 2
-	ackAccepted  protowire.Number = 3
-	ackLater     protowire.Number = 4
-	ackNext      protowire.Number = 5
-	ackNextEpoch protowire.Number = 6
-)
-
 // flowBody is the body of Handover.
 type flowBody struct {
 	flow  uint64
@@ -242,60 +230,3 @@
 
 	return nil
 }
-
-// ack is the body of the messages about a handover other than Handover.
-type ack struct {
-	flow     uint64
-	epoch    uint32
-	accepted bool
-	// later means that epoch is of a later handover than the receiver's own.
-	later bool
-	// next and nextEpoch name the new owner and the epoch of the handover that
-	// followed; only HandoverNext has them.
-	next      peerInstance
-	nextEpoch uint32
-}
-
-func appendAck(b []byte, a ack) []byte {
-	b = wire.AppendFixed(b, ackFlow, a.flow)
-	b = wire.AppendVarint(b, ackEpoch, uint64(a.epoch))
-	b = wire.AppendVarint(b, ackAccepted, protowire.EncodeBool(a.accepted))
-	b = wire.AppendVarint(b, ackLater, protowire.EncodeBool(a.later))
-	if a.next.agent.IsValid() {
-		b = appendInstance(b, ackNext, a.next)
-	}
-
-	return wire.AppendVarint(b, ackNextEpoch, uint64(a.nextEpoch))
-}
-
-func decodeAck(b []byte) (ack, error) {
-	a := ack{}
-	if len(b) > maxAckBytes {
-		return a, ErrBody
-	}
-	err := eachField(b, func(f field) error {
-		switch f.Number {
-		case ackFlow:
-			a.flow = f.Value
-		case ackEpoch:
-			a.epoch = uint32(f.Value)
-		case ackAccepted:
-			a.accepted = f.Value != 0
-		case ackLater:
-			a.later = f.Value != 0
-		case ackNext:
-			var err error
-			a.next, err = decodeInstance(f.Bytes)
-			return err
-		case ackNextEpoch:
-			a.nextEpoch = uint32(f.Value)
-		}
-
-		return nil
-	})
-	if err != nil {
-		return ack{}, err
-	}
-
-	return a, nil
-}
