Agents: messages between agents are sent and read in one place

A newcomer found the same header built in sendFlowMessage and sendHeartbeat, the same token in ownToken and newOwnerToken, and the same four steps (decode, count a malformed body, look up the flow, check the addressee) at the head of four functions. Now sendBody sends each message with a body, ownerToken signs each token, and sendAck and receiveAck handle the messages about a handover. Behaviour is the same.

--- a/core/agent/ack.go
+++ b/core/agent/ack.go
@@ -3,6 +3,7 @@
 import (
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"ibisfold.example/core/packet"
 	"ibisfold.example/core/wire"
 )
 
@@ -75,3 +76,24 @@
 
 	return a, nil
 }
+
+// sendAck sends a message about the handover of a flow to an agent.
+func (c *Core) sendAck(to peerInstance, kind packet.TunnelKind, k flowKey, a ack) {
+	a.flow = k.flow
+	c.sendBody(to, kind, k.service, appendAck(nil, a))
+}
+
+// receiveAck decodes a message about the handover of a flow. It returns false
+// if the message is malformed or meant for another start of the agent.
+func (c *Core) receiveAck(h *packet.Tunnel, body []byte) (flowKey, ack, bool) {
+	a, err := decodeAck(body)
+	if err != nil {
+		c.Counters.DroppedBody++
+		return flowKey{}, ack{}, false
+	}
+
+	return flowKey{
+		service: h.Service,
+		flow:    a.flow,
+	}, a, c.addressedHere(h)
+}
--- a/core/agent/adopt.go
+++ b/core/agent/adopt.go
@@ -53,11 +53,10 @@
 	if accepted && !c.knowsFlow(k) {
 		c.adoptFlow(k, m, from)
 	}
-	c.sendFlowMessage(from, packet.HandoverAck, k.service, appendAck(nil, ack{
-		flow:     m.flow,
+	c.sendAck(from, packet.HandoverAck, k, ack{
 		epoch:    m.epoch,
 		accepted: accepted,
-	}))
+	})
 }
 
 // knowsFlow reports whether this agent has a flow with this key, has closed it
@@ -145,28 +144,22 @@
 	if c.view.zoneOut(a.from.zone) {
 		return
 	}
-	c.sendFlowMessage(a.from, packet.HandoverDone, k.service, appendAck(nil, ack{
-		flow:     k.flow,
+	c.sendAck(a.from, packet.HandoverDone, k, ack{
 		epoch:    a.epoch,
 		accepted: true,
-	}))
+	})
 }
 
 // handoverCommitted activates an adopted flow before its caller sends a packet,
 // so that the flow of an idle caller can be handed over again.
 func (c *Core) handoverCommitted(h *packet.Tunnel, body []byte) {
-	m, err := decodeAck(body)
-	if err != nil {
-		c.Counters.DroppedBody++
+	k, m, ok := c.receiveAck(h, body)
+	if !ok {
 		return
 	}
-	k := flowKey{
-		service: h.Service,
-		flow:    m.flow,
-	}
 	f := c.flows.get(k)
 	a, ok := c.adoptions.get(k)
-	if !c.addressedHere(h) || f == nil || !ok || f.state != adopted || f.epoch != m.epoch {
+	if f == nil || !ok || f.state != adopted || f.epoch != m.epoch {
 		return
 	}
 	if a.from.agent == h.Sender && a.from.incarnation == h.SenderIncarnation {
--- a/core/agent/core.go
+++ b/core/agent/core.go
@@ -207,17 +207,44 @@
 	c.emit(m)
 }
 
-// ownToken returns a signed token that names this start of the agent as the
-// owner of a flow.
+// sendBody sends a message other than a caller's packet to one start of a peer.
+func (c *Core) sendBody(to peerInstance, k packet.TunnelKind, service uint64, body []byte) {
+	c.send(SendTunnel{
+		To: to.agent,
+		Header: packet.Tunnel{
+			Kind:        k,
+			Service:     service,
+			Target:      to.target,
+			Incarnation: to.incarnation,
+		},
+		Body: body,
+	})
+}
+
+// ownToken returns a token that names this start of the agent as the owner of a
+// flow.
 func (c *Core) ownToken(service, flow uint64) packet.Token {
+	return c.ownerToken(peerInstance{
+		agent:       c.options.Self,
+		target:      c.target,
+		zone:        c.zone,
+		incarnation: c.options.Incarnation,
+	}, flowKey{
+		service: service,
+		flow:    flow,
+	})
+}
+
+// ownerToken returns a signed token that names the owner of a flow.
+func (c *Core) ownerToken(owner peerInstance, k flowKey) packet.Token {
 	t := packet.Token{
-		Agent:       c.options.Self,
-		Service:     service,
-		Zone:        c.zone,
-		Target:      c.target,
-		Incarnation: c.options.Incarnation,
+		Agent:       owner.agent,
+		Service:     k.service,
+		Zone:        owner.zone,
+		Target:      owner.target,
+		Incarnation: owner.incarnation,
 	}
-	t.Sign(c.options.Keys, flow)
+	t.Sign(c.options.Keys, k.flow)
 
 	return t
 }
--- a/core/agent/forward.go
+++ b/core/agent/forward.go
@@ -105,7 +105,7 @@
 		return
 	}
 	if c.view.zoneOut(w.to.zone) {
-		c.resetWithToken(h, p, c.newOwnerToken(w))
+		c.resetWithToken(h, p, c.ownerToken(w.to, w.key))
 		return
 	}
 
@@ -132,11 +132,10 @@
 func (c *Core) announceOwner(w *forward) {
 	w.repeatAt = c.now + c.jitter(w.delay)
 	w.delay = min(maxMovedRetryDelay, 2*w.delay)
-	c.sendFlowMessage(w.to, packet.HandoverCommit, w.key.service, appendAck(nil, ack{
-		flow:     w.key.flow,
+	c.sendAck(w.to, packet.HandoverCommit, w.key, ack{
 		epoch:    w.epoch,
 		accepted: true,
-	}))
+	})
 	c.sendHandoverNext(w)
 	if !w.unused {
 		c.sendMoved(w)
@@ -162,25 +161,11 @@
 			Kind:    packet.Moved,
 			Service: w.address,
 			Flow:    w.key.flow,
-			Token:   c.newOwnerToken(w),
+			Token:   c.ownerToken(w.to, w.key),
 		},
 	})
 }
 
-// newOwnerToken returns a signed token that names the flow's new owner.
-func (c *Core) newOwnerToken(w *forward) packet.Token {
-	t := packet.Token{
-		Agent:       w.to.agent,
-		Service:     w.key.service,
-		Zone:        w.to.zone,
-		Target:      w.to.target,
-		Incarnation: w.to.incarnation,
-	}
-	t.Sign(c.options.Keys, w.key.flow)
-
-	return t
-}
-
 // repeatAnnouncements announces new owners again until the caller uses the new
 // token. Nobody may ever use an unused flow, so its announcements end when the
 // delay has reached its maximum.
@@ -196,16 +181,12 @@
 // handoverDone ends the announcements of a new owner, because the caller uses
 // its token or a newer one.
 func (c *Core) handoverDone(h *packet.Tunnel, body []byte) {
-	a, err := decodeAck(body)
-	if err != nil {
-		c.Counters.DroppedBody++
+	k, a, ok := c.receiveAck(h, body)
+	if !ok {
 		return
 	}
-	w, ok := c.forwards.get(flowKey{
-		service: h.Service,
-		flow:    a.flow,
-	})
-	if !ok || !c.addressedHere(h) {
+	w, ok := c.forwards.get(k)
+	if !ok {
 		return
 	}
 	direct := a.epoch == w.epoch && h.SenderIncarnation == w.to.incarnation
--- a/core/agent/handover.go
+++ b/core/agent/handover.go
@@ -87,21 +87,7 @@
 func (c *Core) sendHandover(o *handover) {
 	o.repeatAt = c.now + c.jitter(o.delay)
 	o.delay = min(maxHandoverRetryDelay, 2*o.delay)
-	c.sendFlowMessage(o.to, packet.Handover, o.flow.key.service, o.body)
-}
-
-// sendFlowMessage sends a message about a flow to a peer.
-func (c *Core) sendFlowMessage(to peerInstance, k packet.TunnelKind, service uint64, body []byte) {
-	c.send(SendTunnel{
-		To: to.agent,
-		Header: packet.Tunnel{
-			Kind:        k,
-			Service:     service,
-			Target:      to.target,
-			Incarnation: to.incarnation,
-		},
-		Body: body,
-	})
+	c.sendBody(o.to, packet.Handover, o.flow.key.service, o.body)
 }
 
 // repeatHandovers repeats unacknowledged handovers, aborts those of peers that
@@ -187,16 +173,12 @@
 // handoverAcked commits or aborts a handover. Acknowledgements of another epoch
 // or from another start of the peer are ignored.
 func (c *Core) handoverAcked(h *packet.Tunnel, body []byte) {
-	a, err := decodeAck(body)
-	if err != nil {
-		c.Counters.DroppedBody++
+	k, a, ok := c.receiveAck(h, body)
+	if !ok {
 		return
 	}
-	o := c.handoversByFlow[flowKey{
-		service: h.Service,
-		flow:    a.flow,
-	}]
-	if !c.addressedHere(h) || o == nil || o.paused || a.epoch != o.flow.epoch ||
+	o := c.handoversByFlow[k]
+	if o == nil || o.paused || a.epoch != o.flow.epoch ||
 		h.Sender != o.to.agent || h.SenderIncarnation != o.to.incarnation {
 		return
 	}
--- a/core/agent/heartbeat.go
+++ b/core/agent/heartbeat.go
@@ -41,23 +41,10 @@
 	}
 	body := AppendLoad(nil, c.Load())
 	for _, q := range peers {
-		c.sendHeartbeat(g.service, q.peerInstance(), body)
+		c.sendBody(q.peerInstance(), packet.Heartbeat, g.service, body)
 	}
 }
 
-func (c *Core) sendHeartbeat(service uint64, to peerInstance, body []byte) {
-	c.send(SendTunnel{
-		To: to.agent,
-		Header: packet.Tunnel{
-			Kind:        packet.Heartbeat,
-			Service:     service,
-			Target:      to.target,
-			Incarnation: to.incarnation,
-		},
-		Body: body,
-	})
-}
-
 // receiveHeartbeat records a peer's load. The header's incarnation may be that
 // of an earlier start of this agent, because the peer may not have heard of
 // this one yet.
@@ -93,11 +80,11 @@
 	if !c.confirmed() {
 		return
 	}
-	c.sendHeartbeat(h.Service, peerInstance{
+	c.sendBody(peerInstance{
 		agent:       h.Sender,
 		target:      l.Target,
 		incarnation: l.Incarnation,
-	}, AppendLoad(nil, c.Load()))
+	}, packet.Heartbeat, h.Service, AppendLoad(nil, c.Load()))
 }
 
 // recordHeartbeat records a peer's incarnation and load, and reports a new or
--- a/core/agent/instance.go
+++ b/core/agent/instance.go
@@ -8,7 +8,7 @@
 	"ibisfold.example/core/wire"
 )
 
-// peerInstance identifies one start of a peer agent.
+// peerInstance identifies one start of an agent.
 type peerInstance struct {
 	agent       netip.AddrPort
 	target      uint64
--- a/core/agent/open.go
+++ b/core/agent/open.go
@@ -90,7 +90,7 @@
 		Service: p.Service,
 		Flow:    p.Flow,
 		Attempt: p.Attempt,
-		Token:   c.newOwnerToken(w),
+		Token:   c.ownerToken(w.to, w.key),
 	})
 }
 
--- a/core/agent/ownerchain.go
+++ b/core/agent/ownerchain.go
@@ -20,12 +20,11 @@
 func (c *Core) notifyEarlierOwners(k flowKey, a adoption) {
 	for _, e := range a.earlierOwners {
 		if !c.view.zoneOut(e.zone) {
-			c.sendFlowMessage(e, packet.HandoverDone, k.service, appendAck(nil, ack{
-				flow:     k.flow,
+			c.sendAck(e, packet.HandoverDone, k, ack{
 				epoch:    a.epoch,
 				accepted: true,
 				later:    true,
-			}))
+			})
 		}
 	}
 }
@@ -38,27 +37,22 @@
 	if !ok || a.notifiedAt != 0 || c.view.zoneOut(a.from.zone) {
 		return
 	}
-	c.sendFlowMessage(a.from, packet.HandoverNext, w.key.service, appendAck(nil, ack{
-		flow:      w.key.flow,
+	c.sendAck(a.from, packet.HandoverNext, w.key, ack{
 		epoch:     a.epoch,
 		next:      w.to,
 		nextEpoch: w.epoch,
-	}))
+	})
 }
 
 // handoverNext updates the forwarding entry of a flow that its new owner has
 // handed over in turn.
 func (c *Core) handoverNext(h *packet.Tunnel, body []byte) {
-	a, err := decodeAck(body)
-	if err != nil {
-		c.Counters.DroppedBody++
+	k, a, ok := c.receiveAck(h, body)
+	if !ok {
 		return
 	}
-	w, ok := c.forwards.get(flowKey{
-		service: h.Service,
-		flow:    a.flow,
-	})
-	if !ok || !c.addressedHere(h) || w.done || a.epoch != w.epoch || a.nextEpoch <= w.epoch || h.SenderIncarnation != w.to.incarnation {
+	w, ok := c.forwards.get(k)
+	if !ok || w.done || a.epoch != w.epoch || a.nextEpoch <= w.epoch || h.SenderIncarnation != w.to.incarnation {
 		return
 	}
 	if a.next.agent == c.options.Self {
