Agents: an iterator over the requests in progress

Five loops saved the next request by hand before the body, and nothing told a newcomer why the sixth did not. requestList.all states once that the loop may remove the request that it is at.

--- a/core/agent/offer.go
+++ b/core/agent/offer.go
@@ -187,12 +187,10 @@
 	if len(c.sentOffers) == 0 {
 		return
 	}
-	for r := c.inProgress.first; r != nil; {
-		next := r.next
+	for r := range c.inProgress.all() {
 		if r.state == offeredToPeer && c.now >= r.offer.repeatAt {
 			c.repeatOffer(r)
 		}
-		r = next
 	}
 }
 
@@ -228,12 +226,10 @@
 
 // losePeer gives up the offers to an earlier start of a peer.
 func (c *Core) losePeer(agent netip.AddrPort, incarnation uint64) {
-	for r := c.inProgress.first; r != nil; {
-		next := r.next
+	for r := range c.inProgress.all() {
 		if r.state == offeredToPeer && r.offer.agent == agent && r.offer.incarnation == incarnation {
 			c.loseOffer(r)
 		}
-		r = next
 	}
 }
 
--- a/core/agent/place.go
+++ b/core/agent/place.go
@@ -171,12 +171,10 @@
 	for _, r := range c.queue.Expired(c.now) {
 		c.refuse(r, c.waitEstimate(r.tenant))
 	}
-	for r := c.inProgress.first; r != nil; {
-		next := r.next
+	for r := range c.inProgress.all() {
 		if c.now >= r.deadline {
 			c.expireRequest(r)
 		}
-		r = next
 	}
 	c.expireSlots()
 	c.reassignStranded()
@@ -215,12 +213,10 @@
 	c.queue.Remove(func(*request) bool {
 		return true
 	})
-	for r := c.inProgress.first; r != nil; {
-		next := r.next
+	for r := range c.inProgress.all() {
 		if r.state == received {
 			c.placeRequest(r)
 		}
-		r = next
 	}
 }
 
--- a/core/agent/request.go
+++ b/core/agent/request.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"iter"
 	"net/netip"
 	"slices"
 	"time"
@@ -142,6 +143,20 @@
 	l.len--
 }
 
+// all returns the requests of the list. The loop may remove the request that it
+// is at.
+func (l *requestList) all() iter.Seq[*request] {
+	return func(yield func(*request) bool) {
+		for r := l.first; r != nil; {
+			next := r.next
+			if !yield(r) {
+				return
+			}
+			r = next
+		}
+	}
+}
+
 // receiveRequest applies a caller's request to its flow.
 func (c *Core) receiveRequest(f *flow, p *packet.Packet) {
 	if p.Request == 0 {
--- a/core/agent/target.go
+++ b/core/agent/target.go
@@ -236,14 +236,12 @@
 	clear(b.passes)
 	c.updateBusy()
 
-	for r := c.inProgress.first; r != nil; {
-		next := r.next
+	for r := range c.inProgress.all() {
 		if r.state == passed {
 			r.state = received
 			r.excludedBoot = r.boot
 			c.retryOrRefuse(r)
 		}
-		r = next
 	}
 }
 
@@ -288,7 +286,7 @@
 // have no final answer.
 func (c *Core) runningBefore(at time.Duration) int {
 	n := 0
-	for r := c.inProgress.first; r != nil; r = r.next {
+	for r := range c.inProgress.all() {
 		if r.state == passed && r.passedAt < at {
 			n++
 		}
