--- a/core/agent/passes.go
+++ b/core/agent/passes.go
@@ -3,11 +3,17 @@
 import (
 	"slices"
 	"time"
+
+	"ibisfold.example/core/packet"
 )
 
-// maxAbandonedTime bounds how long a request without an answer keeps its slot,
-// because a target's report of running requests may be wrong.
-const maxAbandonedTime = time.Minute
+const (
+	// maxAbandonedTime bounds how long a request without an answer keeps its
+	// slot, because a target's report of running requests may be wrong.
+	maxAbandonedTime = time.Minute
+	// maxPassNumber is the highest pass number that the codec carries.
+	maxPassNumber = 1<<31 - 1
+)
 
 // passKey identifies a pass, that is, one sending of a request to the target. A
 // request has at most one pass in progress.
@@ -23,63 +29,139 @@
 	}
 }
 
+// passTable holds the passes that may still run at the target. Each takes a slot.
+type passTable struct {
+	// requests are the passed requests, abandoned ones included.
+	requests map[passKey]*request
+	// abandoned counts the requests that got their final answer.
+	abandoned int
+	// inherited is the number of requests of an earlier start of the agent that
+	// still run; inheritedUntil is when they no longer count.
+	inherited      int
+	inheritedUntil time.Duration
+	// ended are passes that ended while inherited requests were counted.
+	ended ttlCache[passKey, struct{}]
+	// reported is true once a HelloAck has reported the running requests of the
+	// target's present start.
+	reported bool
+	// lastNumber is the number of the last pass.
+	lastNumber uint32
+}
+
+// slots returns how many slots of the target are in use.
+func (t *passTable) slots() int {
+	return len(t.requests) + t.inherited
+}
+
+// add numbers the pass of a request. It returns false if the request has one
+// already.
+func (t *passTable) add(r *request) bool {
+	if t.requests[r.passKey()] != nil {
+		return false
+	}
+	if t.requests == nil {
+		t.requests = map[passKey]*request{}
+	}
+	t.lastNumber = t.lastNumber%maxPassNumber + 1
+	r.pass = t.lastNumber
+	t.requests[r.passKey()] = r
+
+	return true
+}
+
+// match returns the request that a packet of the target belongs to: same flow,
+// request number and boot identity, and the same pass if the target repeats
+// Attempt. Late and mismatched packets match none. A request is passed at most
+// once to one start of the target, so a target that does not repeat Attempt is
+// matched as well.
+func (t *passTable) match(p *packet.Packet) *request {
+	r := t.requests[passKey{
+		flow:   p.Flow,
+		number: p.Request,
+	}]
+	if r == nil || r.boot != p.Boot || p.Attempt != 0 && p.Attempt != r.pass {
+		return nil
+	}
+
+	return r
+}
+
 // abandon marks a passed request that got its final answer. Its slot stays in
 // use until the pass ends, or until maxAbandonedTime after its deadline.
-func (b *backend) abandon(r *request) {
+func (t *passTable) abandon(r *request) {
 	r.state = abandoned
 	r.passedAt = max(r.passedAt, r.deadline)
-	b.abandoned++
+	t.abandoned++
 }
 
-// endPass ends a pass and frees its slot.
-func (b *backend) endPass(now time.Duration, r *request) {
+// end ends a pass and frees its slot.
+func (t *passTable) end(now time.Duration, r *request) {
 	k := r.passKey()
-	delete(b.passes, k)
+	delete(t.requests, k)
 	if r.state == abandoned {
-		b.abandoned--
+		t.abandoned--
 	}
-	if b.inherited > 0 {
-		b.endedPasses.put(now, k, struct{}{}, 1)
+	if t.inherited > 0 {
+		t.ended.put(now, k, struct{}{}, 1)
 	}
 }
 
-// running returns how many slots of the target are in use.
-func (c *Core) running() int {
-	return len(c.backend.passes) + c.backend.inherited
+// endInherited frees the slot of an inherited request, and reports whether it
+// did so. Only the first packet about a request frees one.
+func (t *passTable) endInherited(now time.Duration, k passKey) bool {
+	if t.inherited == 0 {
+		return false
+	}
+	if _, ok := t.ended.get(k); ok {
+		return false
+	}
+	t.ended.put(now, k, struct{}{}, 1)
+	t.inherited--
+
+	return true
 }
 
-func (c *Core) updateBusy() {
-	c.busy.Set(c.now, c.running())
+// clear ends all passes, because the target restarted or is unreachable.
+func (t *passTable) clear() {
+	t.inherited = 0
+	t.reported = false
+	t.abandoned = 0
+	clear(t.requests)
 }
 
-// runningBefore counts the requests that were passed before the given time and
-// have no final answer.
-func (c *Core) runningBefore(at time.Duration) int {
-	n := 0
-	for r := range c.inProgress.all() {
-		if r.state == passed && r.passedAt < at {
-			n++
-		}
+// reconcile compares the slots of inherited and abandoned requests with unknown,
+// the number of requests that run at the target and still lack an answer here.
+// The first report after a start shows those of an earlier start of the agent;
+// later reports can only lower their count, since only passes raise it.
+func (t *passTable) reconcile(now time.Duration, unknown int) {
+	if !t.reported {
+		t.reported = true
+		t.inherited = unknown
+		t.inheritedUntil = now + maxAbandonedTime
+		t.ended.limit(maxAbandonedTime, maxInProgress)
+	}
+	if excess := t.inherited + t.abandoned - unknown; excess > 0 {
+		n := min(excess, t.inherited)
+		t.inherited -= n
+		t.releaseAbandoned(now, excess-n)
 	}
-
-	return n
 }
 
 // releaseAbandoned frees the slots of n abandoned requests, in the order of
 // their passes so that the choice does not depend on map order.
-func (c *Core) releaseAbandoned(n int) {
+func (t *passTable) releaseAbandoned(now time.Duration, n int) {
 	if n <= 0 {
 		return
 	}
-	l := c.abandonedPasses()
+	l := t.abandonedRequests()
 	for _, r := range l[:min(n, len(l))] {
-		c.backend.endPass(c.now, r)
+		t.end(now, r)
 	}
 }
 
-func (c *Core) abandonedPasses() []*request {
+func (t *passTable) abandonedRequests() []*request {
 	l := []*request{}
-	for _, r := range c.backend.passes {
+	for _, r := range t.requests {
 		if r.state == abandoned {
 			l = append(l, r)
 		}
@@ -91,21 +173,34 @@
 	return l
 }
 
-// expireSlots frees the slots of inherited and abandoned requests after
-// maxAbandonedTime.
+// expireAbandoned frees the slots of abandoned requests after maxAbandonedTime.
+func (t *passTable) expireAbandoned(now time.Duration) {
+	for _, r := range t.abandonedRequests() {
+		if now-r.passedAt >= maxAbandonedTime {
+			t.end(now, r)
+		}
+	}
+}
+
+// running returns how many slots of the target are in use.
+func (c *Core) running() int {
+	return c.backend.passes.slots()
+}
+
+func (c *Core) updateBusy() {
+	c.busy.Set(c.now, c.running())
+}
+
+// expireSlots frees the slots of inherited and abandoned requests whose time is
+// over.
 func (c *Core) expireSlots() {
-	b := &c.backend
-	if b.inherited > 0 && c.now >= b.inheritedUntil {
-		b.inherited = 0
+	t := &c.backend.passes
+	if t.inherited > 0 && c.now >= t.inheritedUntil {
+		t.inherited = 0
 		c.updateBusy()
 	}
-	if b.abandoned == 0 {
-		return
-	}
-	for _, r := range c.abandonedPasses() {
-		if c.now-r.passedAt >= maxAbandonedTime {
-			b.endPass(c.now, r)
-		}
+	if t.abandoned > 0 {
+		t.expireAbandoned(c.now)
+		c.updateBusy()
 	}
-	c.updateBusy()
 }
--- a/core/agent/place.go
+++ b/core/agent/place.go
@@ -129,20 +129,14 @@
 // pass passes a request to the target. From here on it may have run.
 func (c *Core) pass(r *request) {
 	b := &c.backend
-	if b.passes == nil {
-		b.passes = map[passKey]*request{}
-	}
-	if b.passes[r.passKey()] != nil {
+	if !b.passes.add(r) {
 		c.refuse(r, 0)
 		return
 	}
 
-	b.pass = b.pass%maxPassNumber + 1
-	r.pass = b.pass
 	r.boot = b.boot
 	r.passedAt = c.now
 	r.state = passed
-	b.passes[r.passKey()] = r
 	c.Counters.Passed++
 	c.limiter.Started(c.now)
 	c.updateBusy()
@@ -163,9 +157,6 @@
 	})
 }
 
-// maxPassNumber is the highest pass number that the codec carries.
-const maxPassNumber = 1<<31 - 1
-
 // expireRequests ends requests whose deadline has passed.
 func (c *Core) expireRequests() {
 	for _, r := range c.queue.Expired(c.now) {
--- a/core/agent/request.go
+++ b/core/agent/request.go
@@ -304,7 +304,7 @@
 		delete(c.receivedOffers, r.origin.key)
 	}
 	if r.state == passed {
-		c.backend.abandon(r)
+		c.backend.passes.abandon(r)
 		return
 	}
 	r.state = done
--- a/core/agent/target.go
+++ b/core/agent/target.go
@@ -41,22 +41,8 @@
 	// helloAt is when Hello was last sent; it is valid if helloSent is true.
 	helloAt   time.Duration
 	helloSent bool
-	// passes are the requests that the target may be running, abandoned ones
-	// included.
-	passes map[passKey]*request
-	// abandoned counts the requests in passes that got their final answer.
-	abandoned int
-	// inherited is the number of requests of an earlier start of the agent that
-	// still run.
-	inherited      int
-	inheritedUntil time.Duration
-	// endedPasses are passes that ended while inherited requests were counted.
-	endedPasses ttlCache[passKey, struct{}]
-	// runningReported is true once a HelloAck has reported the running requests
-	// of the target's present start.
-	runningReported bool
-	// pass is the number of the last pass.
-	pass uint32
+	// passes are the requests that the target may be running.
+	passes passTable
 	// meanServiceTime is the moving average of the service time.
 	meanServiceTime time.Duration
 }
@@ -183,11 +169,7 @@
 // loseTarget ends the passes to a target that restarted or is unreachable. Its
 // requests no longer run, but whether they took effect is unknown.
 func (c *Core) loseTarget() {
-	b := &c.backend
-	b.inherited = 0
-	b.runningReported = false
-	b.abandoned = 0
-	clear(b.passes)
+	c.backend.passes.clear()
 	c.updateBusy()
 
 	for r := range c.inProgress.all() {
@@ -214,47 +196,30 @@
 }
 
 // helloAcked compares the running requests that the target reports with those
-// that this agent passed. The first report after a start shows those of an
-// earlier start of the agent; later reports can only lower their count, since
-// only passes raise it.
+// that this agent passed; see passTable.reconcile.
 func (c *Core) helloAcked(p *packet.Packet) {
 	b := &c.backend
 	b.up = true
 	running := int(min(p.Running, uint32(c.limiter.Slots)))
-	unknown := max(0, running-c.runningBefore(b.helloAt))
-	if !b.runningReported {
-		b.runningReported = true
-		b.inherited = unknown
-		b.inheritedUntil = c.now + maxAbandonedTime
-		b.endedPasses.limit(maxAbandonedTime, maxInProgress)
-	}
-	if excess := b.inherited + b.abandoned - unknown; excess > 0 {
-		n := min(excess, b.inherited)
-		b.inherited -= n
-		c.releaseAbandoned(excess - n)
-	}
+	b.passes.reconcile(c.now, max(0, running-c.runningBefore(b.helloAt)))
 	c.updateBusy()
 }
 
-// matchPass finds the request that an answer belongs to: same flow, request
-// number and boot identity, and the same pass if the target repeats Attempt.
-// Late and mismatched answers match none. A request is passed at most once to
-// one start of the target, so a target that does not repeat Attempt is matched
-// as well.
-func (c *Core) matchPass(p *packet.Packet) *request {
-	r := c.backend.passes[passKey{
-		flow:   p.Flow,
-		number: p.Request,
-	}]
-	if r == nil || r.boot != p.Boot || p.Attempt != 0 && p.Attempt != r.pass {
-		return nil
+// runningBefore counts the requests that were passed before the given time and
+// have no final answer.
+func (c *Core) runningBefore(at time.Duration) int {
+	n := 0
+	for r := range c.inProgress.all() {
+		if r.state == passed && r.passedAt < at {
+			n++
+		}
 	}
 
-	return r
+	return n
 }
 
 func (c *Core) targetAnswered(p *packet.Packet) {
-	r := c.matchPass(p)
+	r := c.backend.passes.match(p)
 	if r == nil {
 		c.inheritedAnswered(p)
 		return
@@ -264,14 +229,12 @@
 	}
 
 	took := c.now - r.passedAt
+	c.backend.passes.end(c.now, r)
+	c.updateBusy()
 	if r.state == abandoned {
-		c.backend.endPass(c.now, r)
-		c.updateBusy()
 		return
 	}
-	c.backend.endPass(c.now, r)
 	r.state = received
-	c.updateBusy()
 	if p.Status == packet.StatusOK {
 		c.limiter.Answered(c.now, took)
 		c.backend.meanServiceTime += (took - c.backend.meanServiceTime) / serviceTimeWeight
@@ -288,26 +251,22 @@
 // a request of an earlier start of the agent has ended.
 func (c *Core) inheritedAnswered(p *packet.Packet) {
 	c.Counters.LateAnswers++
-	b := &c.backend
+	if p.Part+1 < p.Parts {
+		return
+	}
 	k := passKey{
 		flow:   p.Flow,
 		number: p.Request,
 	}
-	if b.inherited == 0 || p.Part+1 < p.Parts {
-		return
-	}
-	if _, ok := b.endedPasses.get(k); ok {
-		return
+	if c.backend.passes.endInherited(c.now, k) {
+		c.updateBusy()
 	}
-	b.endedPasses.put(c.now, k, struct{}{}, 1)
-	b.inherited--
-	c.updateBusy()
 }
 
 // targetShed places a request again that the target refused to run. The request
 // is not passed to the same start of the target a second time.
 func (c *Core) targetShed(p *packet.Packet) {
-	r := c.matchPass(p)
+	r := c.backend.passes.match(p)
 	if r == nil {
 		c.Counters.LateAnswers++
 		return
@@ -315,10 +274,9 @@
 
 	c.Counters.Shed++
 	c.limiter.Failed(c.now)
-	ended := r.state == abandoned
-	c.backend.endPass(c.now, r)
+	c.backend.passes.end(c.now, r)
 	c.updateBusy()
-	if ended {
+	if r.state == abandoned {
 		return
 	}
 	r.state = received
