Experiments: jobs add their rows in one place; one function for lines by second

Seven experiments ended with the same loop over the functions that their jobs had returned, which read like a step of the experiment. runParallel now calls them, in the order of the jobs. The lines of goodput and of attempts were drawn by two copies of one loop; stats.line draws both.

--- a/ibisfold-standin/experiment/cold.go
+++ b/ibisfold-standin/experiment/cold.go
@@ -35,7 +35,7 @@
 		Name:   "cold",
 		Header: []string{"Site", "Event", "WarmAfterAnswers", "Limiter", "Beyond", "BeyondBeforeAnySign", "Falls", "Goodput", "OutcomeUnknown"},
 	}
-	rows := runParallel(len(jobs), func(i int) func() {
+	runParallel(len(jobs), func(i int) func() {
 		j := jobs[i]
 		w := constantLoad(0.7, coldEnd)
 		s := run(j.site, Ibisfold{}, nil, j.option, w.generate(j.site, seed), coldEnd, seed, func(s *simulation) {
@@ -51,9 +51,6 @@
 				share(t.good, t.offered), share(t.failed, t.offered))
 		}
 	})
-	for _, add := range rows {
-		add()
-	}
 
 	return r
 }
--- a/ibisfold-standin/experiment/experiment.go
+++ b/ibisfold-standin/experiment/experiment.go
@@ -72,22 +72,23 @@
 	}
 }
 
-// runParallel runs n independent jobs, at most four at a time, and returns their results in
-// order.
-func runParallel[T any](n int, job func(i int) T) []T {
-	out := make([]T, n)
+// runParallel runs n independent jobs, at most four at a time. The functions that the jobs return
+// add their rows to a result; they run one by one at the end, in the order of the jobs.
+func runParallel(n int, job func(i int) (add func())) {
+	rows := make([]func(), n)
 	g := errgroup.Group{}
 	g.SetLimit(max(1, min(4, runtime.NumCPU()/2)))
 	for i := range n {
 		g.Go(func() error {
-			out[i] = job(i)
+			rows[i] = job(i)
 
 			return nil
 		})
 	}
 	_ = g.Wait()
-
-	return out
+	for _, add := range rows {
+		add()
+	}
 }
 
 // busyMeters returns the meters of busy slots of the agents in service.
--- a/ibisfold-standin/experiment/fairness.go
+++ b/ibisfold-standin/experiment/fairness.go
@@ -21,7 +21,7 @@
 		Header: []string{"Site", "Load", "Others", "Goodput", "LatencyP50Ms", "LatencyP99Ms", "GoodputLoss", "P99Growth"},
 	}
 	loads := []float64{0.5, 0.7}
-	rows := runParallel(len(sites)*len(loads), func(i int) func() {
+	runParallel(len(sites)*len(loads), func(i int) func() {
 		site := sites[i/len(loads)]
 		load := loads[i%len(loads)]
 		good, p50, p99 := [2]float64{}, [2]float64{}, [2]float64{}
@@ -40,9 +40,6 @@
 			r.add(site.Name, load, "one tenant at tenfold", good[1], p50[1], p99[1], 1-good[1]/good[0], p99[1]/p99[0]-1)
 		}
 	})
-	for _, add := range rows {
-		add()
-	}
 
 	return r
 }
--- a/ibisfold-standin/experiment/imbalance.go
+++ b/ibisfold-standin/experiment/imbalance.go
@@ -34,7 +34,7 @@
 		XLabel: "highest over mean of busy slots in 10 s",
 		YLabel: "share of windows (hire-desk, Poisson)",
 	}
-	rows := runParallel(len(jobs), func(i int) func() {
+	runParallel(len(jobs), func(i int) func() {
 		j := jobs[i]
 		w := constantLoad(imbalanceLoad, imbalanceEnd)
 		w.Bursts = j.bursts
@@ -67,9 +67,6 @@
 			}
 		}
 	})
-	for _, add := range rows {
-		add()
-	}
 
 	return r
 }
--- a/ibisfold-standin/experiment/overload.go
+++ b/ibisfold-standin/experiment/overload.go
@@ -35,7 +35,7 @@
 		XLabel: "seconds (hire-desk, 200% load from 30 to 70 s)",
 		YLabel: "good answers per second over capacity",
 	}
-	rows := runParallel(len(jobs), func(i int) func() {
+	runParallel(len(jobs), func(i int) func() {
 		j := jobs[i]
 		w := Workload{
 			Phases: []Phase{
@@ -66,9 +66,6 @@
 			}
 		}
 	})
-	for _, add := range rows {
-		add()
-	}
 
 	return r
 }
@@ -94,13 +91,5 @@
 
 // goodputLine returns the answers within the deadline per second, relative to the capacity.
 func (s *stats) goodputLine(name string, capacity float64, end time.Duration) Line {
-	l := Line{
-		Name: name,
-	}
-	for i := range min(len(s.seconds), int(end/time.Second)) {
-		l.X = append(l.X, float64(i))
-		l.Y = append(l.Y, float64(s.seconds[i].finished)/capacity)
-	}
-
-	return l
+	return s.line(name, capacity, end, func(p *periodStats) int { return p.finished })
 }
--- a/ibisfold-standin/experiment/reports.go
+++ b/ibisfold-standin/experiment/reports.go
@@ -38,7 +38,7 @@
 		Name:   "reports",
 		Header: []string{"Site", "Reports", "BusyMean", "BusyP99", "FlowsMean", "FlowsP99", "WaitP99Ms", "Goodput", "OffersPerRequest"},
 	}
-	rows := runParallel(len(sites)*len(faults), func(i int) func() {
+	runParallel(len(sites)*len(faults), func(i int) func() {
 		site := sites[i/len(faults)]
 		f := faults[i%len(faults)]
 		w := constantLoad(imbalanceLoad, reportsEnd)
@@ -56,9 +56,6 @@
 				milliseconds(t.waits, 99), share(t.good, t.offered), share(s.offers, len(s.trace.arrivals)))
 		}
 	})
-	for _, add := range rows {
-		add()
-	}
 
 	return r
 }
--- a/ibisfold-standin/experiment/retries.go
+++ b/ibisfold-standin/experiment/retries.go
@@ -12,7 +12,7 @@
 		XLabel: "seconds (hire-desk, 200% load from 30 to 40 s)",
 		YLabel: "attempts per second over capacity",
 	}
-	rows := runParallel(len(sites)*2, func(i int) func() {
+	runParallel(len(sites)*2, func(i int) func() {
 		site := sites[i/2]
 		o := defaultOptions()
 		o.noBudget = i%2 == 1
@@ -49,22 +49,11 @@
 			}
 		}
 	})
-	for _, add := range rows {
-		add()
-	}
 
 	return r
 }
 
 // attemptLine returns the attempts per second, relative to the capacity.
 func (s *stats) attemptLine(name string, capacity float64, end time.Duration) Line {
-	l := Line{
-		Name: name,
-	}
-	for i := range min(len(s.seconds), int(end/time.Second)) {
-		l.X = append(l.X, float64(i))
-		l.Y = append(l.Y, float64(s.seconds[i].attempts)/capacity)
-	}
-
-	return l
+	return s.line(name, capacity, end, func(p *periodStats) int { return p.attempts })
 }
--- a/ibisfold-standin/experiment/stats.go
+++ b/ibisfold-standin/experiment/stats.go
@@ -133,6 +133,19 @@
 	return t
 }
 
+// line returns one count of each second until end, relative to the capacity.
+func (s *stats) line(name string, capacity float64, end time.Duration, count func(*periodStats) int) Line {
+	l := Line{
+		Name: name,
+	}
+	for i := range min(len(s.seconds), int(end/time.Second)) {
+		l.X = append(l.X, float64(i))
+		l.Y = append(l.Y, float64(count(&s.seconds[i]))/capacity)
+	}
+
+	return l
+}
+
 // milliseconds returns the quantile p, in percent, of a histogram of microseconds.
 func milliseconds(h *hdrhistogram.Histogram, p float64) float64 {
 	return float64(h.ValueAtQuantile(p)) / 1000
--- a/ibisfold-standin/experiment/zone.go
+++ b/ibisfold-standin/experiment/zone.go
@@ -37,7 +37,7 @@
 		XLabel: "seconds (hire-desk, zone out at 40 s and back at 90 s)",
 		YLabel: "highest over mean of busy slots in 10 s",
 	}
-	rows := runParallel(len(jobs), func(i int) func() {
+	runParallel(len(jobs), func(i int) func() {
 		j := jobs[i]
 		w := constantLoad(zoneLoad, zoneEnd)
 		reset, size := 0, 0
@@ -74,9 +74,6 @@
 			}
 		}
 	})
-	for _, add := range rows {
-		add()
-	}
 
 	return r
 }
