Agents: the answer to a repeated request or offer is found in one place

The key of a cached answer was built by hand at four places, and the rule that an answer no longer cached means an unknown outcome stood twice, for callers and for peers. flowKey.answerKey and finalAnswer hold each once.

--- a/core/agent/adopt.go
+++ b/core/agent/adopt.go
@@ -105,11 +105,7 @@
 		state:    adopted,
 	})
 	for _, a := range m.answers {
-		c.answers.put(c.now, answerKey{
-			scope:  k.service,
-			flow:   k.flow,
-			number: a.number,
-		}, a.answer, a.answer.bytes())
+		c.answers.put(c.now, k.answerKey(a.number), a.answer, a.answer.bytes())
 	}
 	c.adoptions.put(c.now, k, adoption{
 		from:          from,
--- a/core/agent/flowbody.go
+++ b/core/agent/flowbody.go
@@ -88,11 +88,7 @@
 			continue
 		}
 		n := f.window.highest - i
-		a, ok := c.answers.get(answerKey{
-			scope:  f.key.service,
-			flow:   f.key.flow,
-			number: n,
-		})
+		a, ok := c.answers.get(f.key.answerKey(n))
 		if !ok {
 			continue
 		}
--- a/core/agent/receivedoffer.go
+++ b/core/agent/receivedoffer.go
@@ -177,11 +177,7 @@
 		})
 		return true
 	}
-	a, ok := c.answers.get(o.key.answerKey())
-	if !ok {
-		a = c.refusal(packet.StatusOutcomeUnknown, 0)
-	}
-	c.answerOffer(o, p.Flow, p.Request, a)
+	c.answerOffer(o, p.Flow, p.Request, c.finalAnswer(o.key.answerKey()))
 
 	return true
 }
--- a/core/agent/request.go
+++ b/core/agent/request.go
@@ -99,16 +99,20 @@
 	number  uint64
 }
 
+func (k flowKey) answerKey(number uint64) answerKey {
+	return answerKey{
+		scope:  k.service,
+		flow:   k.flow,
+		number: number,
+	}
+}
+
 func (r *request) answerKey() answerKey {
 	if r.origin != nil {
 		return r.origin.key.answerKey()
 	}
 
-	return answerKey{
-		scope:  r.key.service,
-		flow:   r.key.flow,
-		number: r.number,
-	}
+	return r.key.answerKey(r.number)
 }
 
 // requestList lists the requests in progress in the order of their receipt.
@@ -181,22 +185,24 @@
 	c.placeRequest(r)
 }
 
-// repeatAnswer answers a copy of a request, or a request below the window. If
-// its answer is no longer cached, the outcome is unknown, and the request is
-// never run again.
+// repeatAnswer answers a copy of a request, or a request below the window. The
+// request is never run again.
 func (c *Core) repeatAnswer(f *flow, number uint64) {
 	if f.findRequest(number) != nil {
 		return
 	}
-	a, ok := c.answers.get(answerKey{
-		scope:  f.key.service,
-		flow:   f.key.flow,
-		number: number,
-	})
+	c.replyAnswer(f, number, c.finalAnswer(f.key.answerKey(number)))
+}
+
+// finalAnswer returns the final answer to a request that has ended. If the
+// answer is no longer cached, the outcome is unknown.
+func (c *Core) finalAnswer(k answerKey) answer {
+	a, ok := c.answers.get(k)
 	if !ok {
-		a = c.refusal(packet.StatusOutcomeUnknown, 0)
+		return c.refusal(packet.StatusOutcomeUnknown, 0)
 	}
-	c.replyAnswer(f, number, a)
+
+	return a
 }
 
 func (f *flow) findRequest(number uint64) *request {
