--- a/core/agent/request.go
+++ b/core/agent/request.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"iter"
 	"net/netip"
 	"slices"
 	"time"
@@ -98,16 +99,20 @@
 	number  uint64
 }
 
+func (k flowKey) answerKey(number uint64) answerKey {
+	return answerKey{
+		scope:  k.service,
+		flow:   k.flow,
+		number: number,
+	}
+}
+
 func (r *request) answerKey() answerKey {
 	if r.origin != nil {
 		return r.origin.key.answerKey()
 	}
 
-	return answerKey{
-		scope:  r.key.service,
-		flow:   r.key.flow,
-		number: r.number,
-	}
+	return r.key.answerKey(r.number)
 }
 
 // requestList lists the requests in progress in the order of their receipt.
@@ -142,6 +147,20 @@
 	l.len--
 }
 
+// all returns the requests of the list. The loop may remove the request that it
+// is at.
+func (l *requestList) all() iter.Seq[*request] {
+	return func(yield func(*request) bool) {
+		for r := l.first; r != nil; {
+			next := r.next
+			if !yield(r) {
+				return
+			}
+			r = next
+		}
+	}
+}
+
 // receiveRequest applies a caller's request to its flow.
 func (c *Core) receiveRequest(f *flow, p *packet.Packet) {
 	if p.Request == 0 {
@@ -166,22 +185,24 @@
 	c.placeRequest(r)
 }
 
-// repeatAnswer answers a copy of a request, or a request below the window. If
-// its answer is no longer cached, the outcome is unknown, and the request is
-// never run again.
+// repeatAnswer answers a copy of a request, or a request below the window. The
+// request is never run again.
 func (c *Core) repeatAnswer(f *flow, number uint64) {
 	if f.findRequest(number) != nil {
 		return
 	}
-	a, ok := c.answers.get(answerKey{
-		scope:  f.key.service,
-		flow:   f.key.flow,
-		number: number,
-	})
+	c.replyAnswer(f, number, c.finalAnswer(f.key.answerKey(number)))
+}
+
+// finalAnswer returns the final answer to a request that has ended. If the
+// answer is no longer cached, the outcome is unknown.
+func (c *Core) finalAnswer(k answerKey) answer {
+	a, ok := c.answers.get(k)
 	if !ok {
-		a = c.refusal(packet.StatusOutcomeUnknown, 0)
+		return c.refusal(packet.StatusOutcomeUnknown, 0)
 	}
-	c.replyAnswer(f, number, a)
+
+	return a
 }
 
 func (f *flow) findRequest(number uint64) *request {
@@ -289,7 +310,7 @@
 		delete(c.receivedOffers, r.origin.key)
 	}
 	if r.state == passed {
-		c.backend.abandon(r)
+		c.backend.passes.abandon(r)
 		return
 	}
 	r.state = done
--- a/core/agent/target.go
+++ b/core/agent/target.go
@@ -18,9 +18,6 @@
 	// maxBootAge is how long the boot identity in a packet of the target counts
 	// as current.
 	maxBootAge = 5 * time.Millisecond
-	// maxAbandonedTime bounds how long a request without an answer keeps its
-	// slot, because a target's report of running requests may be wrong.
-	maxAbandonedTime = time.Minute
 	// maxFormerBoots is how many earlier boot identities are remembered, so that
 	// a late packet of an earlier start is not taken for another restart.
 	maxFormerBoots = 8
@@ -29,13 +26,6 @@
 	serviceTimeWeight = 8
 )
 
-// passKey identifies a pass, that is, one sending of a request to the target. A
-// request has at most one pass in progress.
-type passKey struct {
-	flow   uint64
-	number uint64
-}
-
 // backend is the state of the target beside the agent.
 type backend struct {
 	boot        uint64
@@ -51,22 +41,8 @@
 	// helloAt is when Hello was last sent; it is valid if helloSent is true.
 	helloAt   time.Duration
 	helloSent bool
-	// passes are the requests that the target may be running, abandoned ones
-	// included.
-	passes map[passKey]*request
-	// abandoned counts the requests in passes that got their final answer.
-	abandoned int
-	// inherited is the number of requests of an earlier start of the agent that
-	// still run.
-	inherited      int
-	inheritedUntil time.Duration
-	// endedPasses are passes that ended while inherited requests were counted.
-	endedPasses ttlCache[passKey, struct{}]
-	// runningReported is true once a HelloAck has reported the running requests
-	// of the target's present start.
-	runningReported bool
-	// pass is the number of the last pass.
-	pass uint32
+	// passes are the requests that the target may be running.
+	passes passTable
 	// meanServiceTime is the moving average of the service time.
 	meanServiceTime time.Duration
 }
@@ -96,42 +72,6 @@
 	return b.downAt != 0 && now-b.downAt > targetGrace && !b.ready(now)
 }
 
-// abandon marks a passed request that got its final answer. Its slot stays in
-// use until the pass ends, or until maxAbandonedTime after its deadline.
-func (b *backend) abandon(r *request) {
-	r.state = abandoned
-	r.passedAt = max(r.passedAt, r.deadline)
-	b.abandoned++
-}
-
-// endPass ends a pass and frees its slot.
-func (b *backend) endPass(now time.Duration, r *request) {
-	k := r.passKey()
-	delete(b.passes, k)
-	if r.state == abandoned {
-		b.abandoned--
-	}
-	if b.inherited > 0 {
-		b.endedPasses.put(now, k, struct{}{}, 1)
-	}
-}
-
-func (r *request) passKey() passKey {
-	return passKey{
-		flow:   r.key.flow,
-		number: r.number,
-	}
-}
-
-// running returns how many slots of the target are in use.
-func (c *Core) running() int {
-	return len(c.backend.passes) + c.backend.inherited
-}
-
-func (c *Core) updateBusy() {
-	c.busy.Set(c.now, c.running())
-}
-
 // pollTarget sends Hello at the start, regularly and more often while the
 // target is not ready. It sends none while the zone is out of service.
 func (c *Core) pollTarget() {
@@ -229,21 +169,15 @@
 // loseTarget ends the passes to a target that restarted or is unreachable. Its
 // requests no longer run, but whether they took effect is unknown.
 func (c *Core) loseTarget() {
-	b := &c.backend
-	b.inherited = 0
-	b.runningReported = false
-	b.abandoned = 0
-	clear(b.passes)
+	c.backend.passes.clear()
 	c.updateBusy()
 
-	for r := c.inProgress.first; r != nil; {
-		next := r.next
+	for r := range c.inProgress.all() {
 		if r.state == passed {
 			r.state = received
 			r.excludedBoot = r.boot
 			c.retryOrRefuse(r)
 		}
-		r = next
 	}
 }
 
@@ -262,25 +196,12 @@
 }
 
 // helloAcked compares the running requests that the target reports with those
-// that this agent passed. The first report after a start shows those of an
-// earlier start of the agent; later reports can only lower their count, since
-// only passes raise it.
+// that this agent passed; see passTable.reconcile.
 func (c *Core) helloAcked(p *packet.Packet) {
 	b := &c.backend
 	b.up = true
 	running := int(min(p.Running, uint32(c.limiter.Slots)))
-	unknown := max(0, running-c.runningBefore(b.helloAt))
-	if !b.runningReported {
-		b.runningReported = true
-		b.inherited = unknown
-		b.inheritedUntil = c.now + maxAbandonedTime
-		b.endedPasses.limit(maxAbandonedTime, maxInProgress)
-	}
-	if excess := b.inherited + b.abandoned - unknown; excess > 0 {
-		n := min(excess, b.inherited)
-		b.inherited -= n
-		c.releaseAbandoned(excess - n)
-	}
+	b.passes.reconcile(c.now, max(0, running-c.runningBefore(b.helloAt)))
 	c.updateBusy()
 }
 
@@ -288,7 +209,7 @@
 // have no final answer.
 func (c *Core) runningBefore(at time.Duration) int {
 	n := 0
-	for r := c.inProgress.first; r != nil; r = r.next {
+	for r := range c.inProgress.all() {
 		if r.state == passed && r.passedAt < at {
 			n++
 		}
@@ -297,70 +218,8 @@
 	return n
 }
 
-// releaseAbandoned frees the slots of n abandoned requests, in the order of
-// their passes so that the choice does not depend on map order.
-func (c *Core) releaseAbandoned(n int) {
-	if n <= 0 {
-		return
-	}
-	l := c.abandonedPasses()
-	for _, r := range l[:min(n, len(l))] {
-		c.backend.endPass(c.now, r)
-	}
-}
-
-func (c *Core) abandonedPasses() []*request {
-	l := []*request{}
-	for _, r := range c.backend.passes {
-		if r.state == abandoned {
-			l = append(l, r)
-		}
-	}
-	slices.SortFunc(l, func(a, b *request) int {
-		return int(a.pass) - int(b.pass)
-	})
-
-	return l
-}
-
-// expireSlots frees the slots of inherited and abandoned requests after
-// maxAbandonedTime.
-func (c *Core) expireSlots() {
-	b := &c.backend
-	if b.inherited > 0 && c.now >= b.inheritedUntil {
-		b.inherited = 0
-		c.updateBusy()
-	}
-	if b.abandoned == 0 {
-		return
-	}
-	for _, r := range c.abandonedPasses() {
-		if c.now-r.passedAt >= maxAbandonedTime {
-			b.endPass(c.now, r)
-		}
-	}
-	c.updateBusy()
-}
-
-// matchPass finds the request that an answer belongs to: same flow, request
-// number and boot identity, and the same pass if the target repeats Attempt.
-// Late and mismatched answers match none. A request is passed at most once to
-// one start of the target, so a target that does not repeat Attempt is matched
-// as well.
-func (c *Core) matchPass(p *packet.Packet) *request {
-	r := c.backend.passes[passKey{
-		flow:   p.Flow,
-		number: p.Request,
-	}]
-	if r == nil || r.boot != p.Boot || p.Attempt != 0 && p.Attempt != r.pass {
-		return nil
-	}
-
-	return r
-}
-
 func (c *Core) targetAnswered(p *packet.Packet) {
-	r := c.matchPass(p)
+	r := c.backend.passes.match(p)
 	if r == nil {
 		c.inheritedAnswered(p)
 		return
@@ -370,14 +229,12 @@
 	}
 
 	took := c.now - r.passedAt
+	c.backend.passes.end(c.now, r)
+	c.updateBusy()
 	if r.state == abandoned {
-		c.backend.endPass(c.now, r)
-		c.updateBusy()
 		return
 	}
-	c.backend.endPass(c.now, r)
 	r.state = received
-	c.updateBusy()
 	if p.Status == packet.StatusOK {
 		c.limiter.Answered(c.now, took)
 		c.backend.meanServiceTime += (took - c.backend.meanServiceTime) / serviceTimeWeight
@@ -394,26 +251,22 @@
 // a request of an earlier start of the agent has ended.
 func (c *Core) inheritedAnswered(p *packet.Packet) {
 	c.Counters.LateAnswers++
-	b := &c.backend
+	if p.Part+1 < p.Parts {
+		return
+	}
 	k := passKey{
 		flow:   p.Flow,
 		number: p.Request,
 	}
-	if b.inherited == 0 || p.Part+1 < p.Parts {
-		return
-	}
-	if _, ok := b.endedPasses.get(k); ok {
-		return
+	if c.backend.passes.endInherited(c.now, k) {
+		c.updateBusy()
 	}
-	b.endedPasses.put(c.now, k, struct{}{}, 1)
-	b.inherited--
-	c.updateBusy()
 }
 
 // targetShed places a request again that the target refused to run. The request
 // is not passed to the same start of the target a second time.
 func (c *Core) targetShed(p *packet.Packet) {
-	r := c.matchPass(p)
+	r := c.backend.passes.match(p)
 	if r == nil {
 		c.Counters.LateAnswers++
 		return
@@ -421,10 +274,9 @@
 
 	c.Counters.Shed++
 	c.limiter.Failed(c.now)
-	ended := r.state == abandoned
-	c.backend.endPass(c.now, r)
+	c.backend.passes.end(c.now, r)
 	c.updateBusy()
-	if ended {
+	if r.state == abandoned {
 		return
 	}
 	r.state = received
