Entries: log and count which configurations are taken, refused or older

A version that is not in force left no sign: no line told which write of the store a process uses, that it took a version for older, or why it refused one (only 'store entry not used', again with each listing).

Each configuration now carries the position of its write (era of the answer, revision of the item), also between processes, where peers of an earlier program ignore it. Entries write 'configuration in force', 'configuration refused' and 'configuration not taken' with positions, once for each version, and count them in ibisfold_configs_total; gauges tell the version and position in force. The position type moves to core/catalog, which can't import core/feed. Which version is taken does not change.

go test ./core/catalog ./core/feed ./platform/... ./ibisfold-entry: ok.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -52,15 +52,6 @@
 	return ticket.ID(name)
 }
 
-// Config is one version of the operators' configuration.
-type Config struct {
-	Version  uint64
-	Routes   map[netip.AddrPort]Route
-	Services map[uint64]Service
-	// IdleTime is how long a flow may be idle before its state may be dropped.
-	IdleTime time.Duration
-}
-
 // Target is an endpoint of a service, as registered in its entry at the configuration
 // service.
 type Target struct {
--- a/core/feed/position.go
+++ b/core/catalog/position.go
@@ -1,4 +1,4 @@
-package feed
+package catalog
 
 import (
 	"cmp"
@@ -26,9 +26,9 @@
 	return p.Compare(o) < 0
 }
 
-// continues reports whether the changes from o to p can be told without a listing: both are
+// Continues reports whether the changes from o to p can be told without a listing: both are
 // in the same era, and p is not earlier.
-func (p Position) continues(o Position) bool {
+func (p Position) Continues(o Position) bool {
 	return p.Era == o.Era && p.Revision >= o.Revision
 }
 
--- a/core/catalog/state.go
+++ b/core/catalog/state.go
@@ -18,7 +18,9 @@
 	// DefaultMaxAge. It has to be set before the first change.
 	MaxAge time.Duration
 
-	config   *Config
+	config *Config
+	// older is the configuration that was told last and not taken.
+	older    *Config
 	targets  map[string]Target
 	zonesOut map[string]bool
 	// lapsed holds the end of the grace period of each target that is still in use although
@@ -38,6 +40,12 @@
 	return s.config
 }
 
+// OlderConfig returns the configuration that was told last and not taken because it is older
+// than the one in force, or nil if there is none.
+func (s *State) OlderConfig() *Config {
+	return s.older
+}
+
 // Apply merges a change and reports whether anything changed.
 func (s *State) Apply(now time.Duration, c Change) bool {
 	if s.targets == nil {
@@ -72,6 +80,10 @@
 // setConfig ignores versions that are not newer: a slow read may return an old one.
 func (s *State) setConfig(c *Config) bool {
 	if s.config != nil && c.Version <= s.config.Version {
+		if !c.HasContentOf(s.config) {
+			s.older = c
+		}
+
 		return false
 	}
 	s.config = c
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -27,6 +27,9 @@
 	ErrInvalidAnswer = errors.ConstError("invalid answer from upstream")
 )
 
+// Position is a point in the history of the service.
+type Position = catalog.Position
+
 // Batch holds the changes up to a revision of the configuration service.
 type Batch struct {
 	// Position is where the next Watch continues.
--- a/core/feed/log.go
+++ b/core/feed/log.go
@@ -64,7 +64,7 @@
 func (l *Log) Add(b Batch) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !b.Complete && (l.targets == nil || !b.Position.continues(l.position)) {
+	if !b.Complete && (l.targets == nil || !b.Position.Continues(l.position)) {
 		return
 	}
 	l.reachable = true
--- a/core/feed/restore.go
+++ b/core/feed/restore.go
@@ -23,7 +23,7 @@
 	switch {
 	case p.Era < f.position.Era:
 		return errors.Annotatef(ErrOutdated, "service is at %v, known is %v", p, f.position)
-	case b.Complete || p.continues(f.position):
+	case b.Complete || p.Continues(f.position):
 		return nil
 	}
 	if p.Era > f.position.Era {
@@ -42,7 +42,7 @@
 	switch {
 	case p.Before(f.position):
 		return errors.Annotatef(ErrOutdated, "source is at %v, known is %v", p, f.position)
-	case b.Complete || p.continues(f.position):
+	case b.Complete || p.Continues(f.position):
 		return nil
 	}
 
@@ -55,7 +55,7 @@
 func (f *Follower) moveTo(p Position) {
 	from := f.position
 	f.position = p
-	if from == (Position{}) || p.continues(from) {
+	if from == (Position{}) || p.Continues(from) {
 		return
 	}
 	f.restoredAt = time.Now()
--- a/ibisfold-entry/catalog.go
+++ b/ibisfold-entry/catalog.go
@@ -70,6 +70,7 @@
 		for _, c := range changes {
 			changed = p.state.Apply(p.Clock(), c) || changed
 		}
+		p.configs.observe(&p.state)
 		if changed {
 			delay := p.Clock() - received
 			c.Current = c.Current && delay < maxConfirmationDelay
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -58,6 +58,7 @@
 	sourceCalls *metrics.Counter
 	// storeRestores counts how often the configuration service came back from an older copy.
 	storeRestores *metrics.Counter
+	configs       configMonitor
 }
 
 func runOpaque(term context.Context, policy string) error {
@@ -106,7 +107,7 @@
 	p.state.MaxAge = s.MaxFlowAge
 	p.feedLog.MaxAge = s.MaxFlowAge
 	p.follower = feed.Follower{
-		Service:   platform.NewStore(s, p.logInvalidTarget),
+		Service:   platform.NewStore(s, p.logInvalid),
 		Log:       &p.feedLog,
 		Change:    p.applyChanges,
 		Confirmed: p.handleConfirmation,
@@ -120,6 +121,7 @@
 	p.storeCalls = p.Metrics.NewCounter(`ibisfold_catalog_calls_total{to="store"}`)
 	p.sourceCalls = p.Metrics.NewCounter(`ibisfold_catalog_calls_total{to="source"}`)
 	p.storeRestores = p.Metrics.NewCounter("ibisfold_store_restores_total")
+	p.configs.register(p.Process)
 	p.histograms = p.Histograms(steer.MeasureNames())
 	p.registerCatalogGauges()
 
@@ -136,7 +138,7 @@
 	for i := range s.Seeds {
 		a := s.Seeds[(first+i)%len(s.Seeds)]
 		if a != s.Control {
-			sources = append(sources, feed.NewSourceClient(a, p.logInvalidTarget))
+			sources = append(sources, feed.NewSourceClient(a, p.logInvalid))
 		}
 	}
 	p.follower.Follow(slices.Contains(s.Seeds, s.Control), sources)
@@ -223,8 +225,13 @@
 	})
 }
 
-func (p *opaqueEntry) logInvalidTarget(err error) {
+func (p *opaqueEntry) logInvalid(err error) {
 	p.Post(func() {
+		if errors.Is(err, platform.ErrInvalidConfig) {
+			p.configs.refused(err)
+
+			return
+		}
 		p.Log.Info("store entry not used", "error", err)
 	})
 }
