Configurations: refuse one that can't be used as a whole

Ruled out: checking in platform alone, because a peer of an earlier program may pass on what it took. Now catalog.Config.Validate, AddRoute and AddService refuse with catalog.ErrInvalidConfig and a reason; platform translates, and feed leaves such a configuration out of an answer as it does with targets. The last usable one stays, the next is taken whatever number the refused one had, and a process that starts meanwhile learns the last one from the sources.

Fields without effect on flows are not checked: no limits, names or priority, other types of unknown fields, all weights zero. Field names at the top level are case-sensitive, as in targets: {"version":"x"} beside Version made it unreadable.

Tests: configText declared only one of its two services, so it was no valid configuration; it declares both now. The stand-in's store writes [] for no routes, where it wrote null.

Before, of 34 rows of TestUnusableConfigs and 9 of TestUsableConfigs: --- FAIL: TestUnusableConfigs/no_routes ... 21 rows taken --- FAIL: TestUsableConfigs/unknown_field --- FAIL: TestUnusableConfigChangesNothing entry-61: the last usable version is not known --- FAIL: TestUnusableFirstConfig entry-71: the first usable version is not known --- FAIL: TestOddConfigIsLeftOut, all 7 rows After: ok, with ./core/catalog ./core/feed ./platform ./ibisfold-entry.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"net/netip"
 	"reflect"
 	"time"
@@ -20,8 +21,10 @@
 
 // HasContentOf reports whether two configurations differ at most in where they were written.
 func (c *Config) HasContentOf(o *Config) bool {
-	x := *c
-	x.Written = o.Written
+	return c.Version == o.Version && c.IdleTime == o.IdleTime && maps.Equal(c.Services, o.Services) &&
+		maps.EqualFunc(c.Routes, o.Routes, Route.equal)
+}
 
-	return reflect.DeepEqual(&x, o)
+func (r Route) equal(o Route) bool {
+	return reflect.DeepEqual(r, o)
 }
--- a/core/catalog/validate.go
+++ b/core/catalog/validate.go
@@ -24,9 +24,8 @@
 // Validate reports whether a target that another process told of can be used. Error:
 // ErrInvalidTarget.
 func (t *Target) Validate() error {
-	a := t.Address.Addr()
 	switch {
-	case !a.Is4() || a.IsUnspecified() || a.IsMulticast() || a.As4() == [4]byte{255, 255, 255, 255}:
+	case !isUnicastIPv4(t.Address.Addr()):
 		return errors.Annotatef(ErrInvalidTarget, "target %q has no IPv4 address of a VM: %v", t.ID, t.Address)
 	case t.Address.Port() == 0:
 		return errors.Annotatef(ErrInvalidTarget, "target %q has no port: %v", t.ID, t.Address)
--- a/core/feed/body.go
+++ b/core/feed/body.go
@@ -71,8 +71,8 @@
 const maxAge = 24 * time.Hour
 
 // decodeBatch decodes and checks a Batch. It leaves out targets that can't be used, as if their
-// entries were missing, and calls reportInvalid with the error of each: they must not keep the
-// other changes from the process. Error: ErrInvalidAnswer.
+// entries were missing, and such configurations, and calls reportInvalid with the error of each:
+// they must not keep the other changes from the process. Error: ErrInvalidAnswer.
 func decodeBatch(p []byte, reportInvalid func(error)) (Batch, error) {
 	x := body{}
 	if err := json.Unmarshal(p, &x); err != nil {
@@ -104,6 +104,10 @@
 	for _, c := range x.Changes {
 		switch {
 		case c.Config != nil:
+			if err := c.Config.Validate(); err != nil {
+				reportInvalid(err)
+				continue
+			}
 			b.Changes = append(b.Changes, catalog.ConfigChange{
 				Config: c.Config,
 			})
--- a/core/feed/client.go
+++ b/core/feed/client.go
@@ -24,12 +24,13 @@
 // SourceClient is the HTTP client for a source. It implements Upstream.
 type SourceClient struct {
 	*web.Client
-	// reportInvalid is called with the error of each target that can't be used.
+	// reportInvalid is called with the error of each target or configuration that can't be
+	// used.
 	reportInvalid func(error)
 }
 
 // NewSourceClient returns a client for the source at an address. It calls reportInvalid with the
-// error of each target that can't be used.
+// error of each target or configuration that can't be used.
 func NewSourceClient(a netip.AddrPort, reportInvalid func(error)) *SourceClient {
 	return &SourceClient{
 		Client:        web.NewClient(a, dialTimeout, maxBodyBytes),
--- a/core/feed/odd_test.go
+++ b/core/feed/odd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -62,6 +63,35 @@
 	}
 }
 
+// Guards against a configuration that a source of an earlier program version took although it
+// can't be used, and against one that keeps the other changes from the process.
+func TestOddConfigIsLeftOut(t *testing.T) {
+	const route = `{"Config":{"Version":%d,"Routes":{"198.18.0.1:443":{"Address":"198.18.0.1:%d","Splits":[{"Service":%d,"Weight":%d}]}},` +
+		`"Services":{"3":{"Name":"s"}}}}`
+	for name, odd := range map[string]string{
+		"undeclared service": fmt.Sprintf(route, 13, 443, 4, 1),
+		"negative weight":    fmt.Sprintf(route, 13, 443, 3, -1),
+		"weight too high":    fmt.Sprintf(route, 13, 443, 3, catalog.MaxWeight+1),
+		"other address":      fmt.Sprintf(route, 13, 444, 3, 1),
+		"no service":         `{"Config":{"Routes":{"198.18.0.1:443":{"Address":"198.18.0.1:443"}}}}`,
+		"no port":            `{"Config":{"Routes":{"198.18.0.1:0":{"Address":"198.18.0.1:0"}}}}`,
+		"negative cold rate": `{"Config":{"Services":{"3":{"Name":"s","ColdRate":-1}}}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			reported := 0
+			b, err := decodeBatch([]byte(`{"Changes":[`+odd+`,`+fmt.Sprintf(route, 7, 443, 3, 1)+`,{"Gone":{"ID":"x"}}]}`), func(err error) {
+				is.True(errors.Is(err, catalog.ErrInvalidConfig))
+				reported++
+			})
+			is.NoErr(err)
+			is.Equal(reported, 1)
+			is.Equal(len(b.Changes), 2)
+			is.Equal(b.Changes[0].(catalog.ConfigChange).Config.Version, uint64(7))
+		})
+	}
+}
+
 // Guards against a departed target that is kept for ever because its age is negative.
 func TestDepartureWithNegativeAgeIsLeftOut(t *testing.T) {
 	is := is.New(t)
--- a/ibisfold-entry/configs.go
+++ b/ibisfold-entry/configs.go
@@ -83,5 +83,6 @@
 	}
 	m.refusal = err.Error()
 	m.invalid.Inc()
-	m.process.Log.Info("configuration refused, the one in force stays", "reason", err)
+	c := m.current.Load()
+	m.process.Log.Info("configuration refused", "reason", err, "in_force", c.Version, "in_force_written", c.Written)
 }
--- a/ibisfold-entry/configs_process_test.go
+++ b/ibisfold-entry/configs_process_test.go
@@ -8,9 +8,77 @@
 
 	"github.com/matryer/is"
 
+	"ibisfold.example/core/catalog"
 	"ibisfold.example/platform/platformtest"
 )
 
+// unusableConfig has a high number and a route to a service that it does not declare.
+const unusableConfig = `{"Version":9000000,"Routes":[{"Name":"r","Host":"198.18.0.9","Prefix":"/443/","Service":"other"}],"Services":[]}`
+
+// addRoute writes a version with one route to rufdienst.
+func (x *restoreTest) addRoute(version uint64, address string) {
+	x.store.SetConfig(version, []platformtest.Route{
+		{
+			Address: netip.MustParseAddrPort(address),
+			Service: "rufdienst",
+		},
+	}, []string{"rufdienst"})
+}
+
+// hasRoute is the condition that a version with a route is in force.
+func hasRoute(version uint64, address string) func(*catalog.Snapshot) bool {
+	return func(s *catalog.Snapshot) bool {
+		_, ok := s.Route(netip.MustParseAddrPort(address))
+
+		return ok && s.Config.Version == version
+	}
+}
+
+// Guards against entries that lose their routes to a version that can't be used, or that take no
+// later one because its number was high.
+func TestUnusableConfigChangesNothing(t *testing.T) {
+	is := is.New(t)
+	x := newRestoreTest(t, 61)
+	x.addRoute(5, "198.18.0.1:443")
+	x.awaitAll(t, "version 5", hasRoute(5, "198.18.0.1:443"))
+	x.store.SetConfigValue([]byte(unusableConfig))
+	x.store.SetZoneOut("a", true)
+	x.awaitAll(t, "the zone taken out after the unusable version", zoneOut("a"))
+	x.awaitAll(t, "the last usable version", hasRoute(5, "198.18.0.1:443"))
+
+	// An entry that starts meanwhile learns it from the source.
+	joined := runEntry(t, 63, x.url, x.seed)
+	is.True(await(maxChangeTime, func() bool {
+		s := publishedBy(joined)
+
+		return s != nil && hasRoute(5, "198.18.0.1:443")(s)
+	}))
+	x.addRoute(6, "198.18.0.2:443")
+	x.store.SetConfigValue([]byte(unusableConfig))
+	x.addRoute(7, "198.18.0.3:443")
+	x.awaitAll(t, "the next usable version", hasRoute(7, "198.18.0.3:443"))
+	is.True(await(maxChangeTime, func() bool {
+		return hasRoute(7, "198.18.0.3:443")(publishedBy(joined))
+	}))
+}
+
+// Guards against entries that never get a configuration because the first one in the store can't
+// be used.
+func TestUnusableFirstConfig(t *testing.T) {
+	x := &restoreTest{
+		store: &platformtest.Store{},
+		seed:  netip.MustParseAddrPort("127.33.26.71:8166"),
+	}
+	server := httptest.NewServer(x.store)
+	t.Cleanup(server.Close)
+	x.store.SetConfigValue([]byte(unusableConfig))
+	x.source = runEntry(t, 71, server.URL, x.seed)
+	x.follower = runEntry(t, 72, server.URL, x.seed)
+	time.Sleep(maxChangeTime)
+	x.addRoute(5, "198.18.0.1:443")
+	x.awaitAll(t, "the first usable version", hasRoute(5, "198.18.0.1:443"))
+}
+
 // Guards against a version that is refused, taken or not taken without a sign of it in the
 // metrics, and against a sign that each listing repeats.
 func TestConfigsAreCounted(t *testing.T) {
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -227,7 +227,7 @@
 
 func (p *opaqueEntry) logInvalid(err error) {
 	p.Post(func() {
-		if errors.Is(err, platform.ErrInvalidConfig) {
+		if errors.Is(err, catalog.ErrInvalidConfig) {
 			p.configs.refused(err)
 
 			return
