Configurations: the order of the writes decides, in one function

Config.Supersedes is now the only order, used by both and so for what is learned. Within an era of the store the later write wins. Across eras the number decides, because a listing may be that of an older copy; with equal numbers the later era wins. One step beyond that: a write that a watch told of is certainly of that era, so it is later than all of earlier eras, and a lower number does not shut it out after a return. Without an era, or from a peer of an earlier program, the number decides as before. A write that differs in its position only is not published again.

Ruled out: the revision across eras. A second return may be from a copy made before the first one, and give out an older version under a higher revision. Also ruled out: to keep the known one for RestoreGrace only, as zones are: operators may write 4 s later or not at all. Left: numbers that fall and then a return to a copy in between; the higher number of the copy wins until the next write.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -1,7 +1,7 @@
 // Package catalog holds the routes, services, targets and zones that a process knows and
 // decides which targets may get new flows or may still hold old ones. Changes come from the
-// configuration service; within a process the version of the configuration in force never
-// decreases.
+// configuration service; a process never goes back to a configuration that another one
+// superseded.
 package catalog
 
 import (
--- a/core/catalog/state.go
+++ b/core/catalog/state.go
@@ -77,18 +77,21 @@
 	return false
 }
 
-// setConfig ignores versions that are not newer: a slow read may return an old one.
+// setConfig takes a configuration that supersedes the one in force, and reports whether more than
+// its position differs.
 func (s *State) setConfig(c *Config) bool {
-	if s.config != nil && c.Version <= s.config.Version {
-		if !c.HasContentOf(s.config) {
-			s.older = c
-		}
+	known := s.config
+	isSame := known != nil && c.HasContentOf(known)
+	if known == nil || c.Supersedes(known) {
+		s.config = c
 
-		return false
+		return !isSame
+	}
+	if !isSame {
+		s.older = c
 	}
-	s.config = c
 
-	return true
+	return false
 }
 
 func (s *State) setTarget(now time.Duration, t Target) bool {
--- a/core/feed/log.go
+++ b/core/feed/log.go
@@ -36,7 +36,8 @@
 	position     Position
 	historyStart Position
 	history      []Batch
-	// config is the newest version seen, also if the service came back with an older one.
+	// config is the one that supersedes all others seen, also if the service came back with an
+	// older one.
 	config  *catalog.Config
 	targets map[string]seenTarget
 	// departed holds targets that left, also those that other sources reported; none of them
@@ -116,9 +117,7 @@
 func (l *Log) merge(c catalog.Change) {
 	switch c := c.(type) {
 	case catalog.ConfigChange:
-		if l.config == nil || c.Config.Version > l.config.Version {
-			l.config = c.Config
-		}
+		l.setConfig(c.Config)
 	case catalog.TargetChange:
 		l.setTarget(c.Target)
 	case catalog.TargetGone:
@@ -128,6 +127,16 @@
 	}
 }
 
+// setConfig takes a configuration that supersedes the known one and reports whether it did.
+func (l *Log) setConfig(c *catalog.Config) bool {
+	if l.config != nil && !c.Supersedes(l.config) {
+		return false
+	}
+	l.config = c
+
+	return true
+}
+
 // List returns the complete catalog, also while the service does not answer: a process that
 // starts without any catalog can still use an old one. Error: ErrUnavailable.
 func (l *Log) List() (Batch, error) {
--- a/core/feed/log_test.go
+++ b/core/feed/log_test.go
@@ -119,8 +119,10 @@
 		Changes: []catalog.Change{
 			catalog.ConfigChange{
 				Config: &catalog.Config{
-					Version:  9,
-					IdleTime: 15 * time.Second,
+					Version:    9,
+					Written:    inEra(2, 6),
+					EraCertain: true,
+					IdleTime:   15 * time.Second,
 					Routes: map[netip.AddrPort]catalog.Route{
 						netip.MustParseAddrPort("198.18.0.1:443"): {
 							Name:    "r",
--- a/core/feed/restore_test.go
+++ b/core/feed/restore_test.go
@@ -98,6 +98,29 @@
 	is.Equal(b.Changes, []catalog.Change{config(9)})
 }
 
+// Guards against a source that lists another configuration than the one that it passed on as a
+// change, because it orders them by the number alone.
+func TestLogTakesLaterWrite(t *testing.T) {
+	is := is.New(t)
+	config := func(revision, version uint64) catalog.Change {
+		return catalog.ConfigChange{
+			Config: &catalog.Config{
+				Version: version,
+				Written: inEra(1, revision),
+			},
+		}
+	}
+	l := &Log{}
+	l.Add(listingAt(inEra(1, 100), config(90, 9)))
+	l.Add(Batch{
+		Position: inEra(1, 101),
+		Changes:  []catalog.Change{config(101, 7)},
+	})
+	b, err := l.List()
+	is.NoErr(err)
+	is.Equal(b.Changes, []catalog.Change{config(101, 7)})
+}
+
 // Guards against a follower that a source reverts to an earlier era, whose revisions are
 // higher, and against one that never gets to the later era of its source.
 func TestErasOfSources(t *testing.T) {
--- a/ibisfold-entry/configs_process_test.go
+++ b/ibisfold-entry/configs_process_test.go
@@ -129,3 +129,31 @@
 		"ibisfold_config_era":                    1,
 	})
 }
+
+// Guards against entries that keep the version in force, and a route that was dropped, because a
+// later one has a lower number or the same, with and without a return of the store from a copy.
+func TestLaterWriteOfLowerNumber(t *testing.T) {
+	is := is.New(t)
+	x := newRestoreTest(t, 81)
+	x.addRoute(9, "198.18.0.1:443")
+	x.awaitAll(t, "version 9", hasRoute(9, "198.18.0.1:443"))
+	x.addRoute(7, "198.18.0.2:443")
+	x.awaitAll(t, "the lower number", hasRoute(7, "198.18.0.2:443"))
+	x.addRoute(7, "198.18.0.3:443")
+	x.awaitAll(t, "the same number", hasRoute(7, "198.18.0.3:443"))
+
+	backup := x.store.Backup()
+	x.addRoute(20, "198.18.0.4:443")
+	x.awaitAll(t, "version 20", hasRoute(20, "198.18.0.4:443"))
+	x.store.Restore(backup)
+	x.addRoute(20, "198.18.0.5:443")
+	x.awaitAll(t, "the number of the lost version", hasRoute(20, "198.18.0.5:443"))
+	x.addRoute(11, "198.18.0.6:443")
+	x.awaitAll(t, "the lower number after the return", hasRoute(11, "198.18.0.6:443"))
+	joined := runEntry(t, 83, x.url, x.seed)
+	is.True(await(maxChangeTime, func() bool {
+		s := publishedBy(joined)
+
+		return s != nil && hasRoute(11, "198.18.0.6:443")(s)
+	}))
+}
