Feed: a source passes on the configuration that it learned; a process without one asks again

A process that starts while the store holds a configuration that can't be used has to learn the last good one from the sources. Two gaps: Log.Learn took only departed targets, so a source that started meanwhile listed no configuration, or after a return of the store the older one of the copy; and sources were asked once, within 1 s of the start, so a process whose sources were just restarting then stayed without any until the next valid version, as a watch tells changes only.

Log.Learn now takes a configuration that supersedes the known one, lists it, and adds it for 3 s to answers of watches, as learned targets are. A process that has no configuration asks again after 2 s, doubling to 8 s.

Ruled out: a listing in place of a watch while there is none; it does not wait, so calls would follow each other without pause. A constant pause of 1.5 s broke the bound of 8 calls in TestFollowerListStaysCurrent (9), whose catalog has no configuration.

Before: --- FAIL: TestLearnedConfigIsPassedOn, nil in place of the configuration --- FAIL: TestLearnsUntilConfigIsKnown: no configuration After: ok, go test ./core/feed.

--- a/core/feed/follower.go
+++ b/core/feed/follower.go
@@ -94,6 +94,11 @@
 	// if there is none.
 	learning            bool
 	pendingConfirmation time.Time
+	// configReported means that some answer had a configuration. Until then the sources are
+	// asked again at relearnAt, which is relearnPause after the last time.
+	configReported bool
+	relearnAt      time.Time
+	relearnPause   time.Duration
 
 	// position is that of the newest answer that was reported. It only goes back on an
 	// answer of the service, never on one of a source.
--- a/core/feed/learn.go
+++ b/core/feed/learn.go
@@ -11,22 +11,35 @@
 // maxLearnTime bounds how long confirmations wait for the sources to report departed targets.
 const maxLearnTime = 2 * sourceTimeout
 
+// minRelearnPause and maxRelearnPause bound the pause after which a process that still has no
+// configuration asks the sources again; it doubles each time.
+const (
+	minRelearnPause = 2 * time.Second
+	maxRelearnPause = 8 * time.Second
+)
+
 // startLearning starts to ask the sources for departed targets, concurrently with step, if
 // that is due.
 func (f *Follower) startLearning(ctx context.Context) {
 	f.mutex.Lock()
-	due := f.learnDue && len(f.sources) > 0
+	hasSources := len(f.sources) > 0
+	due := f.learnDue
 	f.learnDue = false
 	f.mutex.Unlock()
-	if !due {
+	if !hasSources {
 		return
 	}
 	f.reportMutex.Lock()
 	defer f.reportMutex.Unlock()
-	if f.learning {
+	// The service may hold only a configuration that can't be used, and a watch at a source
+	// does not tell the one in force.
+	due = due || !f.configReported && time.Now().After(f.relearnAt)
+	if f.learning || !due {
 		return
 	}
 	f.learning = true
+	f.relearnPause = min(max(2*f.relearnPause, minRelearnPause), maxRelearnPause)
+	f.relearnAt = time.Now().Add(f.relearnPause)
 	go f.learn(ctx)
 }
 
--- a/core/feed/log.go
+++ b/core/feed/log.go
@@ -47,7 +47,9 @@
 	// learned holds the targets that other sources reported within maxLearnedAge, oldest
 	// first.
 	learned []learnedTarget
-	zones   map[string]bool
+	// configLearnedAt is when another source reported a configuration that was taken.
+	configLearnedAt time.Time
+	zones           map[string]bool
 	// outageEnd is when the last batch with AfterOutage came.
 	outageEnd time.Time
 	// changed is closed at the next change.
@@ -232,6 +234,7 @@
 		Current:  true,
 		Age:      time.Since(l.lastAnswer),
 		Departed: l.listLearned(),
+		Changes:  l.learnedConfig(),
 	}, nil
 }
 
@@ -273,6 +276,7 @@
 		Current:  true,
 		Age:      time.Since(l.lastAnswer),
 		Departed: l.listLearned(),
+		Changes:  l.learnedConfig(),
 	}
 	for _, h := range l.history {
 		if after.Before(h.Position) {
--- a/core/feed/loglearned.go
+++ b/core/feed/loglearned.go
@@ -6,7 +6,7 @@
 	"ibisfold.example/core/catalog"
 )
 
-// maxLearnedAge is how long answers to watches include a target that another source reported.
+// maxLearnedAge is how long answers to watches include what another source reported.
 // An open watch returns it at once; a follower's next watch begins within a second and the
 // duration of a call.
 const maxLearnedAge = 3 * time.Second
@@ -20,11 +20,12 @@
 
 // Learn records what another source knows as departed targets: those that left, and those that
 // it lists and this process does not, which may have left since. They do not count as part of
-// the current list.
+// the current list. Learn also takes the other source's configuration if it supersedes the known
+// one: the service may hold one that can't be used, or that of an older copy.
 func (l *Log) Learn(b Batch) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	changed := false
+	changed := l.learnConfig(b.Changes)
 	for _, d := range b.possibleHolders() {
 		if l.isListed(d.Target) || !l.addDeparted(d) {
 			continue
@@ -40,6 +41,35 @@
 	}
 }
 
+// learnConfig takes a configuration of another source and reports whether its content is new.
+func (l *Log) learnConfig(changes []catalog.Change) bool {
+	known := l.config
+	for _, c := range changes {
+		if c, ok := c.(catalog.ConfigChange); ok {
+			l.setConfig(c.Config)
+		}
+	}
+	if l.config == known || known != nil && l.config.HasContentOf(known) {
+		return false
+	}
+	l.configLearnedAt = time.Now()
+
+	return true
+}
+
+// learnedConfig returns the configuration if answers to watches have to include it.
+func (l *Log) learnedConfig() []catalog.Change {
+	if l.configLearnedAt.IsZero() || time.Since(l.configLearnedAt) >= maxLearnedAge {
+		return nil
+	}
+
+	return []catalog.Change{
+		catalog.ConfigChange{
+			Config: l.config,
+		},
+	}
+}
+
 // listLearned returns the targets to include in the answer to a watch.
 func (l *Log) listLearned() []catalog.TargetDeparted {
 	list := []catalog.TargetDeparted{}
@@ -66,9 +96,10 @@
 	return ok && x.target.Address == t.Address
 }
 
-// learnedSince reports whether another source reported a target after learnedAt.
+// learnedSince reports whether another source reported a target or a configuration after
+// learnedAt.
 func (l *Log) learnedSince(learnedAt time.Time) bool {
 	n := len(l.learned)
 
-	return n > 0 && l.learned[n-1].learnedAt.After(learnedAt)
+	return l.configLearnedAt.After(learnedAt) || n > 0 && l.learned[n-1].learnedAt.After(learnedAt)
 }
--- a/core/feed/report.go
+++ b/core/feed/report.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"time"
 
 	"ibisfold.example/core/catalog"
@@ -79,6 +80,7 @@
 		c.Current = false
 	}
 	if len(changes) > 0 {
+		f.configReported = f.configReported || hasConfig(changes)
 		f.Change(changes, c)
 	}
 	if c.Current {
@@ -86,6 +88,20 @@
 	}
 }
 
+// hasConfig reports whether there is a configuration among changes, also within a listing.
+func hasConfig(changes []catalog.Change) bool {
+	return slices.ContainsFunc(changes, func(c catalog.Change) bool {
+		switch c := c.(type) {
+		case catalog.ConfigChange:
+			return true
+		case catalog.Listing:
+			return hasConfig(c.Changes)
+		}
+
+		return false
+	})
+}
+
 // dropPendingConfirmation discards a confirmation that is held back, because the upstream has
 // failed since.
 func (f *Follower) dropPendingConfirmation() {
