Configurations: without eras the order of the writes decides as well

A position is now unknown only without a revision, which is what peers of an earlier program send; then the number decides as before.

Before: --- FAIL: TestOrderOfConfigs/store_without_eras --- FAIL: TestOrderOfConfigs/store_that_begins_to_tell_its_era After: ok.

--- a/core/catalog/order.go
+++ b/core/catalog/order.go
@@ -6,18 +6,24 @@
 // Within an era the later write wins, whatever its number. A listing of a later era may be that
 // of an older copy, which must not take a process back, so the number decides: operators write
 // again what the copy lacks. With equal numbers the later era wins: operators may use the number
-// of a lost version for another content. If either position is unknown, the number decides.
+// of a lost version for another content. If a position is not known, the number decides.
 func (c *Config) Supersedes(o *Config) bool {
-	switch era, other := c.Written.Era, o.Written.Era; {
-	case era == 0 || other == 0:
-		return c.Version > o.Version || c.Version == o.Version && era > other
-	case era > other:
+	p, q := c.Written, o.Written
+	switch {
+	case !p.isKnown() || !q.isKnown():
+		return c.Version > o.Version || c.Version == o.Version && p.isKnown() && !q.isKnown()
+	case p.Era > q.Era:
 		return c.EraCertain || c.Version >= o.Version
-	case era < other:
+	case p.Era < q.Era:
 		return c.Version > o.Version && !o.EraCertain
-	case c.Written.Revision == o.Written.Revision:
+	case p.Revision == q.Revision:
 		return c.EraCertain && !o.EraCertain
 	default:
-		return c.Written.Revision > o.Written.Revision
+		return p.Revision > q.Revision
 	}
 }
+
+// isKnown reports whether p is a position of a write: revisions start above zero.
+func (p Position) isKnown() bool {
+	return p.Revision > 0
+}
