--- a/ibisfold-entry/catalog_process_test.go
+++ b/ibisfold-entry/catalog_process_test.go
@@ -20,8 +20,8 @@
 )
 
 // runEntry runs an entry on the loopback address 127.33.26.n until the test ends. Store is
-// the URL of the store, seed the address of the entry that is a source.
-func runEntry(t *testing.T, n byte, store string, seed netip.AddrPort) *opaqueEntry {
+// the URL of the store, seeds the addresses of the entries that are sources.
+func runEntry(t *testing.T, n byte, store string, seeds ...netip.AddrPort) *opaqueEntry {
 	t.Helper()
 	ip := netip.AddrFrom4([4]byte{127, 33, 26, n})
 	policies, err := opaque.LoadPolicies("")
@@ -37,7 +37,7 @@
 		Metrics:  netip.AddrPortFrom(ip, 7721),
 		Store:    netip.MustParseAddrPort(strings.TrimPrefix(store, "http://")),
 		Control:  netip.AddrPortFrom(ip, 8166),
-		Seeds:    []netip.AddrPort{seed},
+		Seeds:    seeds,
 		LinkRate: 125_000_000,
 	}, policies)
 	if err != nil {
--- a/ibisfold-entry/configs_process_test.go
+++ b/ibisfold-entry/configs_process_test.go
@@ -62,6 +62,34 @@
 	}))
 }
 
+// Guards against entries that start without a configuration after the sources were replaced one
+// after another while the store holds one that can't be used.
+func TestSourcesReplacedDuringUnusableConfig(t *testing.T) {
+	store := &platformtest.Store{}
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	x := &restoreTest{
+		store: store,
+	}
+	x.addRoute(5, "198.18.0.1:443")
+	seeds := []netip.AddrPort{netip.MustParseAddrPort("127.33.26.91:8166"), netip.MustParseAddrPort("127.33.26.92:8166")}
+	hasConfig := func(p *opaqueEntry) {
+		t.Helper()
+		is.New(t).True(await(maxChangeTime, func() bool {
+			s := publishedBy(p)
+
+			return s != nil && hasRoute(5, "198.18.0.1:443")(s)
+		}))
+	}
+	// The entry of a subtest ends with it.
+	t.Run("first", func(first *testing.T) {
+		hasConfig(runEntry(first, 91, server.URL, seeds...))
+		store.SetConfigValue([]byte(unusableConfig))
+		hasConfig(runEntry(t, 92, server.URL, seeds...))
+	})
+	hasConfig(runEntry(t, 93, server.URL, seeds...))
+}
+
 // Guards against entries that never get a configuration because the first one in the store can't
 // be used.
 func TestUnusableFirstConfig(t *testing.T) {
