Feed: a learned configuration is not repeated to followers if the service tells it too

Before: --- FAIL: TestLearnedConfigOfServiceIsNotRepeated (1 change in a watch without news) After: ok, go test ./core/feed.

--- a/core/feed/learn_test.go
+++ b/core/feed/learn_test.go
@@ -103,6 +103,19 @@
 	is.Equal(b.Changes, []catalog.Change{configChange(9)})
 }
 
+// Guards against a source that sends its whole configuration with each watch after a usual start, in
+// which it learns before its first listing what the service tells as well.
+func TestLearnedConfigOfServiceIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	source := &Log{}
+	source.Learn(listingAt(at(5), configChange(9)))
+	source.Add(listingAt(at(5), configChange(9)))
+	source.Learn(listingAt(at(5), configChange(9)))
+	b, err := source.Watch(context.Background(), at(5), time.Millisecond)
+	is.NoErr(err)
+	is.Equal(len(b.Changes), 0)
+}
+
 // Guards against a process that stays without any configuration because no source knew one, or
 // none answered, when it started while the store held one that can't be used: changes at its
 // source do not bring it either.
--- a/core/feed/log.go
+++ b/core/feed/log.go
@@ -47,7 +47,7 @@
 	// learned holds the targets that other sources reported within maxLearnedAge, oldest
 	// first.
 	learned []learnedTarget
-	// configLearnedAt is when another source reported a configuration that was taken.
+	// configLearnedAt is when another source reported config; zero if the service tells it.
 	configLearnedAt time.Time
 	zones           map[string]bool
 	// outageEnd is when the last batch with AfterOutage came.
@@ -120,6 +120,10 @@
 	switch c := c.(type) {
 	case catalog.ConfigChange:
 		l.setConfig(c.Config)
+		if c.Config.HasContentOf(l.config) {
+			// Followers get it with the batch.
+			l.configLearnedAt = time.Time{}
+		}
 	case catalog.TargetChange:
 		l.setTarget(c.Target)
 	case catalog.TargetGone:
@@ -129,14 +133,11 @@
 	}
 }
 
-// setConfig takes a configuration that supersedes the known one and reports whether it did.
-func (l *Log) setConfig(c *catalog.Config) bool {
-	if l.config != nil && !c.Supersedes(l.config) {
-		return false
+// setConfig takes a configuration that supersedes the known one.
+func (l *Log) setConfig(c *catalog.Config) {
+	if l.config == nil || c.Supersedes(l.config) {
+		l.config = c
 	}
-	l.config = c
-
-	return true
 }
 
 // List returns the complete catalog, also while the service does not answer: a process that
