--- a/core/catalog/state.go
+++ b/core/catalog/state.go
@@ -18,7 +18,9 @@
 	// DefaultMaxAge. It has to be set before the first change.
 	MaxAge time.Duration
 
-	config   *Config
+	config *Config
+	// older is the configuration that was told last and not taken.
+	older    *Config
 	targets  map[string]Target
 	zonesOut map[string]bool
 	// lapsed holds the end of the grace period of each target that is still in use although
@@ -38,6 +40,12 @@
 	return s.config
 }
 
+// OlderConfig returns the configuration that was told last and not taken because it is older
+// than the one in force, or nil if there is none.
+func (s *State) OlderConfig() *Config {
+	return s.older
+}
+
 // Apply merges a change and reports whether anything changed.
 func (s *State) Apply(now time.Duration, c Change) bool {
 	if s.targets == nil {
@@ -69,14 +77,21 @@
 	return false
 }
 
-// setConfig ignores versions that are not newer: a slow read may return an old one.
+// setConfig takes a configuration that supersedes the one in force, and reports whether more than
+// its position differs.
 func (s *State) setConfig(c *Config) bool {
-	if s.config != nil && c.Version <= s.config.Version {
-		return false
+	known := s.config
+	isSame := known != nil && c.HasContentOf(known)
+	if known == nil || c.Supersedes(known) {
+		s.config = c
+
+		return !isSame
+	}
+	if !isSame {
+		s.older = c
 	}
-	s.config = c
 
-	return true
+	return false
 }
 
 func (s *State) setTarget(now time.Duration, t Target) bool {
--- a/core/feed/log.go
+++ b/core/feed/log.go
@@ -36,7 +36,8 @@
 	position     Position
 	historyStart Position
 	history      []Batch
-	// config is the newest version seen, also if the service came back with an older one.
+	// config is the one that supersedes all others seen, also if the service came back with an
+	// older one.
 	config  *catalog.Config
 	targets map[string]seenTarget
 	// departed holds targets that left, also those that other sources reported; none of them
@@ -46,7 +47,9 @@
 	// learned holds the targets that other sources reported within maxLearnedAge, oldest
 	// first.
 	learned []learnedTarget
-	zones   map[string]bool
+	// configLearnedAt is when another source reported config; zero if the service tells it.
+	configLearnedAt time.Time
+	zones           map[string]bool
 	// outageEnd is when the last batch with AfterOutage came.
 	outageEnd time.Time
 	// changed is closed at the next change.
@@ -64,7 +67,7 @@
 func (l *Log) Add(b Batch) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !b.Complete && (l.targets == nil || !b.Position.continues(l.position)) {
+	if !b.Complete && (l.targets == nil || !b.Position.Continues(l.position)) {
 		return
 	}
 	l.reachable = true
@@ -116,8 +119,10 @@
 func (l *Log) merge(c catalog.Change) {
 	switch c := c.(type) {
 	case catalog.ConfigChange:
-		if l.config == nil || c.Config.Version > l.config.Version {
-			l.config = c.Config
+		l.setConfig(c.Config)
+		if c.Config.HasContentOf(l.config) {
+			// Followers get it with the batch.
+			l.configLearnedAt = time.Time{}
 		}
 	case catalog.TargetChange:
 		l.setTarget(c.Target)
@@ -128,6 +133,13 @@
 	}
 }
 
+// setConfig takes a configuration that supersedes the known one.
+func (l *Log) setConfig(c *catalog.Config) {
+	if l.config == nil || c.Supersedes(l.config) {
+		l.config = c
+	}
+}
+
 // List returns the complete catalog, also while the service does not answer: a process that
 // starts without any catalog can still use an old one. Error: ErrUnavailable.
 func (l *Log) List() (Batch, error) {
@@ -223,6 +235,7 @@
 		Current:  true,
 		Age:      time.Since(l.lastAnswer),
 		Departed: l.listLearned(),
+		Changes:  l.learnedConfig(),
 	}, nil
 }
 
@@ -264,6 +277,7 @@
 		Current:  true,
 		Age:      time.Since(l.lastAnswer),
 		Departed: l.listLearned(),
+		Changes:  l.learnedConfig(),
 	}
 	for _, h := range l.history {
 		if after.Before(h.Position) {
