Agents: no timeout before the announcement of a stop

A flow of a living target would be reset by each entry that the agent did not tell of its planned stop.

Cause: after SIGTERM the process waits one second for the loop to announce the stop, and then ends without an announcement. A process that stands still between SIGTERM and the announcement finds this time expired before the loop could run.

Ruled out: a loop under a flood of packets reaches the announcement within a few batches; the second in which it may not is one in which the whole process does not run.

Change: Process.Call runs a function in the loop and waits until it has run, or the loop has ended. A loop that never gets there ends with SIGKILL, as a process that hangs did before.

--- a/core/opaque/process.go
+++ b/core/opaque/process.go
@@ -72,6 +72,28 @@
 	}
 }
 
+// Call runs f in the goroutine of the Loop and waits for it. It reports whether f has run; it
+// has not if the Loop ended before. There is no timeout: a process that stood still would find
+// it expired before the Loop could run f.
+func (p *Process) Call(f func()) bool {
+	done := make(chan struct{})
+	p.Post(func() {
+		f()
+		close(done)
+	})
+	select {
+	case <-done:
+		return true
+	case <-p.ended:
+	}
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Register adds services, and the log as the last of them, to the kernel.
 func (p *Process) Register(services ...kernel.Service) error {
 	services = append(services, kernel.Service{
--- a/core/opaque/process_test.go
+++ b/core/opaque/process_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -19,3 +22,32 @@
 	is.True(strings.Contains(out.String(), "ibisfold_owner_search_seconds_count 1"))
 	is.True(!strings.Contains(out.String(), "flow_open"))
 }
+
+// Guards against a process that stops without announcing it, because its loop was busy or stood
+// still for a second. Issue 39, FLOW.
+func TestCallWaitsForLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := New("test")
+		l := Loop{
+			Process:  p,
+			TickTime: time.Second,
+			Tick: func(bool) {
+				time.Sleep(time.Minute)
+			},
+			Flush: func() {},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			time.Sleep(2 * time.Second)
+			ran := false
+			is.True(p.Call(func() {
+				ran = true
+			}))
+			is.True(ran)
+			cancel()
+		}()
+		is.NoErr(l.Run(ctx))
+		is.True(!p.Call(func() {}))
+	})
+}
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -213,22 +213,13 @@
 
 	return p.Run(term, func() {
 		p.awaitLeavingTarget()
-		done := make(chan struct{})
-		p.Post(func() {
+		p.Call(func() {
 			p.Log.Info("graceful shutdown started", "flows", p.core.Flows())
 			p.announceStop()
-			close(done)
 		})
-		select {
-		case <-done:
-		case <-time.After(loopTimeout):
-		}
 	})
 }
 
-// loopTimeout bounds the wait for a function posted to the loop while the process stops.
-const loopTimeout = time.Second
-
 const (
 	// stopReserve is the part of the time between SIGTERM and SIGKILL that is left for
 	// announcing the stop and handing over the flow table.
@@ -245,19 +236,13 @@
 	begin := p.Clock()
 	waiting := true
 	for waiting && p.Clock()-begin < p.settings.StopTime-stopReserve {
-		reply := make(chan bool, 1)
-		p.Post(func() {
-			leaving := p.core.TargetLeaving(p.Clock())
-			if leaving {
+		waiting = false
+		p.Call(func() {
+			waiting = p.core.TargetLeaving(p.Clock())
+			if waiting {
 				p.execute(p.core.Update(p.Clock(), conntrack.TargetLeaves{}))
 			}
-			reply <- leaving
 		})
-		select {
-		case waiting = <-reply:
-		case <-time.After(loopTimeout):
-			waiting = false
-		}
 		if mayListen, _ := probeTarget(p.settings.Target); !mayListen {
 			waiting = false
 		}
