Entries: each target that is new to the list waits for its first flow

What callers saw: a living flow was reset as held by no target.

Cause: a flow is reset if all known agents deny it and the list was confirmed within SpreadTime. That is safe only if a target gets no flow for SpreadTime after it is first listed. It waited only if it had started within SpreadTime by the clock of its VM. A target that registered late, or whose clock is 3 s behind, and that is not cold, got flows at once from the entry that listed it first; another entry, with a list that was confirmed a moment before, reset them.

Ruled out: a target that starts again under its ID or another one at the same address: other entries ask its agent, which they know by the address. Packets before the first list wait for it, and nothing is reset before the first confirmation (TestStaleListDoesNotReset). A reset only after a confirmation that is younger than the packet would need no wait, but confirmations are up to 1.8 s apart: decision 0026 has weighed that.

Change: a target that joins the list and has not departed waits. In the 4.5 s after an entry's first list targets may be back from an outage that others have always known (TestTargetsComeBackAfterOutage); there the start time still decides, with 10 s for the difference of clocks.

Evidence, core/steer: before, TestSpreadWithClockBehind 'not true: spreadUntil > time.Second' and TestTargetListedLateWaits '0s != 12s'; after, both pass, unchanged. go test ./proof -run Opaque passes (177 s).

--- a/core/steer/liststate.go
+++ b/core/steer/liststate.go
@@ -9,6 +9,15 @@
 	"ibisfold.example/core/catalog"
 )
 
+const (
+	// listFillTime is how long after the first list of this process targets may join the list
+	// that others have known for longer: after an outage of the configuration service, living
+	// targets are back in the list within about 2 s, and the change arrives a little later.
+	listFillTime = catalog.LapseGrace + 2*time.Second
+	// maxClockError bounds how far the clocks of two VMs are assumed to differ.
+	maxClockError = 10 * time.Second
+)
+
 // ageUnknown is the age of a list that was never confirmed.
 const ageUnknown = -1
 
@@ -20,6 +29,8 @@
 	// new ones.
 	departed      map[netip.AddrPort]*catalog.Member
 	departedOrder []netip.AddrPort
+	// began is when the first list came.
+	began time.Duration
 	// confirmed means that the configuration service has confirmed the list, last at
 	// confirmedAt.
 	confirmed   bool
@@ -31,6 +42,9 @@
 
 func (c *Core) setSnapshot(now time.Duration, m CatalogChanged) {
 	old := c.listed
+	if old == nil {
+		c.listState.began = now
+	}
 	n := m.Snapshot
 	c.snapshot = n
 	c.listed = map[netip.AddrPort]*catalog.Member{}
@@ -54,7 +68,7 @@
 func (c *Core) addListed(now time.Duration, m *CatalogChanged, t *catalog.Member, old map[netip.AddrPort]*catalog.Member) {
 	addr := c.agentOf(t)
 	before, known := old[addr]
-	if !known && m.startedWithin(now, t, c.Policy.SpreadTime) {
+	if !known && c.firstListed(now, m, t) {
 		c.agent(addr).spreadUntil = now + c.Policy.SpreadTime
 	}
 	if !known || before.ID != t.ID || before.Born != t.Born {
@@ -64,6 +78,18 @@
 	c.listedOrder = append(c.listedOrder, addr)
 }
 
+// firstListed reports whether a target that joined the list may be unknown to other entries.
+// Those that this process never knew are, unless it lacked targets itself a moment ago; only
+// then does the start time decide. Targets that left the list and are back have been known.
+func (c *Core) firstListed(now time.Duration, m *CatalogChanged, t *catalog.Member) bool {
+	_, departed := c.listState.departed[c.agentOf(t)]
+	if !departed && now-c.listState.began > listFillTime {
+		return true
+	}
+
+	return m.startedWithin(now, t, c.Policy.SpreadTime+maxClockError)
+}
+
 // recordStart notes that the list tells another start of an agent's target than before. One
 // that left the list and is back is not new.
 func (c *Core) recordStart(now time.Duration, addr netip.AddrPort, t *catalog.Member) {
--- a/core/steer/policy.go
+++ b/core/steer/policy.go
@@ -63,8 +63,8 @@
 	// ResendTime bounds the age of packets that are sent again. Callers retransmit older
 	// ones themselves or have given up, and sending all at once would overload the target.
 	ResendTime time.Duration `yaml:"ResendTime,omitempty"`
-	// SpreadTime is how long after its first listing here a target that has just started
-	// gets no new flow if there is another target. Other entries learn of it up to 0.7 s
+	// SpreadTime is how long after its first listing here a target that others may not know
+	// yet gets no new flow if there is another target. Other entries learn of it up to 0.7 s
 	// later as a rule, and up to 1.5 s later if the source that they follow fails. If such
 	// an entry got a packet of a flow at a target that it does not know, it would conclude
 	// that no target holds the flow. Targets that return to the list after an outage of the
--- a/core/steer/spread_test.go
+++ b/core/steer/spread_test.go
@@ -25,3 +25,25 @@
 	})
 	is.True(c.agent(c.listedOrder[1]).spreadUntil > time.Second)
 }
+
+// Guards against resets of living flows at a target that was listed long after its start, for
+// example as it had started while the configuration service was away: it got flows at once,
+// while the current list of another entry still lacked it. Targets that return to the list
+// don't wait. Issue 39, FLOW.
+func TestTargetListedLateWaits(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(2)
+	full := newTestCore(3).snapshot
+	listAt := func(now time.Duration) time.Duration {
+		c.Update(now, CatalogChanged{
+			Snapshot: full,
+			Wall:     time.Hour.Milliseconds(),
+		})
+
+		return c.agent(c.listedOrder[2]).spreadUntil
+	}
+	begin := 10 * time.Second
+	is.Equal(listAt(begin), begin+c.Policy.SpreadTime)
+	updateList(c, begin+time.Second, true, c.listedOrder[2])
+	is.Equal(listAt(begin+2*time.Second), begin+c.Policy.SpreadTime)
+}
