Entries: a SYN that may have opened its flow elsewhere is not reset

What callers saw: a reset of a flow that was open, if the seq 0 of the reset lay in its window.

Cause: an entry reset a flow that it could not place although a SYN of it had gone to another entry, which may have opened it there: a copy without an earlier SYN when there is no route or target, and a first SYN that was refused after the caller had sent copies.

Ruled out: counting only the first SYN; copies that came while another target was being tried were not counted at all.

Change: an entry counts the SYNs of a flow that came to it without a gap. It resets a flow that no target took only if the caller can't have sent a further one yet, with 100 ms for different delays. Otherwise it gives up in silence; the caller's next copy, or its limit of 1.4 s, goes on. sawFirstSYN becomes the count synsSeen, so reuse_test checks that it is 1.

Evidence, go test ./core/steer: before, TestRefusedFlowMayBeOpenElsewhere, TestCopyWithoutTargetIsNotReset and TestCopyWithoutRouteIsNotReset 'not true: !reset'; after, all three pass unchanged. TestRefusalAfterCopyIsReset guards against the other mistake, no reset although all SYNs came here.

--- a/core/segment/retransmit.go
+++ b/core/segment/retransmit.go
@@ -10,6 +10,9 @@
 // has answered.
 const ConnectTimeout = 1400 * time.Millisecond
 
+// SYNCopies is the number of copies of a flow's first SYN that a caller sends.
+const SYNCopies = len(synSendTimes) - 1
+
 // SYNAge returns the minimum time between a caller's first SYN of a flow and a SYN that
 // the given number of copies preceded.
 func SYNAge(earlierCopies uint32) time.Duration {
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -101,8 +101,9 @@
 	// waiting is the decision on the SYN that was last logged while no further target was
 	// left.
 	waiting Decision
-	// sawFirstSYN means that the first copy of the SYN came to this entry.
-	sawFirstSYN bool
+	// synsSeen is the number of SYNs, the first one and its copies, that came to this entry
+	// before any of them went elsewhere.
+	synsSeen uint32
 	// began is when the caller sent the first copy of the SYN, or when the owner was found if
 	// no copy came here; opened is when a copy first came, and due when another target gets
 	// it if none has answered.
--- a/core/steer/open.go
+++ b/core/steer/open.go
@@ -12,6 +12,10 @@
 	"ibisfold.example/core/segment"
 )
 
+// maxSYNDelay bounds how much longer the first SYN of a flow may have been under way than a
+// copy of it that reached another entry.
+const maxSYNDelay = 100 * time.Millisecond
+
 // wrongServiceTime is how long new flows avoid a target whose agent reported that it serves
 // another service.
 const wrongServiceTime = time.Second
@@ -31,13 +35,14 @@
 
 		return
 	}
-	if ok && now < f.due {
-		// The copy was delayed in the network.
-		return
-	}
 	if !ok {
 		f = c.newFlow(now, m)
 	}
+	f.countSYN(m.Segment.Ack)
+	if now < f.due {
+		// The copy was delayed in the network.
+		return
+	}
 	c.recordSYN(now, f, m)
 	c.place(now, k, f)
 }
@@ -53,10 +58,16 @@
 	return f
 }
 
+// countSYN counts a SYN that came here. Its Ack is the number of SYNs that the caller sent
+// before.
+func (f *flow) countSYN(earlier uint32) {
+	if earlier == f.synsSeen {
+		f.synsSeen++
+	}
+}
+
 // recordSYN keeps the SYN until the flow is open.
 func (c *Core) recordSYN(now time.Duration, f *flow, m *CallerPacket) {
-	// In a SYN, Ack is the number of copies that the caller sent before.
-	f.sawFirstSYN = f.sawFirstSYN || m.Segment.Ack == 0
 	f.lastUsed = now
 	f.syn = slices.Clone(m.Packet)
 }
@@ -70,6 +81,7 @@
 	delete(c.opening, k)
 	f := c.newFlow(now, m)
 	f.distrustUntil = now + searchTimeout
+	f.countSYN(m.Segment.Ack)
 	c.recordSYN(now, f, m)
 	if t, ok := c.acceptor(k, earlier.owner); ok && !c.avoided(now, c.agent(earlier.owner)) {
 		c.placeAt(now, k, f, t)
@@ -91,7 +103,7 @@
 func (c *Core) place(now time.Duration, k segment.Key, f *flow) {
 	route, ok := c.snapshot.Route(k.Service())
 	if !ok {
-		c.rejectFlow(now, k, NoRoute, len(f.tried))
+		c.rejectFlow(now, k, f, NoRoute)
 
 		return
 	}
@@ -170,7 +182,7 @@
 // no target got; otherwise it sends the SYN again, as some target may still answer.
 func (c *Core) handleNoTarget(now time.Duration, k segment.Key, f *flow) {
 	if len(f.tried) == 0 {
-		c.rejectFlow(now, k, NoTarget, 0)
+		c.rejectFlow(now, k, f, NoTarget)
 
 		return
 	}
@@ -220,14 +232,24 @@
 	})
 }
 
-// rejectFlow resets a flow that is not open, so that its caller need not wait.
-func (c *Core) rejectFlow(now time.Duration, k segment.Key, d Decision, tried int) {
-	delete(c.flows, k)
+// openElsewhere reports whether another entry may have opened a flow with a SYN that the
+// caller has sent by now and that did not come here.
+func (f *flow) openElsewhere(now time.Duration) bool {
+	return f.synsSeen <= uint32(segment.SYNCopies) && now-f.began+maxSYNDelay >= segment.SYNAge(f.synsSeen)
+}
+
+// rejectFlow resets a flow that no target can have opened, so that its caller need not wait.
+// A flow that may be open elsewhere is only given up here.
+func (c *Core) rejectFlow(now time.Duration, k segment.Key, f *flow, d Decision) {
 	delete(c.opening, k)
+	if f.openElsewhere(now) {
+		return
+	}
+	delete(c.flows, k)
 	c.note(now, Note{
 		Decision: d,
 		Key:      k,
-		Count:    tried,
+		Count:    len(f.tried),
 	})
 	c.reset(k, 0)
 }
@@ -263,8 +285,8 @@
 
 		return
 	}
-	if f.sawFirstSYN && len(f.refused) == len(f.tried) {
-		c.rejectFlow(now, k, NoTarget, len(f.tried))
+	if len(f.refused) == len(f.tried) {
+		c.rejectFlow(now, k, f, NoTarget)
 
 		return
 	}
--- a/core/steer/open_test.go
+++ b/core/steer/open_test.go
@@ -166,6 +166,19 @@
 	is.True(!reset)
 }
 
+// Guards against callers that wait although every target has refused their flow, and all
+// copies of its SYN came here.
+func TestRefusalAfterCopyIsReset(t *testing.T) {
+	for _, copied := range []time.Duration{TickTime, 200 * time.Millisecond} {
+		is := is.New(t)
+		c := newTestCore(1)
+		to, _ := synRecipients(c.Update(0, synPacket(0)))
+		c.Update(copied, synPacket(1))
+		_, reset := synRecipients(c.Update(300*time.Millisecond, refusal(to[0])))
+		is.True(reset)
+	}
+}
+
 // Guards against a reset by an entry whose list has no target, though the copy of the SYN
 // shows that an earlier one went elsewhere and may have opened the flow.
 func TestCopyWithoutTargetIsNotReset(t *testing.T) {
--- a/core/steer/reuse_test.go
+++ b/core/steer/reuse_test.go
@@ -46,7 +46,7 @@
 	agents.run(c, 120*time.Millisecond, 2*time.Second, true, 160*time.Millisecond, 500*time.Millisecond)
 	is.Equal(agents.resets, 0)
 	is.Equal(len(c.flows), 1)
-	is.Equal(c.flows[flowOne].sawFirstSYN, true)
+	is.Equal(c.flows[flowOne].synsSeen, uint32(1))
 }
 
 // Guards against packets of a new flow that go to the target of an earlier flow with the
