Stops: every message after the announcement tells it

What callers saw: an idle flow was used again through an entry that had just been added, and was reset about half a second later, while its target lived and held it.

Cause: an agent announced its stop to the entries that it had heard. One that asked it between the announcement and the end of the process got an ordinary answer and no announcement, and took the following 180 ms of silence for a failure. A message of the stopping process that came more than 250 ms after the announcement, behind a large flow table on a slow link, took the stop back at entries that knew of it.

No answers at all after the announcement would lose packets that the target could still serve.

Change: agents set Message.Stopping in all messages from the announcement on, and another announcement follows each of them for entries that ignore the bit. An entry counts the stop from the last message that tells it; only one without the bit shows that the agent is back. Line 'agent stopping' comes once a stop.

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -4,9 +4,7 @@
 package conntrack
 
 import (
-	"maps"
 	"net/netip"
-	"slices"
 	"time"
 
 	"ibisfold.example/core/relay"
@@ -252,35 +250,31 @@
 	c.restore.recordEnded(k)
 }
 
-// stop handles a planned stop. It tells all entries that the coming silence is planned,
-// returns the queued SYNs to them, and hands the flow table over to some of them. If the
-// target has ended, it also resets the flows that the target held: callers of idle flows
-// then open a new one before their next request, which they may be unable to repeat.
-func (c *Core) stop(now time.Duration, m Stop) {
-	reason := relay.ReasonNone
-	if m.TargetEnded {
-		reason = relay.ReasonTargetDown
-		c.resetHeldFlows(now)
-	}
-	c.refuseAllWaiting(now, relay.ReasonFull)
-	for _, a := range slices.SortedFunc(maps.Keys(c.entries), netip.AddrPort.Compare) {
-		c.sendToEntry(a, relay.Message{
-			Kind:   relay.Stopping,
-			Reason: reason,
-		})
-	}
-	c.handOver(now, m)
-}
-
-// sendToEntry sends a message to an entry and attaches the current load.
+// sendToEntry sends a message to an entry.
 func (c *Core) sendToEntry(to netip.AddrPort, m relay.Message) {
-	c.commands = append(c.commands, ToEntry{
+	c.replyToEntry(ToEntry{
 		To:      to,
-		Message: c.withLoad(m),
+		Message: m,
 	})
 }
 
-func (c *Core) withLoad(m relay.Message) relay.Message {
+// replyToEntry sends a message to an entry. After a planned stop was announced, another
+// announcement follows it: entries of earlier versions do not read Message.Stopping.
+func (c *Core) replyToEntry(x ToEntry) {
+	c.appendToEntry(x)
+	if c.lastStop.announced {
+		c.announceStop(x.To)
+	}
+}
+
+// appendToEntry sends a message to an entry and attaches the state of agent and target.
+func (c *Core) appendToEntry(x ToEntry) {
+	x.Message = c.withState(x.Message)
+	c.commands = append(c.commands, x)
+}
+
+func (c *Core) withState(m relay.Message) relay.Message {
+	m.Stopping = c.lastStop.announced
 	m.Load = uint16(min(100*max(c.meanLoad, c.demand()), maxLoad))
 	m.Unstable = c.damping.unstable(c.now)
 	m.Flows = uint16(min(c.activeFlows, 60000))
--- a/core/conntrack/handover.go
+++ b/core/conntrack/handover.go
@@ -22,42 +22,12 @@
 	// maxHandoverDatagrams bounds the datagrams that hand over one table. They are about
 	// 460 KB, which take 0.4 s on a link of 10 Mbit/s.
 	maxHandoverDatagrams = handoverRecipients * relay.MaxParts
-	// stopBlockTime is how long after a planned stop the process takes no new flow, in
-	// case it keeps running. It has to be longer than any entry keeps the table, because
-	// the table lacks such a flow.
-	stopBlockTime = 2 * maxHandoverTime
 )
 
-// plannedStop is the state of the last planned stop of the process.
-type plannedStop struct {
-	announced   bool
-	announcedAt time.Duration
-	// parts are the parts of the flow table as of the stop; recipients are the entries
-	// that receive them; sentDatagrams is the number of parts sent so far, over all
-	// recipients.
-	parts         []*relay.Table
-	recipients    []netip.AddrPort
-	sentDatagrams int
-}
-
-// active reports whether new flows of the target are blocked because of the stop.
-func (s *plannedStop) active(now time.Duration) bool {
-	return s.announced && now-s.announcedAt < stopBlockTime
-}
-
 // handOver sends the flow table to a few entries, which return it to the next process. A
 // repeated Stop sends the table again within the bound of maxHandoverDatagrams.
-func (c *Core) handOver(now time.Duration, m Stop) {
+func (c *Core) handOver() {
 	s := &c.lastStop
-	if !s.active(now) {
-		*s = plannedStop{
-			announced:   true,
-			announcedAt: now,
-		}
-		if !m.TargetEnded && c.Policy.HandoverTime > 0 {
-			c.snapshotTable(now)
-		}
-	}
 	datagrams := len(s.parts) * len(s.recipients)
 	if s.sentDatagrams+datagrams > maxHandoverDatagrams {
 		return
@@ -65,9 +35,12 @@
 	s.sentDatagrams += datagrams
 	for _, t := range s.parts {
 		for _, a := range s.recipients {
-			c.sendToEntry(a, relay.Message{
-				Kind:  relay.Handover,
-				Table: t,
+			c.appendToEntry(ToEntry{
+				To: a,
+				Message: relay.Message{
+					Kind:  relay.Handover,
+					Table: t,
+				},
 			})
 		}
 	}
@@ -163,33 +136,3 @@
 func (c *Core) wallClock(now time.Duration) int64 {
 	return c.Started + (now - c.restore.startedAt).Milliseconds()
 }
-
-// blockedByStop reports whether an entry's message came too late because the process has
-// already written its table, and refuses new flows. Messages that would change the state
-// of a flow in the table are dropped: callers and entries retransmit them.
-func (c *Core) blockedByStop(now time.Duration, m *EntryMessage) bool {
-	if !c.lastStop.active(now) {
-		return false
-	}
-	f, known := c.flows[m.Message.Key]
-	switch m.Message.Kind {
-	case relay.Open:
-		// As in open, a retransmitted SYN of a flow that the target may hold is not
-		// refused.
-		if !known || !f.mayBeHeld() {
-			c.refuse(now, m, relay.ReasonFull)
-		}
-
-		return true
-	case relay.Deliver, relay.Confirm, relay.Probe:
-		return known && f.state == stateAnswered
-	default:
-		return false
-	}
-}
-
-// blocksSYNAnswer reports whether a packet of the target must be dropped because it would
-// open a flow that the table may lack.
-func (c *Core) blocksSYNAnswer(now time.Duration, s *segment.Segment) bool {
-	return c.lastStop.active(now) && s.Flags.Has(segment.SYN) && !s.Flags.Has(segment.Bounced)
-}
--- a/core/conntrack/stop_test.go
+++ b/core/conntrack/stop_test.go
@@ -160,3 +160,43 @@
 	}
 	is.Equal(resets, 1)
 }
+
+// Guards against resets of living flows by an entry that first hears an agent after the agent
+// has announced its stop, or that missed the announcements: every later message tells the
+// stop, and an announcement follows for entries that do not read that. Issue 39, FLOW.
+func TestMessagesAfterStopTellIt(t *testing.T) {
+	is := is.New(t)
+	c := stoppingCore(5, 3)
+	c.Update(stopAt, Stop{})
+	message := func(k relay.Kind, port int) *EntryMessage {
+		return messageFrom(testEntry, relay.Message{
+			Kind: k,
+			Key:  flowKey(port),
+			Keys: []segment.Key{flowKey(port)},
+		}, segment.ACK, ackSeq)
+	}
+	for _, m := range []Message{
+		message(relay.Find, 2),
+		message(relay.FindMany, 9),
+		message(relay.Confirm, 2),
+		message(relay.Deliver, 9),
+		openMessage(flowKey(9), 0),
+		packetFromTarget(flowKey(0), segment.ACK|segment.Bounced, 0),
+	} {
+		// Also late, when the process takes new flows again.
+		for _, now := range []time.Duration{stopAt, stopAt + 2*stopBlockTime} {
+			kinds := []relay.Kind{}
+			for _, x := range c.Update(now, m) {
+				if x, ok := x.(ToEntry); ok {
+					is.True(x.Message.Stopping)
+					kinds = append(kinds, x.Message.Kind)
+				}
+			}
+			is.True(len(kinds)%2 == 0)
+			for i, k := range kinds {
+				is.Equal(k == relay.Stopping, i%2 == 1)
+			}
+			is.True(len(kinds) > 0 || now > stopAt)
+		}
+	}
+}
--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -282,14 +282,14 @@
 	if !f.entry.IsValid() {
 		return
 	}
-	c.commands = append(c.commands, ToEntry{
+	c.replyToEntry(ToEntry{
 		To: f.entry,
-		Message: c.withLoad(relay.Message{
+		Message: relay.Message{
 			Kind:   relay.Returned,
 			Reason: reason,
 			Key:    m.Segment.Key,
 			Packet: m.Packet,
-		}),
+		},
 		Bounced: true,
 	})
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -161,6 +161,7 @@
 const (
 	flagUnstable = 1 << iota
 	flagLeaving
+	flagStopping
 )
 
 // Sentinel errors of this package.
@@ -209,6 +210,10 @@
 	// Leaving means, in messages from entries, that the agent's target is draining or has
 	// left the catalog.
 	Leaving bool
+	// Stopping means, in messages from agents, that the agent sent the message after it had
+	// announced its planned stop. An entry that missed the announcement, or that asks only
+	// now, learns of the stop from it. Agents of earlier versions never set it.
+	Stopping bool
 	// Flows is, in messages from agents, the number of recently active flows.
 	Flows uint16
 	// Keys lists the flows of FindMany and Answers, at most MaxKeys. Ownership has, in
@@ -231,6 +236,9 @@
 	if m.Leaving {
 		b[len(b)-1] |= flagLeaving
 	}
+	if m.Stopping {
+		b[len(b)-1] |= flagStopping
+	}
 	b = binary.LittleEndian.AppendUint64(b, m.sharedField())
 	b = appendKey(b, m.Key)
 	b = binary.LittleEndian.AppendUint16(b, m.ColdRate)
@@ -244,6 +252,12 @@
 	return m.appendBody(b)
 }
 
+// AnnouncesStop reports whether the message shows that its agent has announced its planned
+// stop.
+func (m *Message) AnnouncesStop() bool {
+	return m.Stopping || m.Kind == Stopping
+}
+
 // sharedField returns the value of Service, Born or Table.ID, which share one field of the
 // header. The kind determines which of them it is.
 func (m *Message) sharedField() uint64 {
@@ -289,6 +303,7 @@
 	m.Reason = Reason(b[2])
 	m.Unstable = b[3]&flagUnstable != 0
 	m.Leaving = b[3]&flagLeaving != 0
+	m.Stopping = b[3]&flagStopping != 0
 	m.setSharedField(binary.LittleEndian.Uint64(b[4:]))
 	m.Key = decodeKey(b[12:])
 	m.ColdRate = binary.LittleEndian.Uint16(b[24:])
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -22,6 +22,7 @@
 		Load:     4,
 		Unstable: true,
 		Leaving:  true,
+		Stopping: true,
 		Flows:    5,
 		Slots:    6,
 		Age:      7,
--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -54,7 +54,8 @@
 	firstQuery time.Duration
 	lastQuery  time.Duration
 	unanswered int
-	// stopAnnounced is when the agent announced its stop; zero if it did not.
+	// stopAnnounced is when the last message came that shows that the agent has announced
+	// its stop; zero if none did.
 	stopAnnounced time.Duration
 	// targetEnded means that the agent announced its stop with the reason that its target
 	// had ended, and that no other target was listed at its address since.
@@ -177,6 +178,9 @@
 	a.flows = int(m.Flows)
 	a.unstable = m.Unstable
 	a.opened = 0
+	if m.AnnouncesStop() {
+		c.recordStop(now, from, m)
+	}
 
 	return a
 }
@@ -373,13 +377,6 @@
 		}
 	case relay.Returned:
 		c.returned(now, m, a)
-	case relay.Stopping:
-		a.stopAnnounced = max(now, 1)
-		a.targetEnded = a.targetEnded || m.Message.Reason == relay.ReasonTargetDown
-		c.note(now, Note{
-			Decision: AgentStopping,
-			Agent:    m.From,
-		})
 	}
 }
 
--- a/core/steer/handover.go
+++ b/core/steer/handover.go
@@ -78,6 +78,9 @@
 	switch m.Message.Kind {
 	case relay.Handover:
 		c.keepPart(now, m.From, t)
+		if m.Message.Stopping {
+			c.recordStop(now, m.From, &m.Message)
+		}
 
 		return true
 	case relay.HandoverWanted:
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -63,6 +63,8 @@
 	dedupe bool
 	// unreliable means that messages between VMs are lost, duplicated and reordered.
 	unreliable bool
+	// endTime is how long a process runs after the announcement of its planned stop.
+	endTime time.Duration
 	// linkRate is the speed of the entries' links, in bytes per second.
 	linkRate int
 	// paths holds what the oracle knows about the delivery of each flow's packets: see
@@ -289,7 +291,8 @@
 // opaqueStopCopies is how often an agent announces its stop where messages may be lost.
 const opaqueStopCopies = 3
 
-// stopAgent stops an agent as planned and starts it again after away.
+// stopAgent stops an agent as planned and starts it again after away. It ends endTime after
+// the announcement.
 func (w *opaqueWorld) stopAgent(a *opaqueAgent, away time.Duration) {
 	copies := 1
 	if w.unreliable {
@@ -298,8 +301,14 @@
 	for range copies {
 		w.agentUpdate(a, conntrack.Stop{})
 	}
-	a.down = true
-	w.After(away, func() {
+	if w.endTime == 0 {
+		a.down = true
+	} else {
+		w.After(w.endTime, func() {
+			a.down = true
+		})
+	}
+	w.After(w.endTime+away, func() {
 		w.startAgent(a, false)
 	})
 }
