Tests: entries start at any time while an agent stops

TestOpaqueEntryAsksStoppingAgent replaced an entry only in the moment of the announcement. Now it starts at a random time before the process ends.

--- a/proof/opaque_stopping_test.go
+++ b/proof/opaque_stopping_test.go
@@ -25,7 +25,9 @@
 		opaqueTotals(callers)
 		for i, a := range w.agents {
 			w.stopAgent(a, opaqueStopDowntime)
-			w.startEntry(w.entries[i%len(w.entries)])
+			w.After(time.Duration(w.random.Int64N(int64(w.endTime))), func() {
+				w.startEntry(w.entries[i%len(w.entries)])
+			})
 			w.Run(w.endTime + time.Second)
 		}
 		w.check()
