Name the evidence on which a flow of an agent is reset

A reset because the owner was gone had one line and one counter, whether the agent had told the end of its target or had only been silent. The line and a counter now have the evidence and the number of unanswered queries. An agent that is heard again after such resets has its own line with their number: a mistake if its target lived.

--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -60,6 +60,8 @@
 	// had ended, and that no other target was listed at its address since.
 	targetEnded bool
 	silent      bool
+	// lost holds the flows that were reset since the agent was last heard.
+	lost lostFlows
 	// restoreUntil is until when the agent, back from a planned stop, may still receive its
 	// flow table: see awaitTable.
 	restoreUntil time.Duration
@@ -158,6 +160,7 @@
 			Agent:    from,
 		})
 	}
+	c.noteLostFlows(now, from, a)
 	c.resend(now, from, a, m.Kind)
 	if !a.everHeard || now-a.heard >= c.MaxFlowAge {
 		c.listState.generation++
@@ -181,12 +184,21 @@
 	return a
 }
 
-// failed reports whether the agent's silence shows that it can't serve its flows, and
-// planned work is not the cause.
-func (c *Core) failed(now time.Duration, a *agent) bool {
-	if a.targetEnded {
-		return true
+// gone returns the evidence that the agent can't serve its flows, and that planned work is
+// not the cause.
+func (c *Core) gone(now time.Duration, a *agent) Evidence {
+	switch {
+	case a.targetEnded:
+		return TargetEnded
+	case c.failed(now, a):
+		return QueriesUnanswered
 	}
+
+	return EvidenceNone
+}
+
+// failed reports whether the agent's silence shows that it can't serve its flows.
+func (c *Core) failed(now time.Duration, a *agent) bool {
 	if a.unanswered < minUnansweredQueries || c.inPlannedStop(now, a) {
 		return false
 	}
@@ -243,8 +255,8 @@
 		if !a.awaiting || now-a.awaitingSince < queryDelay {
 			continue
 		}
-		if c.failed(now, a) {
-			c.failAgent(now, addr, a)
+		if e := c.gone(now, a); e != EvidenceNone {
+			c.failAgent(now, addr, a, e)
 			continue
 		}
 		if a.unanswered == 0 || now-a.lastQuery >= queryRetryInterval {
@@ -326,7 +338,7 @@
 
 // failAgent resets all flows of a failed agent, including idle ones. The caller of an idle
 // flow then opens another one for its next request, which it may be unable to repeat.
-func (c *Core) failAgent(now time.Duration, addr netip.AddrPort, a *agent) {
+func (c *Core) failAgent(now time.Duration, addr netip.AddrPort, a *agent, e Evidence) {
 	a.awaiting = false
 	a.unacknowledged = a.unacknowledged[:0]
 	if !a.silent {
@@ -339,19 +351,23 @@
 	}
 	for _, k := range segment.SortedKeys(c.flows) {
 		if f := c.flows[k]; f.owner == addr {
-			c.endFlow(now, k, f.ack, addr)
+			c.endFlow(now, k, f.ack, addr, e)
 		}
 	}
 }
 
 // endFlow resets a flow whose agent is gone, so that its caller opens another one.
-func (c *Core) endFlow(now time.Duration, k segment.Key, seq uint32, addr netip.AddrPort) {
+func (c *Core) endFlow(now time.Duration, k segment.Key, seq uint32, addr netip.AddrPort, e Evidence) {
+	a := c.agent(addr)
+	a.lost.add(now, e)
 	delete(c.flows, k)
 	delete(c.opening, k)
 	c.note(now, Note{
 		Decision: OwnerGone,
 		Key:      k,
 		Agent:    addr,
+		Count:    a.unanswered,
+		Evidence: e,
 	})
 	c.reset(k, seq)
 }
--- a/core/steer/command.go
+++ b/core/steer/command.go
@@ -37,11 +37,13 @@
 	Version uint64
 	// Age is the time since a message of Agent last arrived.
 	Age time.Duration
-	// Count is the number of attempts or answers on which the decision rests, or of parts
-	// of a flow table.
+	// Count is the number of attempts, answers or unanswered queries on which the decision
+	// rests, of parts of a flow table, or of flows that were reset.
 	Count int
 	// Reason is the reason that the agent gave.
 	Reason relay.Reason
+	// Evidence is what shows that Agent is gone, if the decision rests on that.
+	Evidence Evidence
 	// Service is the name of the service that the agent's target is expected to serve; empty
 	// if the note is not about a SYN that was sent.
 	Service string
@@ -141,6 +143,9 @@
 	AgentSilent
 	// AgentBack means that a silent agent is heard again.
 	AgentBack
+	// LostAgentBack means that an agent is heard again whose flows were reset because
+	// it was taken for gone. If its target lived, the resets were a mistake.
+	LostAgentBack
 	// AgentStopping means that an agent announced its planned stop.
 	AgentStopping
 	// TableKept means that an agent that stops handed over its flow table.
@@ -168,6 +173,7 @@
 	OwnerGone:        "flow reset: owner gone",
 	AgentSilent:      "agent silent",
 	AgentBack:        "agent back",
+	LostAgentBack:    "agent back after its flows were reset",
 	AgentStopping:    "agent stopping",
 	TableKept:        "flow table kept",
 	TableDropped:     "flow table dropped: no memory",
--- a/core/steer/forward.go
+++ b/core/steer/forward.go
@@ -47,9 +47,9 @@
 func (c *Core) forward(now time.Duration, to netip.AddrPort, m *CallerPacket) {
 	k := m.Segment.Key
 	a := c.agent(to)
-	if a.silent || a.targetEnded {
+	if e := a.knownGone(); e != EvidenceNone {
 		c.query(now, to, k)
-		c.endFlow(now, k, m.Segment.Ack, to)
+		c.endFlow(now, k, m.Segment.Ack, to, e)
 
 		return
 	}
@@ -100,7 +100,7 @@
 	// A target that is down ends only its own flows. A flow whose owner is being searched
 	// for may be at any other target.
 	if owned && m.Message.Reason == relay.ReasonTargetDown {
-		c.endFlow(now, k, m.Segment.Ack, m.From)
+		c.endFlow(now, k, m.Segment.Ack, m.From, TargetEnded)
 
 		return
 	}
--- a/core/steer/query.go
+++ b/core/steer/query.go
@@ -74,7 +74,7 @@
 	r := &s.replies[c.addReply(s, a)]
 	r.sentAt = now
 	r.preferred = s.stage == stagePreferred
-	if !c.failed(now, r.agent) {
+	if c.gone(now, r.agent) == EvidenceNone {
 		s.outstanding++
 	}
 	c.sendOrQueue(now, k, s.stage, a)
--- a/core/steer/resolve.go
+++ b/core/steer/resolve.go
@@ -92,7 +92,7 @@
 		return now-max(r.sentAt, s.since) >= queuedWaveTimeout
 	}
 
-	return c.failed(now, r.agent)
+	return c.gone(now, r.agent) != EvidenceNone
 }
 
 // present reports whether an unsure agent is probably still there and will not become sure
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -52,6 +52,8 @@
 	// steer.Measure.
 	decisions  []*metrics.Counter
 	histograms []*metrics.Histogram
+	// ownerGone has a counter for each steer.Evidence: the flows that were reset on it.
+	ownerGone []*metrics.Counter
 	// storeCalls and sourceCalls count the calls for the catalog to the configuration
 	// service and to other entries.
 	storeCalls  *metrics.Counter
@@ -117,6 +119,9 @@
 	}
 	p.followSources(s)
 	p.decisions = p.DecisionCounters(steer.DecisionNames())
+	for _, name := range steer.EvidenceNames() {
+		p.ownerGone = append(p.ownerGone, p.Metrics.NewCounter(`ibisfold_flows_owner_gone_total{evidence="`+name+`"}`))
+	}
 	p.storeCalls = p.Metrics.NewCounter(`ibisfold_catalog_calls_total{to="store"}`)
 	p.sourceCalls = p.Metrics.NewCounter(`ibisfold_catalog_calls_total{to="source"}`)
 	p.storeRestores = p.Metrics.NewCounter("ibisfold_store_restores_total")
@@ -353,7 +358,13 @@
 // recordDecision counts and logs a decision.
 func (p *opaqueEntry) recordDecision(n steer.Note) {
 	p.decisions[n.Decision].Inc()
+	if n.Decision == steer.OwnerGone {
+		p.ownerGone[n.Evidence].Inc()
+	}
 	fields := []any{"flow", n.Key, "agent", n.Agent, "version", n.Version, "heard", n.Age, "count", n.Count, "reason", n.Reason}
+	if n.Evidence != steer.EvidenceNone {
+		fields = append(fields, "evidence", n.Evidence)
+	}
 	if n.Service != "" {
 		fields = append(fields, "service", n.Service)
 	}
