Keep the flows of an agent that is only silent

Callers got resets on open flows whose target lived: an agent counted as gone after 180 ms without an answer, and each entry reset all its flows. Searches took such an agent for one that holds nothing, and reset the flow or sent its packets to other targets; a packet of a flow that is not confirmed yet went to another target that had got a copy of the SYN.

Silence alone ends no flow now. While an agent leaves queries unanswered the entry connects to the metrics port of its VM, whose kernel answers however little time the process gets: accepted means slow, refused means that the process will be back beside its target, and no answer for UnreachableTime (200 ms) while another agent's VM accepts means that the VM has no power or is cut off. Only the last one, or 5 s of refusals, resets flows (decision 0032). New flows avoid a silent agent as early as before. Messages between processes are as before.

The core's test agents refuse connections while they are silent, as the restarts that those tests mean do; the one that expects a reset of a VM that stays silent says so. The random worlds no longer excuse resets of an agent that is paused without its target. Without announced stops no random world broke any more, as refusals protect the flows too: the check that the oracle can fail now takes away both, and TestOpaqueSlowAgents has to fail without the kernel's answers.

--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -60,6 +60,9 @@
 	// had ended, and that no other target was listed at its address since.
 	targetEnded bool
 	silent      bool
+	// goneBy is the evidence on which the agent's flows were reset since it was last heard.
+	goneBy Evidence
+	port   portCheck
 	// lost holds the flows that were reset since the agent was last heard.
 	lost lostFlows
 	// restoreUntil is until when the agent, back from a planned stop, may still receive its
@@ -168,8 +171,11 @@
 	a.everHeard = true
 	a.heard = now
 	c.lastHeard = now
+	c.lastHeardFrom = from
 	a.unanswered = 0
 	a.silent = false
+	a.goneBy = EvidenceNone
+	a.port = portCheck{}
 	if now-a.stopAnnounced > maxMessageDelay {
 		c.awaitTable(now, a)
 		a.stopAnnounced = 0
@@ -185,20 +191,22 @@
 }
 
 // gone returns the evidence that the agent can't serve its flows, and that planned work is
-// not the cause.
+// not the cause. Silence alone is none: a process may get no processor time for longer than
+// any callers wait, and its target still holds its flows.
 func (c *Core) gone(now time.Duration, a *agent) Evidence {
 	switch {
 	case a.targetEnded:
 		return TargetEnded
-	case c.failed(now, a):
-		return QueriesUnanswered
+	case a.unanswered < minUnansweredQueries, now-a.firstQuery < c.Policy.SilentTime, c.inPlannedStop(now, a):
+		return EvidenceNone
 	}
 
-	return EvidenceNone
+	return a.port.evidence(now, c.Policy)
 }
 
-// failed reports whether the agent's silence shows that it can't serve its flows.
-func (c *Core) failed(now time.Duration, a *agent) bool {
+// isSilent reports whether the agent left so many queries unanswered for so long that it
+// counts as silent, and planned work is not the cause.
+func (c *Core) isSilent(now time.Duration, a *agent) bool {
 	if a.unanswered < minUnansweredQueries || c.inPlannedStop(now, a) {
 		return false
 	}
@@ -244,7 +252,8 @@
 	}
 }
 
-// tickAgents repeats queries and resets the flows of agents that have failed.
+// tickAgents repeats queries, checks the ports of agents that do not answer and resets the
+// flows of agents that are gone.
 func (c *Core) tickAgents(now time.Duration) {
 	c.checkLink(now)
 	for _, addr := range c.agentOrder {
@@ -252,6 +261,7 @@
 		if c.queryDue(now, addr, a) {
 			c.query(now, addr, a.awaitingKey)
 		}
+		c.checkPort(now, addr, a)
 		if !a.awaiting || now-a.awaitingSince < queryDelay {
 			continue
 		}
@@ -259,6 +269,10 @@
 			c.failAgent(now, addr, a, e)
 			continue
 		}
+		if c.isSilent(now, a) {
+			c.noteSilent(now, addr, a)
+			continue
+		}
 		if a.unanswered == 0 || now-a.lastQuery >= queryRetryInterval {
 			c.query(now, addr, a.awaitingKey)
 		}
@@ -336,19 +350,26 @@
 	a.awaitingKey = k
 }
 
-// failAgent resets all flows of a failed agent, including idle ones. The caller of an idle
+// noteSilent logs that an agent is silent. It is queried less often from then on.
+func (c *Core) noteSilent(now time.Duration, addr netip.AddrPort, a *agent) {
+	if a.silent {
+		return
+	}
+	a.silent = true
+	c.note(now, Note{
+		Decision: AgentSilent,
+		Agent:    addr,
+		Count:    a.unanswered,
+	})
+}
+
+// failAgent resets all flows of an agent that is gone, including idle ones. The caller of an idle
 // flow then opens another one for its next request, which it may be unable to repeat.
 func (c *Core) failAgent(now time.Duration, addr netip.AddrPort, a *agent, e Evidence) {
 	a.awaiting = false
 	a.unacknowledged = a.unacknowledged[:0]
-	if !a.silent {
-		a.silent = true
-		c.note(now, Note{
-			Decision: AgentSilent,
-			Agent:    addr,
-			Count:    a.unanswered,
-		})
-	}
+	a.goneBy = e
+	c.noteSilent(now, addr, a)
 	for _, k := range segment.SortedKeys(c.flows) {
 		if f := c.flows[k]; f.owner == addr {
 			c.endFlow(now, k, f.ack, addr, e)
--- a/core/steer/command.go
+++ b/core/steer/command.go
@@ -19,6 +19,15 @@
 	Message relay.Message
 }
 
+// CheckPort asks for a TCP connection to a port on which an agent's process listens, so that
+// its VM tells whether the process is there. The result is a PortChecked.
+type CheckPort struct {
+	Agent netip.AddrPort
+	// Other is an agent that was heard a moment ago. If nothing answers at Agent, a connection
+	// to Other shows whether this VM can connect to agents; none is made if Other is the same.
+	Other netip.AddrPort
+}
+
 // Reset resets a flow towards its caller.
 type Reset struct {
 	Key segment.Key
@@ -44,6 +53,8 @@
 	Reason relay.Reason
 	// Evidence is what shows that Agent is gone, if the decision rests on that.
 	Evidence Evidence
+	// Port is the state of Agent's port, for SilentPortChecked.
+	Port PortState
 	// Service is the name of the service that the agent's target is expected to serve; empty
 	// if the note is not about a SYN that was sent.
 	Service string
@@ -90,10 +101,11 @@
 	return measureNames[:]
 }
 
-func (*Send) command()    {}
-func (Reset) command()    {}
-func (Note) command()     {}
-func (Measured) command() {}
+func (*Send) command()     {}
+func (CheckPort) command() {}
+func (Reset) command()     {}
+func (Note) command()      {}
+func (Measured) command()  {}
 
 // Decision identifies what was decided, for logs and counters.
 type Decision uint8
@@ -141,6 +153,9 @@
 	OwnerGone
 	// AgentSilent means that an agent no longer answers queries.
 	AgentSilent
+	// SilentPortChecked means that the port of an agent that does not answer was checked and
+	// has another state than before.
+	SilentPortChecked
 	// AgentBack means that a silent agent is heard again.
 	AgentBack
 	// LostAgentBack means that an agent is heard again whose flows were reset because
@@ -156,27 +171,28 @@
 )
 
 var decisionNames = [decisions]string{
-	DecisionNone:     "none",
-	Placed:           "flow placed",
-	PlacedAgain:      "flow placed again",
-	SYNRepeated:      "flow's SYN repeated",
-	SYNKept:          "flow's SYN waits for a target",
-	NoRoute:          "flow reset: no route",
-	NoTarget:         "flow reset: no target",
-	NoCatalog:        "packet dropped: no catalog yet",
-	SearchStarted:    "owner search started",
-	SearchFound:      "owner found",
-	ProbesSent:       "packet on trial",
-	SearchUnresolved: "owner search open",
-	SearchReplaced:   "owner search ended: flow opened anew",
-	NotHeld:          "flow reset: held by no target",
-	OwnerGone:        "flow reset: owner gone",
-	AgentSilent:      "agent silent",
-	AgentBack:        "agent back",
-	LostAgentBack:    "agent back after its flows were reset",
-	AgentStopping:    "agent stopping",
-	TableKept:        "flow table kept",
-	TableDropped:     "flow table dropped: no memory",
+	DecisionNone:      "none",
+	Placed:            "flow placed",
+	PlacedAgain:       "flow placed again",
+	SYNRepeated:       "flow's SYN repeated",
+	SYNKept:           "flow's SYN waits for a target",
+	NoRoute:           "flow reset: no route",
+	NoTarget:          "flow reset: no target",
+	NoCatalog:         "packet dropped: no catalog yet",
+	SearchStarted:     "owner search started",
+	SearchFound:       "owner found",
+	ProbesSent:        "packet on trial",
+	SearchUnresolved:  "owner search open",
+	SearchReplaced:    "owner search ended: flow opened anew",
+	NotHeld:           "flow reset: held by no target",
+	OwnerGone:         "flow reset: owner gone",
+	AgentSilent:       "agent silent",
+	SilentPortChecked: "port of silent agent checked",
+	AgentBack:         "agent back",
+	LostAgentBack:     "agent back after its flows were reset",
+	AgentStopping:     "agent stopping",
+	TableKept:         "flow table kept",
+	TableDropped:      "flow table dropped: no memory",
 }
 
 // DecisionNames returns the names of all decisions, in the order of their values.
--- a/core/steer/confirm.go
+++ b/core/steer/confirm.go
@@ -43,12 +43,12 @@
 	return c.reachable(f.tried)
 }
 
-// reachable returns the agents of a list that have not failed and whose target has not
-// ended.
+// reachable returns the agents of a list that are not known to be gone. A packet for one that
+// is only silent must not go to another agent, whose target does not hold the flow.
 func (c *Core) reachable(list []netip.AddrPort) []netip.AddrPort {
 	reachable := []netip.AddrPort{}
 	for _, to := range list {
-		if a := c.agent(to); !a.silent && !a.targetEnded {
+		if a := c.agent(to); a.knownGone() == EvidenceNone {
 			reachable = append(reachable, to)
 		}
 	}
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -67,6 +67,8 @@
 	probes tokenBucket
 	// lastHeard is when the last message of any agent arrived.
 	lastHeard time.Duration
+	// lastHeardFrom is the agent that sent it.
+	lastHeardFrom netip.AddrPort
 	// nextLinkCheck is the index in listedOrder of the last agent that checkLink queried.
 	nextLinkCheck int
 	commands      []Command
@@ -136,6 +138,8 @@
 		c.replayEarly(now)
 	case CatalogConfirmed:
 		c.confirmList(now - m.Age)
+	case PortChecked:
+		c.handlePortCheck(now, m)
 	case Tick:
 		c.tick(now, m.Behind)
 	}
@@ -238,6 +242,7 @@
 func (c *Core) restartTimers(now time.Duration) {
 	for _, a := range c.agents {
 		a.awaitingSince = now
+		a.port.restart()
 		if a.unanswered > 0 {
 			a.firstQuery = now
 			a.unanswered = 1
--- a/core/steer/evidence.go
+++ b/core/steer/evidence.go
@@ -13,15 +13,20 @@
 	EvidenceNone Evidence = iota
 	// TargetEnded means that the agent said that its target has ended.
 	TargetEnded
-	// QueriesUnanswered means that the agent does not answer, and nothing else.
-	QueriesUnanswered
+	// VMUnreachable means that the agent does not answer, and that its VM answered no
+	// connection attempt while another agent's did.
+	VMUnreachable
+	// ProcessGone means that the agent does not answer, and that its VM refused connections
+	// to its process for longer than a restart takes.
+	ProcessGone
 	evidences
 )
 
 var evidenceNames = [evidences]string{
-	EvidenceNone:      "none",
-	TargetEnded:       "target ended",
-	QueriesUnanswered: "queries unanswered",
+	EvidenceNone:  "none",
+	TargetEnded:   "target ended",
+	VMUnreachable: "vm unreachable",
+	ProcessGone:   "process gone",
 }
 
 // EvidenceNames returns the names of all evidence, in the order of its values.
@@ -72,12 +77,9 @@
 
 // knownGone returns the evidence on which flows of the agent were reset already.
 func (a *agent) knownGone() Evidence {
-	switch {
-	case a.targetEnded:
+	if a.targetEnded {
 		return TargetEnded
-	case a.silent:
-		return QueriesUnanswered
 	}
 
-	return EvidenceNone
+	return a.goneBy
 }
--- a/core/steer/message.go
+++ b/core/steer/message.go
@@ -48,6 +48,15 @@
 	Age time.Duration
 }
 
+// PortChecked is the result of a CheckPort.
+type PortChecked struct {
+	Agent netip.AddrPort
+	State PortState
+	// OtherState is the state of the port of the other agent, which was checked after that of
+	// Agent if nothing answered there.
+	OtherState PortState
+}
+
 // Tick advances time. It comes every TickTime.
 type Tick struct {
 	// Behind means that messages that have already arrived may wait in the process's
@@ -59,4 +68,5 @@
 func (*AgentMessage) message()    {}
 func (CatalogChanged) message()   {}
 func (CatalogConfirmed) message() {}
+func (PortChecked) message()      {}
 func (Tick) message()             {}
--- a/core/steer/policy.go
+++ b/core/steer/policy.go
@@ -58,7 +58,11 @@
 	// SlowTime is how long an agent may leave queries unanswered before new flows avoid its
 	// target.
 	SlowTime time.Duration `yaml:"SlowTime,omitempty"`
-	// StopTime is how long an agent may be unavailable after it announced its stop.
+	// UnreachableTime is for how long a silent agent's VM has to leave connection attempts
+	// unanswered to count as unreachable.
+	UnreachableTime time.Duration `yaml:"UnreachableTime,omitempty"`
+	// StopTime is how long an agent may be unavailable after it announced its stop, or after
+	// its VM began to refuse connections to its process.
 	StopTime time.Duration `yaml:"StopTime,omitempty"`
 	// ResendTime bounds the age of packets that are sent again. Callers retransmit older
 	// ones themselves or have given up, and sending all at once would overload the target.
@@ -114,6 +118,7 @@
 		DownTime:        300 * time.Millisecond,
 		SilentTime:      180 * time.Millisecond,
 		StrangerTime:    3 * time.Second,
+		UnreachableTime: 200 * time.Millisecond,
 		SlowTime:        80 * time.Millisecond,
 		StopTime:        5 * time.Second,
 		ResendTime:      250 * time.Millisecond,
@@ -160,16 +165,17 @@
 	c.Range(section+"Preferred", p.Preferred, 1, maxTargets)
 	c.Range(section+"MaxTried", p.MaxTried, 1, maxTargets)
 	for name, d := range map[string]time.Duration{
-		"AcceptTime":   p.AcceptTime,
-		"FullTime":     p.FullTime,
-		"DownTime":     p.DownTime,
-		"SilentTime":   p.SilentTime,
-		"StrangerTime": p.StrangerTime,
-		"SlowTime":     p.SlowTime,
-		"StopTime":     p.StopTime,
-		"ResendTime":   p.ResendTime,
-		"SpreadTime":   p.SpreadTime,
-		"HearingTime":  p.HearingTime,
+		"AcceptTime":      p.AcceptTime,
+		"FullTime":        p.FullTime,
+		"DownTime":        p.DownTime,
+		"SilentTime":      p.SilentTime,
+		"StrangerTime":    p.StrangerTime,
+		"UnreachableTime": p.UnreachableTime,
+		"SlowTime":        p.SlowTime,
+		"StopTime":        p.StopTime,
+		"ResendTime":      p.ResendTime,
+		"SpreadTime":      p.SpreadTime,
+		"HearingTime":     p.HearingTime,
 	} {
 		document.Between(c, section+name, d, 0, maxDuration)
 	}
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -34,6 +34,7 @@
 	toAgent  *udp.Writer
 
 	core  steer.Core
+	ports *portChecker
 	state catalog.State
 	// published is the snapshot that the core got last, nil before the first.
 	published *catalog.Snapshot
@@ -105,6 +106,7 @@
 			Random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 	}
+	p.ports = newPortChecker(s.Metrics.Port(), p.handlePortCheck)
 	p.state.MaxAge = s.MaxFlowAge
 	p.feedLog.MaxAge = s.MaxFlowAge
 	p.follower = feed.Follower{
@@ -172,6 +174,10 @@
 			Name:  "follower",
 			Value: &p.follower,
 		},
+		{
+			Name:  "port checks",
+			Value: p.ports,
+		},
 	}
 	if p.settings.Control.IsValid() {
 		services = append(services, kernel.Service{
@@ -297,6 +303,12 @@
 	}))
 }
 
+func (p *opaqueEntry) handlePortCheck(m steer.PortChecked) {
+	p.Post(func() {
+		p.execute(p.core.Update(p.Clock(), m))
+	})
+}
+
 func (p *opaqueEntry) handleCallerBatch(b udp.Batch) {
 	defer b.Done()
 	now := p.Clock()
@@ -344,6 +356,8 @@
 		switch c := c.(type) {
 		case *steer.Send:
 			p.toAgent.Add(c.Message.Append(p.toAgent.Next()), c.To)
+		case steer.CheckPort:
+			p.ports.check(c)
 		case steer.Reset:
 			to := platform.CallerAddress(c.Key, p.settings)
 			p.toCaller.Add(platform.AppendReset(p.toCaller.Next(), c.Key, c.Seq), to)
@@ -362,6 +376,9 @@
 		p.ownerGone[n.Evidence].Inc()
 	}
 	fields := []any{"flow", n.Key, "agent", n.Agent, "version", n.Version, "heard", n.Age, "count", n.Count, "reason", n.Reason}
+	if n.Decision == steer.SilentPortChecked {
+		fields = append(fields, "port", n.Port)
+	}
 	if n.Evidence != steer.EvidenceNone {
 		fields = append(fields, "evidence", n.Evidence)
 	}
--- a/proof/opaque_fuzz_test.go
+++ b/proof/opaque_fuzz_test.go
@@ -354,7 +354,11 @@
 const (
 	// opaqueAllProtections: no protection is disabled.
 	opaqueAllProtections opaqueProtection = ""
-	// opaqueAnnouncement: agents announce their planned stops.
+	// opaqueKernelAnswers: the kernel of a VM answers connections to a process that does not
+	// run or gets no processor time.
+	opaqueKernelAnswers opaqueProtection = "answers of kernels"
+	// opaqueAnnouncement: agents announce their planned stops. Connections to a stopped process
+	// are not refused either, as that protects its flows as well.
 	opaqueAnnouncement opaqueProtection = "announcement of stops"
 	// opaqueUnsure: a restarted agent knows that it may not know all flows of its target.
 	opaqueUnsure opaqueProtection = "unsure agents"
--- a/proof/opaque_network_test.go
+++ b/proof/opaque_network_test.go
@@ -63,6 +63,8 @@
 		switch c := c.(type) {
 		case *steer.Send:
 			w.toAgent(e, c.To, c.Message)
+		case steer.CheckPort:
+			w.checkPort(e, c)
 		case steer.Reset:
 			w.toCaller(e.zone, c.Key, platform.AppendReset(nil, c.Key, c.Seq))
 		case steer.Note:
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -100,10 +100,12 @@
 
 // opaqueAgent is a VM with an agent and a target.
 type opaqueAgent struct {
-	addr   netip.AddrPort
-	zone   string
-	core   *conntrack.Core
-	down   bool
+	addr netip.AddrPort
+	zone string
+	core *conntrack.Core
+	down bool
+	// cutOff means that down is the fault of the VM's link.
+	cutOff bool
 	target opaqueTarget
 	// impairedUntil is when the VM's last unplanned fault ends; zero means none.
 	impairedUntil time.Duration
@@ -119,9 +121,11 @@
 func (w *opaqueWorld) cut(a *opaqueAgent, d time.Duration) {
 	w.log = append(w.log, fmt.Sprint(w.Now, " agent ", a.addr, " cut off for ", d))
 	a.down = true
+	a.cutOff = true
 	a.impair(w.Now + d)
 	w.After(d, func() {
 		a.down = false
+		a.cutOff = false
 	})
 }
 
