--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -61,6 +61,11 @@
 	// had ended, and that no other target was listed at its address since.
 	targetEnded bool
 	silent      bool
+	// goneBy is the evidence on which the agent's flows were reset since it was last heard.
+	goneBy Evidence
+	port   portCheck
+	// lost holds the flows that were reset since the agent was last heard.
+	lost lostFlows
 	// restoreUntil is until when the agent, back from a planned stop, may still receive its
 	// flow table: see awaitTable.
 	restoreUntil time.Duration
@@ -159,6 +164,7 @@
 			Agent:    from,
 		})
 	}
+	c.noteLostFlows(now, from, a)
 	c.resend(now, from, a, m.Kind)
 	if !a.everHeard || now-a.heard >= c.MaxFlowAge {
 		c.listState.generation++
@@ -166,8 +172,11 @@
 	a.everHeard = true
 	a.heard = now
 	c.lastHeard = now
+	c.lastHeardFrom = from
 	a.unanswered = 0
 	a.silent = false
+	a.goneBy = EvidenceNone
+	a.port = portCheck{}
 	if now-a.stopAnnounced > maxMessageDelay {
 		c.awaitTable(now, a)
 		a.stopAnnounced = 0
@@ -185,12 +194,23 @@
 	return a
 }
 
-// failed reports whether the agent's silence shows that it can't serve its flows, and
-// planned work is not the cause.
-func (c *Core) failed(now time.Duration, a *agent) bool {
-	if a.targetEnded {
-		return true
+// gone returns the evidence that the agent can't serve its flows, and that planned work is
+// not the cause. Silence alone is none: a process may get no processor time for longer than
+// any callers wait, and its target still holds its flows.
+func (c *Core) gone(now time.Duration, a *agent) Evidence {
+	switch {
+	case a.targetEnded:
+		return TargetEnded
+	case a.unanswered < minUnansweredQueries, now-a.firstQuery < c.Policy.SilentTime, c.inPlannedStop(now, a):
+		return EvidenceNone
 	}
+
+	return a.port.evidence(now, c.Policy)
+}
+
+// isSilent reports whether the agent left so many queries unanswered for so long that it
+// counts as silent, and planned work is not the cause.
+func (c *Core) isSilent(now time.Duration, a *agent) bool {
 	if a.unanswered < minUnansweredQueries || c.inPlannedStop(now, a) {
 		return false
 	}
@@ -236,7 +256,8 @@
 	}
 }
 
-// tickAgents repeats queries and resets the flows of agents that have failed.
+// tickAgents repeats queries, checks the ports of agents that do not answer and resets the
+// flows of agents that are gone.
 func (c *Core) tickAgents(now time.Duration) {
 	c.checkLink(now)
 	for _, addr := range c.agentOrder {
@@ -244,11 +265,16 @@
 		if c.queryDue(now, addr, a) {
 			c.query(now, addr, a.awaitingKey)
 		}
+		c.checkPort(now, addr, a)
 		if !a.awaiting || now-a.awaitingSince < queryDelay {
 			continue
 		}
-		if c.failed(now, a) {
-			c.failAgent(now, addr, a)
+		if e := c.gone(now, a); e != EvidenceNone {
+			c.failAgent(now, addr, a, e)
+			continue
+		}
+		if c.isSilent(now, a) {
+			c.noteSilent(now, addr, a)
 			continue
 		}
 		if a.unanswered == 0 || now-a.lastQuery >= queryRetryInterval {
@@ -328,34 +354,45 @@
 	a.awaitingKey = k
 }
 
-// failAgent resets all flows of a failed agent, including idle ones. The caller of an idle
+// noteSilent logs that an agent is silent. It is queried less often from then on.
+func (c *Core) noteSilent(now time.Duration, addr netip.AddrPort, a *agent) {
+	if a.silent {
+		return
+	}
+	a.silent = true
+	c.note(now, Note{
+		Decision: AgentSilent,
+		Agent:    addr,
+		Count:    a.unanswered,
+	})
+}
+
+// failAgent resets all flows of an agent that is gone, including idle ones. The caller of an idle
 // flow then opens another one for its next request, which it may be unable to repeat.
-func (c *Core) failAgent(now time.Duration, addr netip.AddrPort, a *agent) {
+func (c *Core) failAgent(now time.Duration, addr netip.AddrPort, a *agent, e Evidence) {
 	a.awaiting = false
 	a.unacknowledged = a.unacknowledged[:0]
-	if !a.silent {
-		a.silent = true
-		c.note(now, Note{
-			Decision: AgentSilent,
-			Agent:    addr,
-			Count:    a.unanswered,
-		})
-	}
+	a.goneBy = e
+	c.noteSilent(now, addr, a)
 	for _, k := range segment.SortedKeys(c.flows) {
 		if f := c.flows[k]; f.owner == addr {
-			c.endFlow(now, k, f.ack, addr)
+			c.endFlow(now, k, f.ack, addr, e)
 		}
 	}
 }
 
 // endFlow resets a flow whose agent is gone, so that its caller opens another one.
-func (c *Core) endFlow(now time.Duration, k segment.Key, seq uint32, addr netip.AddrPort) {
+func (c *Core) endFlow(now time.Duration, k segment.Key, seq uint32, addr netip.AddrPort, e Evidence) {
+	a := c.agent(addr)
+	a.lost.add(now, e)
 	delete(c.flows, k)
 	delete(c.opening, k)
 	c.note(now, Note{
 		Decision: OwnerGone,
 		Key:      k,
 		Agent:    addr,
+		Count:    a.unanswered,
+		Evidence: e,
 	})
 	c.reset(k, seq)
 }
