Agents: keep the flows of a target that is only silent

Callers got resets on open flows whose target lived: an agent took its target for down after 400 ms without a packet from it, while three packets waited, and reset all flows that it held. A target that gets no processor time, or whose process serves many others, is silent for that long with nothing impaired.

Ruled out: a longer DownTime, as no length tells a slow target from one that has ended; no check at all, as a target whose packets are lost and not refused would keep its callers waiting (TestOpaqueTargetSilent).

A silent target gets no new flow, as before, and the agent connects to its port: the kernel of its VM answers however little time the target gets. Only a refusal, of the connection or of a packet, resets its flows. A result counts only if the target was not heard and the agent not paused since the check began.

The model of a target that the random worlds call silent is one whose process has ended, so its port refuses; one that stands still is new (stalledUntil).

--- a/core/conntrack/command.go
+++ b/core/conntrack/command.go
@@ -33,6 +33,11 @@
 	Bounced bool
 }
 
+// CheckTarget asks for a TCP connection to the target. The kernel of the VM answers it, so that
+// a target which gets no processor time differs from one that has ended. The result is a
+// TargetChecked.
+type CheckTarget struct{}
+
 // Reset ends a flow by sending its caller a reset.
 type Reset struct {
 	Key segment.Key
@@ -93,12 +98,13 @@
 	return measureNames[:]
 }
 
-func (ToTarget) command() {}
-func (ToCaller) command() {}
-func (ToEntry) command()  {}
-func (Reset) command()    {}
-func (Note) command()     {}
-func (Measured) command() {}
+func (ToTarget) command()    {}
+func (ToCaller) command()    {}
+func (ToEntry) command()     {}
+func (CheckTarget) command() {}
+func (Reset) command()       {}
+func (Note) command()        {}
+func (Measured) command()    {}
 
 // Decision identifies what was decided, for logs and counters.
 type Decision uint8
@@ -127,7 +133,9 @@
 	// TargetFresh means that the target holds no flow that the agent does not know: it
 	// started no earlier than the agent, or nothing listens at its address.
 	TargetFresh
-	// TargetDown means that the target does not respond.
+	// TargetSilent means that the target does not respond, and may be slow.
+	TargetSilent
+	// TargetDown means that nothing listens at the target's address.
 	TargetDown
 	// TargetBack means that the target responds again.
 	TargetBack
@@ -155,6 +163,7 @@
 	FlowLost:     "flow reset: target no longer holds it",
 	TargetReset:  "flow reset by target",
 	TargetFresh:  "target has no earlier flows",
+	TargetSilent: "target silent",
 	TargetDown:   "target down",
 	TargetBack:   "target back",
 
--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -176,9 +176,9 @@
 			c.handleTargetPacket(now, m)
 		}
 	case TargetRefused:
-		c.target.refused = true
-		c.checkTarget(now)
-		c.markComplete(now, netip.AddrPort{})
+		c.handleTargetRefused(now)
+	case TargetChecked:
+		c.handleTargetCheck(now, m)
 	case ServiceConfirmed:
 		c.confirmService(now, m.Service)
 	case TargetLeaves:
@@ -211,7 +211,7 @@
 	c.inflight.expire(now)
 	c.inflight.expireExpected(now, c.Policy.ExpectTime)
 	c.refuseExpired(now)
-	c.checkTarget(now)
+	c.watchTarget(now)
 	c.resolveProbes(now)
 	c.expireRestore(now)
 	if now-c.lastSweep >= sweepInterval {
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -123,7 +123,7 @@
 	if m.Message.Service != c.Service {
 		return relay.ReasonWrongService
 	}
-	if c.target.down && !c.target.allowRetry(now) {
+	if c.target.avoided() && !c.target.allowRetry(now) {
 		return relay.ReasonTargetDown
 	}
 
--- a/core/conntrack/message.go
+++ b/core/conntrack/message.go
@@ -30,6 +30,12 @@
 // TargetRefused means that nothing listens at the target's address.
 type TargetRefused struct{}
 
+// TargetChecked is the result of a CheckTarget.
+type TargetChecked struct {
+	// Refused means that nothing listens at the target's address.
+	Refused bool
+}
+
 // ServiceConfirmed reports the service that the target beside the agent belongs to now.
 type ServiceConfirmed struct {
 	Service uint64
@@ -56,6 +62,7 @@
 func (*EntryMessage) message()    {}
 func (*TargetPacket) message()    {}
 func (TargetRefused) message()    {}
+func (TargetChecked) message()    {}
 func (ServiceConfirmed) message() {}
 func (TargetLeaves) message()     {}
 func (Stop) message()             {}
--- a/core/conntrack/pause.go
+++ b/core/conntrack/pause.go
@@ -22,6 +22,7 @@
 // the backlog expire nevertheless, because their callers were not paused.
 func (c *Core) restartTimeouts(now, gap time.Duration) {
 	c.target.firstUnanswered = now
+	c.target.check.pending = false
 	for _, f := range c.probes {
 		f.lastUsed = now
 	}
--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -1,6 +1,7 @@
 package conntrack
 
 import (
+	"net/netip"
 	"time"
 
 	"ibisfold.example/core/relay"
@@ -16,7 +17,7 @@
 	// ones were lost or given up.
 	maxUnansweredGap = 2 * time.Second
 	// retryInterval is the minimum time between two SYNs that are passed to a target that
-	// is down, to find out whether it is back.
+	// is silent or down, to find out whether it is back.
 	retryInterval = 100 * time.Millisecond
 )
 
@@ -30,12 +31,14 @@
 	unanswered      int
 	firstUnanswered time.Duration
 	lastUnanswered  time.Duration
-	down            bool
-	// lastRetry is when a SYN was last passed to the target although it is down, or when
-	// it was found to be down.
+	// silent means that the target does not respond. It may be slow, so it gets no new flow and
+	// keeps those that it holds. down means that nothing listens at its address.
+	silent bool
+	down   bool
+	check  targetCheck
+	// lastRetry is when a SYN was last passed to the target although it is silent or down, or
+	// when it was found to be so.
 	lastRetry time.Duration
-	// refused means that a TargetRefused came since the target was last heard.
-	refused bool
 }
 
 func (t *target) age(now time.Duration) time.Duration {
@@ -59,10 +62,15 @@
 func (t *target) recordHeard(now time.Duration) {
 	t.lastHeard = now
 	t.unanswered = 0
-	t.refused = false
+	t.check.pending = false
 }
 
-// allowRetry allows one SYN per retryInterval to a target that is down.
+// avoided reports whether the target gets no new flows.
+func (t *target) avoided() bool {
+	return t.silent || t.down
+}
+
+// allowRetry allows one SYN per retryInterval to a target that is silent or down.
 func (t *target) allowRetry(now time.Duration) bool {
 	if now-t.lastRetry < retryInterval {
 		return false
@@ -72,32 +80,27 @@
 	return true
 }
 
-// silent reports whether the target does not respond: it refused a packet, or has left
-// packets unanswered for downTime.
-func (t *target) silent(now, downTime time.Duration) bool {
-	if t.refused {
-		return true
-	}
-
+// isUnresponsive reports whether the target has left packets unanswered for downTime.
+func (t *target) isUnresponsive(now, downTime time.Duration) bool {
 	return t.unanswered >= minUnanswered && now-t.firstUnanswered >= downTime
 }
 
-// checkTarget detects that the target no longer responds, and resets its flows so that
-// their callers can go to another target. A caller whose flow is idle then opens a new one
-// for its next request, which it may be unable to repeat.
-func (c *Core) checkTarget(now time.Duration) {
-	if c.target.down || !c.target.silent(now, c.Policy.DownTime) {
-		return
+// handleTargetRefused handles that nothing listens at the target's address. It resets the
+// target's flows so that their callers can go to another target. A caller whose flow is idle
+// then opens a new one for its next request, which it may be unable to repeat.
+func (c *Core) handleTargetRefused(now time.Duration) {
+	if !c.target.down {
+		c.target.down = true
+		c.target.lastRetry = now
+		c.damping.recordLoss(now)
+		c.note(now, Note{
+			Decision: TargetDown,
+			Count:    c.target.unanswered,
+		})
+		c.resetHeldFlows(now)
+		c.refuseAllWaiting(now, relay.ReasonTargetDown)
 	}
-	c.target.down = true
-	c.target.lastRetry = now
-	c.damping.recordLoss(now)
-	c.note(now, Note{
-		Decision: TargetDown,
-		Count:    c.target.unanswered,
-	})
-	c.resetHeldFlows(now)
-	c.refuseAllWaiting(now, relay.ReasonTargetDown)
+	c.markComplete(now, netip.AddrPort{})
 }
 
 // resetHeldFlows resets the flows that the target held.
@@ -125,7 +128,8 @@
 
 func (c *Core) handleTargetPacket(now time.Duration, m *TargetPacket) {
 	c.target.recordHeard(now)
-	if c.target.down {
+	if c.target.avoided() {
+		c.target.silent = false
 		c.target.down = false
 		c.note(now, Note{
 			Decision: TargetBack,
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -123,6 +123,16 @@
 	return true, true
 }
 
+// checkTarget tells the core whether the target still listens. It takes at most dialTimeout.
+func (p *opaqueAgent) checkTarget() {
+	mayListen, _ := probeTarget(p.settings.Target)
+	p.Post(func() {
+		p.execute(p.core.Update(p.Clock(), conntrack.TargetChecked{
+			Refused: !mayListen,
+		}))
+	})
+}
+
 func (p *opaqueAgent) register() error {
 	traffic := kernel.Service{
 		Name: "traffic",
@@ -358,6 +368,8 @@
 				platform.RestoreBounced(c.Message.Packet)
 			}
 			p.toEntry.Add(c.Message.Append(p.toEntry.Next()), c.To)
+		case conntrack.CheckTarget:
+			go p.checkTarget()
 		case conntrack.Reset:
 			to := platform.CallerAddress(c.Key, p.settings)
 			p.toCaller.Add(platform.AppendReset(p.toCaller.Next(), c.Key, c.Seq), to)
--- a/proof/opaque_endpoints_test.go
+++ b/proof/opaque_endpoints_test.go
@@ -21,11 +21,13 @@
 	draining bool
 	// born is when the target started, in Unix milliseconds; zero is unknown.
 	born int64
-	// gone means that the target has left; silent that its VM runs but the target does
-	// not react; refusing that its port is closed.
+	// gone means that the target has left; silent that its process has ended and nothing
+	// tells the agent so; refusing that its packets are refused.
 	gone     bool
 	silent   bool
 	refusing bool
+	// stalledUntil is until when the target stands still; it then takes what has come.
+	stalledUntil time.Duration
 	// resetting means that the target accepts flows and resets them at the next request.
 	resetting bool
 	// answerDelay is the delay of answers to SYNs.
@@ -75,6 +77,13 @@
 // targetReceive passes a caller's packet to the target beside an agent.
 func (w *opaqueWorld) targetReceive(a *opaqueAgent, b []byte) {
 	t := &a.target
+	if w.Now < t.stalledUntil {
+		w.After(t.stalledUntil-w.Now, func() {
+			w.targetReceive(a, b)
+		})
+
+		return
+	}
 	if t.refusing && !a.down {
 		w.agentUpdate(a, conntrack.TargetRefused{})
 	}
--- a/proof/opaque_network_test.go
+++ b/proof/opaque_network_test.go
@@ -134,6 +134,8 @@
 			w.toEntry(a, c.To, c.Message)
 		case conntrack.Reset:
 			w.toCaller(a.zone, c.Key, platform.AppendReset(nil, c.Key, c.Seq))
+		case conntrack.CheckTarget:
+			w.checkTarget(a)
 		case conntrack.Note:
 			w.log = append(w.log, fmt.Sprintf("%v agent %v %v %v %v heard %v count %d %v", w.Now, a.addr, c.Decision, c.Key, c.Entry, c.Age, c.Count, c.Reason))
 		}
