Soak: orders around configurations and planned stops, chosen by name

What: a route that is added and dropped again, probers that call each entry directly (routes that are there, were dropped, never existed), and a log of the versions with their acks. An opening is checked against the versions that may be in force 3 s before its arrival; a process of an entry must not return to an older version more than 250 ms after a newer one's effect was seen. Both are judged by the entry that got the SYN, so that faults of other entries don't suspend them. Resets of SYNs are judged as well.

The soak had one route and could not see a route that is not served or still served; nothing wrote a configuration that can't be used.

The check of the route in checkOpen is as strict as before (arrival, 3 s) and now covers routes that change twice within 3 s.

--- a/ibisfold-standin/soak/caller.go
+++ b/ibisfold-standin/soak/caller.go
@@ -17,6 +17,8 @@
 	thinkTime = 40 * time.Millisecond
 	// requestTimeout bounds the wait for the answer to a SYN or a request.
 	requestTimeout = 1500 * time.Millisecond
+	// refusedPause is the pause after a refused SYN.
+	refusedPause = 100 * time.Millisecond
 )
 
 // resendIntervals are the waits for an answer after the first transmission of a packet and
@@ -30,6 +32,10 @@
 	zone    string
 	addr    netip.Addr
 	conn    *net.UDPConn
+	// to is the address that the caller calls.
+	to netip.AddrPort
+	// via is the entry that gets all packets; nil if the router decides.
+	via *vm
 
 	// port and key identify the current flow. targetSeq is the sequence number of the
 	// target's SYN, seq and ack are those of the next request.
@@ -38,6 +44,8 @@
 	targetSeq uint32
 	seq       uint32
 	ack       uint32
+	// refused means that the last SYN was answered with a reset.
+	refused bool
 	// requestNumber counts the requests on all flows.
 	requestNumber uint64
 	// lastAnswered is when the last request was answered, in Unix milliseconds.
@@ -47,9 +55,15 @@
 	resets atomic.Int64
 }
 
-// newCaller returns caller n of a zone, which listens on its own loopback address.
-func newCaller(b *testbed, zone int, n int) (*caller, error) {
-	addr := netip.AddrFrom4([4]byte{127, 10, byte(zone), byte(n)})
+// Second bytes of the loopback addresses of callers, and of probers.
+const (
+	callerNetwork = 10
+	proberNetwork = 11
+)
+
+// newCaller returns caller n of a zone, which listens on its own loopback address of a network.
+func newCaller(b *testbed, zone, network, n int) (*caller, error) {
+	addr := netip.AddrFrom4([4]byte{127, byte(network), byte(zone), byte(n)})
 	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(addr, portPackets)))
 	if err != nil {
 		return nil, err
@@ -60,6 +74,7 @@
 		zone:    zones[zone],
 		addr:    addr,
 		conn:    c,
+		to:      serviceAddress,
 		port:    1024,
 	}, nil
 }
@@ -69,6 +84,9 @@
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !c.open() {
+			if c.refused {
+				time.Sleep(refusedPause)
+			}
 			continue
 		}
 		for ctx.Err() == nil && c.request() {
@@ -80,14 +98,18 @@
 // open opens a flow and reports whether a target answered.
 func (c *caller) open() bool {
 	c.port++
-	c.key = segment.KeyOf(netip.AddrPortFrom(c.addr, c.port), serviceAddress)
+	c.key = segment.KeyOf(netip.AddrPortFrom(c.addr, c.port), c.to)
 	c.seq = 1000
 	s, ok := c.exchange(&segment.Segment{
 		Key:   c.key,
 		Flags: segment.SYN,
 		Seq:   c.seq - 1,
 	}, nil, time.Now().Add(requestTimeout))
-	if !ok || !s.Flags.Has(segment.SYN) {
+	c.refused = ok && !s.Flags.Has(segment.SYN)
+	if c.refused {
+		c.testbed.checkRefused(c)
+	}
+	if !ok || c.refused {
 		return false
 	}
 	c.flows.Add(1)
@@ -132,7 +154,11 @@
 			// A SYN holds the number of its earlier copies in Ack.
 			x.Ack = uint32(i)
 		}
-		c.testbed.router.forward(c.zone, c.key, platform.AppendPacket(nil, &x, data))
+		entry := c.entry()
+		if x.Opens() {
+			c.testbed.openings.add(c.key, entry)
+		}
+		c.testbed.router.send(entry, platform.AppendPacket(nil, &x, data))
 		until := time.Now().Add(wait)
 		if until.After(end) {
 			until = end
@@ -145,6 +171,15 @@
 	return segment.Segment{}, false
 }
 
+// entry returns the entry that gets the next packet; nil if there is none.
+func (c *caller) entry() *vm {
+	if c.via != nil {
+		return c.via
+	}
+
+	return c.testbed.router.pick(c.zone, c.key)
+}
+
 // await reads packets until the answer to s arrives, and reports whether it did before
 // the deadline until. A reset of the flow counts as an answer.
 func (c *caller) await(s *segment.Segment, data []byte, until time.Time) (segment.Segment, bool) {
--- a/ibisfold-standin/soak/command.go
+++ b/ibisfold-standin/soak/command.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/google/subcommands"
@@ -106,8 +107,9 @@
 	count := b.injectFaults(ctx, begin.Add(time.Duration(c.seconds)*time.Second), c.only, func(name string) {
 		fmt.Printf("%s %s\n", time.Now().Format("15:04:05.000"), name)
 	})
+	b.order.Lock()
 	select {
-	case <-time.After(max(maxDrainTime+maxFaultTime, maxReplacedTime) + maxRecoveryTime):
+	case <-time.After(c.waitTime()):
 	case <-ctx.Done():
 		return 0, ctx.Err()
 	}
@@ -116,13 +118,23 @@
 	return c.report(b, count), nil
 }
 
+// waitTime returns the time from the end of the last order until callers must be served again.
+func (c *Command) waitTime() time.Duration {
+	if slices.ContainsFunc(orders, func(f fault) bool { return f.name == c.only }) {
+		return maxRecoveryTime
+	}
+
+	return max(maxDrainTime+maxFaultTime, maxReplacedTime) + maxRecoveryTime
+}
+
 // report prints the violations and the summary, and returns the number of violations.
 func (c *Command) report(b *testbed, count int) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	flows := int64(0)
-	for _, x := range b.callers {
+	flows, resets := int64(0), int64(0)
+	for _, x := range append(b.probers, b.callers...) {
 		flows += x.flows.Load()
+		resets += x.resets.Load()
 	}
 	for _, v := range b.violations {
 		fmt.Println("broken:", v)
@@ -130,7 +142,7 @@
 	if len(b.violations) > 0 {
 		fmt.Println("logs:", c.dir)
 	}
-	fmt.Printf("store calls: %d\n", b.store.Calls())
+	fmt.Printf("store calls: %d, resets: %d\n", b.store.Calls(), resets)
 	fmt.Printf("Seed=%d Flows=%d Faults=%d Violations=%d\n", c.seed, flows, count, len(b.violations))
 
 	return len(b.violations)
--- a/ibisfold-standin/soak/fault.go
+++ b/ibisfold-standin/soak/fault.go
@@ -6,12 +6,17 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"ibisfold.example/platform/platformtest"
 )
 
 // fault is a disturbance that the soak injects. A fault with a duration ends by itself.
 type fault struct {
 	name string
 	run  func(b *testbed)
+	// order means that the fault has several steps. It locks the testbed's order, and run unlocks
+	// it after the last step.
+	order bool
 }
 
 // maxFaultTime is the upper bound of the duration of a fault.
@@ -19,46 +24,46 @@
 
 // faults are the faults that injectFaults chooses from, with equal probability.
 var faults = []fault{
-	{"entry stopped", func(b *testbed) { pick(b, b.entries).signal(syscall.SIGTERM) }},
-	{"agent stopped", func(b *testbed) { pick(b, b.agents).signal(syscall.SIGTERM) }},
-	{"entry killed", func(b *testbed) { kill(pick(b, b.entries)) }},
-	{"agent killed", func(b *testbed) { kill(pick(b, b.agents)) }},
-	{"entry paused", func(b *testbed) { pause(pick(b, b.entries), b.randomFaultTime()) }},
-	{"agent paused", func(b *testbed) { pause(pick(b, b.agents), b.randomFaultTime()) }},
-	{"settings announced", func(b *testbed) { pick(b, b.entries).signal(syscall.SIGHUP) }},
-	{"link cut", func(b *testbed) { b.impairLink(&linkFault{DropIn: true, DropOut: true}) }},
-	{"link cut one way", func(b *testbed) { b.impairLink(&linkFault{DropOut: true}) }},
-	{"link lossy", func(b *testbed) { b.impairLink(&linkFault{Loss: 0.1}) }},
-	{"link slow", func(b *testbed) { b.impairLink(&linkFault{Delay: 30 * time.Millisecond}) }},
-	{"store silent", func(b *testbed) {
+	{name: "entry stopped", run: func(b *testbed) { pick(b, b.entries).signal(syscall.SIGTERM) }},
+	{name: "agent stopped", run: func(b *testbed) { pick(b, b.agents).signal(syscall.SIGTERM) }},
+	{name: "entry killed", run: func(b *testbed) { kill(pick(b, b.entries)) }},
+	{name: "agent killed", run: func(b *testbed) { kill(pick(b, b.agents)) }},
+	{name: "entry paused", run: func(b *testbed) { pause(pick(b, b.entries), b.randomFaultTime()) }},
+	{name: "agent paused", run: func(b *testbed) { pause(pick(b, b.agents), b.randomFaultTime()) }},
+	{name: "settings announced", run: func(b *testbed) { pick(b, b.entries).signal(syscall.SIGHUP) }},
+	{name: "link cut", run: func(b *testbed) { b.impairLink(&linkFault{DropIn: true, DropOut: true}) }},
+	{name: "link cut one way", run: func(b *testbed) { b.impairLink(&linkFault{DropOut: true}) }},
+	{name: "link lossy", run: func(b *testbed) { b.impairLink(&linkFault{Loss: 0.1}) }},
+	{name: "link slow", run: func(b *testbed) { b.impairLink(&linkFault{Delay: 30 * time.Millisecond}) }},
+	{name: "store silent", run: func(b *testbed) {
 		b.store.SetSilent(true)
 		b.scheduleStoreFaultEnd(func() { b.store.SetSilent(false) })
 	}},
-	{"store busy", func(b *testbed) {
+	{name: "store busy", run: func(b *testbed) {
 		b.store.SetStatus(http.StatusServiceUnavailable)
 		b.scheduleStoreFaultEnd(func() { b.store.SetStatus(0) })
 	}},
-	{"store compacted", func(b *testbed) { b.store.Compact() }},
-	{"store restored", (*testbed).restoreStore},
-	{"store link silent", func(b *testbed) {
+	{name: "store compacted", run: func(b *testbed) { b.store.Compact() }},
+	{name: "store restored", run: (*testbed).restoreStore},
+	{name: "store link silent", run: func(b *testbed) {
 		e := pick(b, b.entries)
 		e.store.silent.Store(true)
 		b.scheduleStoreFaultEnd(func() { e.store.silent.Store(false) })
 	}},
-	{"store link reset", func(b *testbed) { pick(b, b.entries).store.reset() }},
-	{"feed link silent", func(b *testbed) {
+	{name: "store link reset", run: func(b *testbed) { pick(b, b.entries).store.reset() }},
+	{name: "feed link silent", run: func(b *testbed) {
 		v := pick(b, b.seedEntries())
 		v.feed.silent.Store(true)
 		time.AfterFunc(b.randomFaultTime(), func() {
 			v.feed.silent.Store(false)
 		})
 	}},
-	{"feed link reset", func(b *testbed) { pick(b, b.seedEntries()).feed.reset() }},
-	{"route moved", (*testbed).moveRoute},
-	{"target crashed", (*testbed).crashTarget},
-	{"target drained", (*testbed).drainTarget},
-	{"service replaced", (*testbed).replaceService},
-	{"target replaced", (*testbed).replaceTarget},
+	{name: "feed link reset", run: func(b *testbed) { pick(b, b.seedEntries()).feed.reset() }},
+	{name: "route moved", run: (*testbed).moveRoute},
+	{name: "target crashed", run: (*testbed).crashTarget},
+	{name: "target drained", run: (*testbed).drainTarget},
+	{name: "service replaced", run: (*testbed).replaceService},
+	{name: "target replaced", run: (*testbed).replaceTarget},
 }
 
 // pick returns a random element of list.
@@ -130,6 +135,25 @@
 	})
 }
 
+// restoreCopy lets the store go away and come back from a copy that holds the first kept versions
+// of the configuration.
+func (b *testbed) restoreCopy(backup platformtest.Copy, kept int) {
+	b.store.SetSilent(true)
+	b.mu.Lock()
+	b.storeFaultEnd = time.Now().Add(awayTime)
+	b.mu.Unlock()
+	time.Sleep(awayTime)
+	b.mu.Lock()
+	b.store.Restore(backup)
+	for i := kept; i < len(b.configs); i++ {
+		b.configs[i].lost = true
+	}
+	b.effects = map[*vm]effect{}
+	b.storeFaultEnd = time.Now()
+	b.mu.Unlock()
+	b.store.SetSilent(false)
+}
+
 // moveRoute points the route to a random service.
 func (b *testbed) moveRoute() {
 	b.mu.Lock()
@@ -173,18 +197,24 @@
 	})
 }
 
-// injectFaults starts a random fault every 0.1 s to 1 s until end. Faults may overlap. If only
-// is not empty, it is the name of the only fault. It returns the number of faults.
+// injectFaults starts a random fault every 0.1 s to 1 s until end. Faults may overlap, orders
+// don't. If only is not empty, it is the name of the only fault. It returns the number of faults.
 func (b *testbed) injectFaults(ctx context.Context, end time.Time, only string, log func(string)) int {
 	count := 0
-	chosen := slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
-		return only != "" && f.name != only
+	chosen := slices.DeleteFunc(slices.Concat(faults, orders), func(f fault) bool {
+		if only == "" {
+			return slices.Contains(onlyByName, f.name)
+		}
+
+		return f.name != only
 	})
 	for ctx.Err() == nil && time.Now().Before(end) && len(chosen) > 0 {
 		f := chosen[b.random.IntN(len(chosen))]
-		log(f.name)
-		f.run(b)
-		count++
+		if !f.order || b.order.TryLock() {
+			log(f.name)
+			f.run(b)
+			count++
+		}
 		time.Sleep(time.Duration(100+b.random.IntN(900)) * time.Millisecond)
 	}
 
--- a/ibisfold-standin/soak/router.go
+++ b/ibisfold-standin/soak/router.go
@@ -44,25 +44,33 @@
 				failures[e] = 0
 			}
 			r.mu.Lock()
-			r.rotation[e] = failures[e] < 2
+			r.rotation[e] = failures[e] < 2 && !e.held.Load()
 			r.mu.Unlock()
 		}
 		time.Sleep(pollInterval)
 	}
 }
 
-// forward sends a packet of flow k to an entry of the zone. It drops the packet if none is
-// in rotation.
-func (r *router) forward(zone string, k segment.Key, b []byte) {
+// inRotation reports whether an entry gets packets.
+func (r *router) inRotation(v *vm) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.rotation[v]
+}
+
+// admit puts an entry in rotation that was held out of it.
+func (r *router) admit(v *vm) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v.held.Store(false)
+	r.rotation[v] = true
+}
+
+// pick returns the entry of the zone for flow k; nil if none is in rotation.
+func (r *router) pick(zone string, k segment.Key) *vm {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.conn == nil {
-		c, err := net.ListenUDP("udp4", nil)
-		if err != nil {
-			return
-		}
-		r.conn = c
-	}
 	best := (*vm)(nil)
 	bestHash := uint64(0)
 	for i, e := range r.entries {
@@ -72,8 +80,23 @@
 			bestHash = h
 		}
 	}
-	if best != nil {
+
+	return best
+}
+
+// send sends a packet to an entry. It drops the packet if there is none.
+func (r *router) send(entry *vm, b []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.conn == nil {
+		c, err := net.ListenUDP("udp4", nil)
+		if err != nil {
+			return
+		}
+		r.conn = c
+	}
+	if entry != nil {
 		// A packet that can't be sent is lost, as on a real network.
-		_, _ = r.conn.WriteToUDPAddrPort(b, best.settings.Packets)
+		_, _ = r.conn.WriteToUDPAddrPort(b, entry.settings.Packets)
 	}
 }
--- a/ibisfold-standin/soak/testbed.go
+++ b/ibisfold-standin/soak/testbed.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,16 +44,31 @@
 	store   platformtest.Store
 	entries []*vm
 	agents  []*vm
+	// spares are entries that the order "entries join" starts, one in each zone.
+	spares  []*vm
 	callers []*caller
+	probers []*caller
 	router  router
+	// openings holds the SYNs of all callers.
+	openings openings
+	// order is locked while an order around the configuration is under way.
+	order sync.Mutex
 
 	mu sync.Mutex
 	// violations are the violated guarantees, each with its time.
 	violations []string
-	// routeChanged is when the route last changed, routeService the service that it leads to.
-	routeChanged time.Time
+	// routeService is the service that the callers' route leads to.
 	routeService string
-	version      uint64
+	// added is the address of the route that was added last, dropped the one that it replaced.
+	// addedCount is the number of such routes so far.
+	added      netip.AddrPort
+	dropped    netip.AddrPort
+	addedCount int
+	// version is the number of the newest version.
+	version uint64
+	configs configLog
+	// effects holds the versions whose effects were seen through each entry.
+	effects map[*vm]effect
 	// storeFaultEnd is the end of the last fault of the store.
 	storeFaultEnd time.Time
 }
@@ -64,6 +80,7 @@
 		bin:          o.bin,
 		dir:          o.dir,
 		routeService: services[0],
+		effects:      map[*vm]effect{},
 	}
 	b.router.rotation = map[*vm]bool{}
 	storeAddress := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 8, 100, 1}), portStore)
@@ -76,14 +93,21 @@
 	}()
 	for z := range zones {
 		for n := range o.entries {
-			v := newVM("entry", z, n+1)
-			v.settings.Store = linkAddress(v.settings.Ready)
-			if v.store, err = newStreamProxy(v.settings.Store, storeAddress); err != nil {
+			v, err := newEntry(z, n+1, storeAddress)
+			if err != nil {
 				return nil, err
 			}
-			v.settings.Control = address(z, n+1, portControl)
 			b.entries = append(b.entries, v)
+			if err := b.addProber(v, z, n+1); err != nil {
+				return nil, err
+			}
 		}
+		spare, err := newEntry(z, o.entries+1, storeAddress)
+		if err != nil {
+			return nil, err
+		}
+		spare.firstStart = false
+		b.spares = append(b.spares, spare)
 		for n := range o.agents {
 			// The first two agents of a zone belong to the first service, all others to the
 			// second one.
@@ -92,7 +116,7 @@
 			}
 		}
 		for n := range o.callers {
-			c, err := newCaller(b, z, n+1)
+			c, err := newCaller(b, z, callerNetwork, n+1)
 			if err != nil {
 				return nil, err
 			}
@@ -104,12 +128,23 @@
 	return b, b.seed()
 }
 
+// newEntry returns entry n of a zone with the proxy for its calls to the store.
+func newEntry(zone, n int, store netip.AddrPort) (*vm, error) {
+	v := newVM("entry", zone, n)
+	v.settings.Store = linkAddress(v.settings.Ready)
+	v.settings.Control = address(zone, n, portControl)
+	var err error
+	v.store, err = newStreamProxy(v.settings.Store, store)
+
+	return v, err
+}
+
 // seed adds the first entry of each zone to the seeds in the settings of all entries. Other
 // entries reach such a seed entry through a proxy. In its own settings the seed entry is listed
 // under its own address.
 func (b *testbed) seed() error {
 	for z := range zones {
-		for _, v := range b.entries {
+		for _, v := range slices.Concat(b.entries, b.spares) {
 			if v.settings.Control != address(z, 1, portControl) {
 				v.settings.Seeds = append(v.settings.Seeds, linkAddress(address(z, 1, portControl)))
 				continue
@@ -169,25 +204,15 @@
 	}, v.target.service)
 }
 
-// writeConfig writes a new version of the configuration to the store, with the current
-// route.
-func (b *testbed) writeConfig() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.version += 3
-	b.routeChanged = time.Now()
-	b.store.SetConfig(b.version, []platformtest.Route{
-		{
-			Address: serviceAddress,
-			Service: b.routeService,
-		},
-	}, services)
-}
-
 // addViolation records a violated guarantee.
 func (b *testbed) addViolation(format string, args ...any) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.recordViolation(format, args...)
+}
+
+// recordViolation records a violated guarantee. The caller holds mu.
+func (b *testbed) recordViolation(format string, args ...any) {
 	b.violations = append(b.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
@@ -199,26 +224,32 @@
 			return false
 		}
 	}
+
+	return b.storeUnimpaired()
+}
+
+// storeUnimpaired reports whether the store had no fault within minUnimpairedTime.
+func (b *testbed) storeUnimpaired() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
 	return time.Since(b.storeFaultEnd) > minUnimpairedTime
 }
 
-// checkOpen checks that a target which gets a SYN belongs to the service of the route and
-// is not draining.
+// checkOpen checks that a target which gets a SYN belongs to a service of its route and is
+// not draining.
 func (b *testbed) checkOpen(t *target, s *segment.Segment) {
 	if t.service == unroutedService {
 		b.addViolation("ROUTE: flow %v reached %s of %s, to which no route leads", s.Key, t.vm.name, t.service)
 	}
-	if !b.unimpaired() || !t.vm.unimpaired() {
+	if !t.vm.unimpaired() {
 		return
 	}
-	b.mu.Lock()
-	routeService, routeChanged := b.routeService, b.routeChanged
-	b.mu.Unlock()
-	if t.service != routeService && time.Since(routeChanged) > maxConfigTime {
-		b.addViolation("CONFIG: flow %v reached %s of %s, the route leads to %s", s.Key, t.vm.name, t.service, routeService)
+	if o, ok := b.openings.find(s.Key, s.Ack); ok {
+		b.checkConfig(s.Key, &o, t.service)
+	}
+	if !b.unimpaired() {
+		return
 	}
 	if !t.drainingSince.IsZero() && time.Since(t.drainingSince) > maxDrainTime {
 		b.addViolation("DRAIN: flow %v reached %s that leaves", s.Key, t.vm.name)
@@ -248,16 +279,19 @@
 
 // start starts all processes, then the callers.
 func (b *testbed) start(ctx context.Context, o *options) error {
-	for _, v := range append(append([]*vm{}, b.entries...), b.agents...) {
+	for _, v := range slices.Concat(b.entries, b.agents) {
 		if err := v.start(o.bin, o.dir); err != nil {
 			return err
 		}
 	}
-	go b.router.poll(ctx, b.entries)
+	go b.router.poll(ctx, slices.Concat(b.entries, b.spares))
 	time.Sleep(startDelay)
 	for _, c := range b.callers {
 		go c.run(ctx)
 	}
+	for _, c := range b.probers {
+		go c.probe(ctx)
+	}
 
 	return nil
 }
@@ -267,7 +301,7 @@
 
 // stop ends all processes.
 func (b *testbed) stop() {
-	for _, v := range append(append([]*vm{}, b.entries...), b.agents...) {
+	for _, v := range slices.Concat(b.entries, b.spares, b.agents) {
 		v.stop()
 	}
 }
--- a/ibisfold-standin/soak/vm.go
+++ b/ibisfold-standin/soak/vm.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,8 +48,13 @@
 	// VMs.
 	feed *streamProxy
 
+	// held keeps an entry out of the router's rotation.
+	held atomic.Bool
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
+	// starts is the number of processes so far.
+	starts int
 	// impairedUntil is the end of the last unplanned fault of the VM or its links.
 	impairedUntil time.Time
 	stopped       bool
@@ -122,6 +128,7 @@
 		return errors.Annotate(err, v.name)
 	}
 	v.cmd = c
+	v.starts++
 	go v.restart(c, bin, dir)
 
 	return nil
@@ -159,6 +166,14 @@
 	_ = v.cmd.Process.Signal(s)
 }
 
+// process returns the number of the current process, which is the newest one.
+func (v *vm) process() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	return v.starts
+}
+
 // end kills the process and prevents its restart until resume.
 func (v *vm) end() {
 	v.mu.Lock()
@@ -168,6 +183,14 @@
 	_ = v.cmd.Process.Kill()
 }
 
+// leave stops the process as planned and prevents its restart until resume.
+func (v *vm) leave() {
+	v.mu.Lock()
+	v.ended = true
+	v.mu.Unlock()
+	v.signal(syscall.SIGTERM)
+}
+
 // resume starts the process of the VM that takes the place of one that has ended.
 func (v *vm) resume(bin, dir string) error {
 	v.mu.Lock()
