Soak: callers send at once when new entries get their first packets

Why: the time from an agent's announcement to its end is short, so the first questions of a new entry have to come together with the stop. The traced ones are not the order's aim: agents that nobody stopped stood still for 0.3 to 0.6 s by their own lines, at a load of 38 from other work on the machine.

--- a/ibisfold-standin/soak/caller.go
+++ b/ibisfold-standin/soak/caller.go
@@ -90,7 +90,10 @@
 			continue
 		}
 		for ctx.Err() == nil && c.request() {
-			time.Sleep(thinkTime)
+			select {
+			case <-time.After(thinkTime):
+			case <-c.testbed.router.nextAdmission():
+			}
 		}
 	}
 }
--- a/ibisfold-standin/soak/floworder.go
+++ b/ibisfold-standin/soak/floworder.go
@@ -88,9 +88,7 @@
 			v.signal(syscall.SIGTERM)
 		}
 		time.Sleep(o.delays[0] / firstPacketShare)
-		for _, v := range b.spares {
-			b.router.admit(v)
-		}
+		b.router.admit(b.spares)
 		time.Sleep(joinedTime)
 		for _, v := range b.spares {
 			v.leave()
--- a/ibisfold-standin/soak/router.go
+++ b/ibisfold-standin/soak/router.go
@@ -25,6 +25,8 @@
 	// rotation is true for the entries that get packets.
 	rotation map[*vm]bool
 	conn     *net.UDPConn
+	// admitted is closed by admit. It is nil if nobody waits.
+	admitted chan struct{}
 }
 
 // poll updates the rotation until ctx is done. Two failed readiness calls in a row take an
@@ -59,12 +61,30 @@
 	return r.rotation[v]
 }
 
-// admit puts an entry in rotation that was held out of it.
-func (r *router) admit(v *vm) {
+// admit puts entries in rotation that were held out of it. Callers that wait between two requests
+// send the next one at once.
+func (r *router) admit(list []*vm) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	v.held.Store(false)
-	r.rotation[v] = true
+	for _, v := range list {
+		v.held.Store(false)
+		r.rotation[v] = true
+	}
+	if r.admitted != nil {
+		close(r.admitted)
+		r.admitted = nil
+	}
+}
+
+// nextAdmission returns a channel that the next call of admit closes.
+func (r *router) nextAdmission() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.admitted == nil {
+		r.admitted = make(chan struct{})
+	}
+
+	return r.admitted
 }
 
 // pick returns the entry of the zone for flow k; nil if none is in rotation.
