Soak: agents that stand still for a short time

Why: processes that get no processor time for some hundred milliseconds have no fault, so resets of their living flows count (FLOW). Busy threads beside the soak don't bring this about on this machine; other work on it did, at a load of 38.

--- a/ibisfold-standin/soak/floworder.go
+++ b/ibisfold-standin/soak/floworder.go
@@ -16,6 +16,10 @@
 	// firstPacketShare is the ratio of maxStopDelay to the largest time from a stop of agents to the first
 	// packet of a new entry.
 	firstPacketShare = 50
+	// maxStall bounds the time for which an agent stands still.
+	maxStall = stallShare * maxStopDelay
+	// stallShare is the ratio of the time of a stall to the drawn delay.
+	stallShare = 4
 	// maxJoinTime bounds the wait until new entries are ready.
 	maxJoinTime = 3 * time.Second
 	// joinedTime is how long a new entry serves, leaveTime the time until it has ended.
@@ -97,6 +101,22 @@
 	})
 }
 
+// stallAgents lets half of the agents stand still for up to maxStall, as processes do that get no
+// processor time. This is no fault, so the guarantees are checked all the while.
+func (b *testbed) stallAgents() {
+	b.startOrder(func(o *order) {
+		for range stopSeries {
+			for i, v := range o.agents {
+				v.signal(syscall.SIGSTOP)
+				time.AfterFunc(o.delays[i]*stallShare, func() {
+					v.signal(syscall.SIGCONT)
+				})
+			}
+			time.Sleep(2 * maxStall)
+		}
+	})
+}
+
 // awaitSpares waits until all spare entries are ready.
 func (b *testbed) awaitSpares() {
 	c := &http.Client{
--- a/ibisfold-standin/soak/order.go
+++ b/ibisfold-standin/soak/order.go
@@ -16,6 +16,7 @@
 	{name: "agents roll", run: (*testbed).rollAgents, order: true},
 	{name: "entries roll", run: (*testbed).rollEntries, order: true},
 	{name: "entries join", run: (*testbed).joinEntries, order: true},
+	{name: "agents stall", run: (*testbed).stallAgents, order: true},
 }
 
 // onlyByName are the orders that are injected only if they are named, because the programs do
@@ -30,6 +31,7 @@
 	"agents roll",
 	"entries roll",
 	"entries join",
+	"agents stall",
 }
 
 // order holds what an order draws from the seed.
