--- a/ibisfold-standin/soak/configorder.go
+++ b/ibisfold-standin/soak/configorder.go
@@ -105,25 +105,25 @@
 }
 
 var disturbances = []disturbance{
-	{"undisturbed", func(*testbed, *order) {}},
-	{"entry starts", func(_ *testbed, o *order) { kill(o.entry) }},
-	{"entry frozen", func(_ *testbed, o *order) { pause(o.entry, maxOrderWait) }},
-	{"all entries frozen", func(b *testbed, _ *order) {
+	{name: "undisturbed", run: func(*testbed, *order) {}},
+	{name: "entry starts", run: func(_ *testbed, o *order) { kill(o.entry) }},
+	{name: "entry frozen", run: func(_ *testbed, o *order) { pause(o.entry, maxOrderWait) }},
+	{name: "all entries frozen", run: func(b *testbed, _ *order) {
 		for _, v := range b.entries {
 			pause(v, maxFaultTime)
 		}
 	}},
-	{"sources end", func(b *testbed, _ *order) {
+	{name: "sources end", run: func(b *testbed, _ *order) {
 		for _, v := range b.seedEntries() {
 			v.signal(syscall.SIGTERM)
 		}
 	}},
-	{"sources killed", func(b *testbed, _ *order) {
+	{name: "sources killed", run: func(b *testbed, _ *order) {
 		for _, v := range b.seedEntries() {
 			kill(v)
 		}
 	}},
-	{"entries roll", func(b *testbed, _ *order) {
+	{name: "entries roll", run: func(b *testbed, _ *order) {
 		for _, v := range b.entries {
 			v.signal(syscall.SIGTERM)
 			time.Sleep(restartDelay / 2)
