Configurations: of two versions told at one position the number decides

Cause: an answer that comes while the store returns may tell the era of before, so that two writes share a position; neither then replaced the other until the next write.

Before: --- FAIL: TestOrderOfConfigs/two_writes_told_at_one_position.

--- a/core/catalog/order.go
+++ b/core/catalog/order.go
@@ -16,10 +16,14 @@
 		return c.EraCertain || c.Version >= o.Version
 	case p.Era < q.Era:
 		return c.Version > o.Version && !o.EraCertain
-	case p.Revision == q.Revision:
-		return c.EraCertain && !o.EraCertain
-	default:
+	case p.Revision != q.Revision:
 		return p.Revision > q.Revision
+	case c.Version != o.Version:
+		// A position is that of one write. An answer that came while the store returned from a
+		// copy may have told the era of before.
+		return c.Version > o.Version
+	default:
+		return c.EraCertain && !o.EraCertain
 	}
 }
 
--- a/core/catalog/order_test.go
+++ b/core/catalog/order_test.go
@@ -73,6 +73,10 @@
 			later:   certain(2, 9, 8),
 			earlier: writtenAt(2, 9, 8),
 		},
+		"two writes told at one position": {
+			later:   writtenAt(1, 9, 11),
+			earlier: certain(1, 9, 8),
+		},
 		"source behind by an era": {
 			later:   certain(2, 9, 8),
 			earlier: writtenAt(1, 10, 9),
