Tests: the list of TestFollowerListStaysCurrent has a configuration

The test is of normal operation, but its service had no configuration. A process without one asks the sources again after 2 s, so the follower made 8 calls in 5 s, which is the bound, and a slow machine would have exceeded it. Bounds and checks are unchanged.

--- a/core/feed/age_test.go
+++ b/core/feed/age_test.go
@@ -81,7 +81,9 @@
 		period    = 5 * time.Second
 	)
 	service := &fakeUpstream{
-		list: emptyListing(5),
+		list: func() (Batch, error) {
+			return listingOf(5), nil
+		},
 		watch: func(after Position, wait time.Duration) (Batch, error) {
 			time.Sleep(wait + callDelay)
 
