Feed: a process that becomes a source lists the configuration that it knows

The log of a process recorded the service's answers only while it was a source. One that became a source after all others had ended, while the service held a configuration that can't be used, listed none: processes that start were not ready until the next usable one was written.

TestNewSourceListsItsOwnConfig fails before (no configuration listed).

--- a/core/feed/loglearned.go
+++ b/core/feed/loglearned.go
@@ -41,6 +41,16 @@
 	}
 }
 
+// LearnConfig takes a configuration that this process was told of, also while it is no source:
+// once it is one, the service may hold one that can't be used, or that of an older copy.
+func (l *Log) LearnConfig(changes []catalog.Change) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.learnConfig(changes) {
+		l.notifyWatchers()
+	}
+}
+
 // learnConfig takes a configuration of another source and reports whether its content is new.
 func (l *Log) learnConfig(changes []catalog.Change) bool {
 	known := l.config
--- a/core/feed/report.go
+++ b/core/feed/report.go
@@ -40,6 +40,9 @@
 
 // apply reports an answer; current means that the upstream was current.
 func (f *Follower) apply(b Batch, current bool) {
+	if f.Log != nil {
+		f.Log.LearnConfig(b.Changes)
+	}
 	after := b.AfterOutage || f.afterOutage()
 	if b.Complete {
 		f.report(b.stateChanges(after, f.recentlyRestored()), b.confirmation(current))
