--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -34,6 +34,7 @@
 	toAgent  *udp.Writer
 
 	core  steer.Core
+	ports *portChecker
 	state catalog.State
 	// published is the snapshot that the core got last, nil before the first.
 	published *catalog.Snapshot
@@ -52,6 +53,8 @@
 	// steer.Measure.
 	decisions  []*metrics.Counter
 	histograms []*metrics.Histogram
+	// ownerGone has a counter for each steer.Evidence: the flows that were reset on it.
+	ownerGone []*metrics.Counter
 	// storeCalls and sourceCalls count the calls for the catalog to the configuration
 	// service and to other entries.
 	storeCalls  *metrics.Counter
@@ -104,6 +107,7 @@
 			Random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 	}
+	p.ports = newPortChecker(s.Metrics.Port(), p.handlePortCheck)
 	p.state.MaxAge = s.MaxFlowAge
 	p.feedLog.MaxAge = s.MaxFlowAge
 	p.follower = feed.Follower{
@@ -118,6 +122,9 @@
 	}
 	p.followSources(s)
 	p.decisions = p.DecisionCounters(steer.DecisionNames())
+	for _, name := range steer.EvidenceNames() {
+		p.ownerGone = append(p.ownerGone, p.Metrics.NewCounter(`ibisfold_flows_owner_gone_total{evidence="`+name+`"}`))
+	}
 	p.storeCalls = p.Metrics.NewCounter(`ibisfold_catalog_calls_total{to="store"}`)
 	p.sourceCalls = p.Metrics.NewCounter(`ibisfold_catalog_calls_total{to="source"}`)
 	p.storeRestores = p.Metrics.NewCounter("ibisfold_store_restores_total")
@@ -169,6 +176,10 @@
 			Name:  "follower",
 			Value: &p.follower,
 		},
+		{
+			Name:  "port checks",
+			Value: p.ports,
+		},
 	}
 	if p.settings.Control.IsValid() {
 		services = append(services, kernel.Service{
@@ -299,6 +310,12 @@
 	}))
 }
 
+func (p *opaqueEntry) handlePortCheck(m steer.PortChecked) {
+	p.Post(func() {
+		p.execute(p.core.Update(p.Clock(), m))
+	})
+}
+
 func (p *opaqueEntry) handleCallerBatch(b udp.Batch) {
 	defer b.Done()
 	now := p.Clock()
@@ -346,6 +363,8 @@
 		switch c := c.(type) {
 		case *steer.Send:
 			p.toAgent.Add(c.Message.Append(p.toAgent.Next()), c.To)
+		case steer.CheckPort:
+			p.ports.check(c)
 		case steer.Reset:
 			to := platform.CallerAddress(c.Key, p.settings)
 			p.toCaller.Add(platform.AppendReset(p.toCaller.Next(), c.Key, c.Seq), to)
@@ -360,7 +379,16 @@
 // recordDecision counts and logs a decision.
 func (p *opaqueEntry) recordDecision(n steer.Note) {
 	p.decisions[n.Decision].Inc()
+	if n.Decision == steer.OwnerGone {
+		p.ownerGone[n.Evidence].Inc()
+	}
 	fields := []any{"flow", n.Key, "agent", n.Agent, "version", n.Version, "heard", n.Age, "count", n.Count, "reason", n.Reason}
+	if n.Decision == steer.SilentPortChecked {
+		fields = append(fields, "port", n.Port)
+	}
+	if n.Evidence != steer.EvidenceNone {
+		fields = append(fields, "evidence", n.Evidence)
+	}
 	if n.Service != "" {
 		fields = append(fields, "service", n.Service)
 	}
