--- a/core/conntrack/slow_target_test.go
+++ b/core/conntrack/slow_target_test.go
@@ -10,7 +10,7 @@
 // Guards against resets of flows whose target lives and only gets no processor time: the time
 // of its silence is no proof that it lost its flows. Agents and entries stood still for 300 to
 // 500 ms on busy machines, and so may targets. Issue 39, FLOW.
-func TestSlowTargetKeepsItsFlows(t *testing.T) {
+func TestTargetSlowerThanDownTime(t *testing.T) {
 	is := is.New(t)
 	c, now := busyCore()
 	for end := now + 600*time.Millisecond; now < end; now += TickTime {
