Entries: an agent that told the end of its last target may be back

A search took 60 ms without an answer of such an agent for proof that its target holds nothing, until the list told the next target at the address. Other entries that list that one sooner use it at once; if its agent, just started, answers late, its living flow was reset.

Ruled out: to wait for a list confirmed after the search began, for all flows that no agent holds.

Now the VM of the agent also has to refuse or not answer a connection. Before, TestSlowAgentOfReplacedTarget '1 != 0' resets; after, none.

--- a/core/steer/new_service_test.go
+++ b/core/steer/new_service_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -96,6 +97,10 @@
 	owner := c.listedOrder[0]
 	agents := newTestAgents(c.listedOrder[1:], relay.NotOwned)
 	receive(c, 0, owner, stopMessage(relay.ReasonTargetDown))
+	// Its process has started again beside the next target and gets no processor time.
+	agents.ports = map[netip.AddrPort]PortState{
+		owner: PortAccepted,
+	}
 	const begin = time.Second
 	agents.run(c, begin, begin+120*time.Millisecond, true, begin)
 	is.Equal(agents.resets, 0)
--- a/core/steer/portcheck.go
+++ b/core/steer/portcheck.go
@@ -96,7 +96,8 @@
 // was heard a moment ago is checked with it: if that one does not answer either, the fault is
 // this entry's, or lies between.
 func (c *Core) checkPort(now time.Duration, addr netip.AddrPort, a *agent) {
-	if a.unanswered < minCheckQueries || c.inPlannedStop(now, a) || a.targetEnded || !a.port.due(now, c.Policy) {
+	stopping := c.inPlannedStop(now, a) && !a.targetEnded
+	if a.unanswered < minCheckQueries || stopping || !a.port.due(now, c.Policy) {
 		return
 	}
 	a.port.pending = true
@@ -134,6 +135,12 @@
 	}
 }
 
+// isClosed reports whether the last check found no process. That is no evidence that the target
+// has ended, only that no process passes packets to it now.
+func (p *portCheck) isClosed() bool {
+	return p.state == PortRefused || p.state == PortSilent
+}
+
 // evidence returns what the state of the port shows. A process that is not there may be back
 // within StopTime, and its target holds its flows meanwhile.
 func (p *portCheck) evidence(now time.Duration, policy *Policy) Evidence {
--- a/core/steer/resolve.go
+++ b/core/steer/resolve.go
@@ -84,12 +84,12 @@
 	return v
 }
 
-// presumedGone reports whether an agent's silence shows that it holds no flow. An agent
-// that announced the end of its target may be back beside a new target that other entries
-// already know, so its answer is awaited for one wave.
+// presumedGone reports whether an agent that does not answer holds no flow. One that announced
+// the end of its target may be back beside a new target that other entries already know: its
+// answer is awaited for one wave, and longer unless its process is not there.
 func (c *Core) presumedGone(now time.Duration, s *search, r *reply) bool {
 	if r.agent.targetEnded && now-r.agent.stopAnnounced > maxMessageDelay {
-		return now-max(r.sentAt, s.since) >= queuedWaveTimeout
+		return now-max(r.sentAt, s.since) >= queuedWaveTimeout && r.agent.port.isClosed()
 	}
 
 	return c.gone(now, r.agent) != EvidenceNone
