--- a/ibisfold-standin/soak/fault.go
+++ b/ibisfold-standin/soak/fault.go
@@ -202,11 +202,7 @@
 func (b *testbed) injectFaults(ctx context.Context, end time.Time, only string, log func(string)) int {
 	count := 0
 	chosen := slices.DeleteFunc(slices.Concat(faults, orders), func(f fault) bool {
-		if only == "" {
-			return slices.Contains(onlyByName, f.name)
-		}
-
-		return f.name != only
+		return only != "" && f.name != only
 	})
 	for ctx.Err() == nil && time.Now().Before(end) && len(chosen) > 0 {
 		f := chosen[b.random.IntN(len(chosen))]
--- a/ibisfold-standin/soak/order.go
+++ b/ibisfold-standin/soak/order.go
@@ -19,21 +19,6 @@
 	{name: "agents stall", run: (*testbed).stallAgents, order: true},
 }
 
-// onlyByName are the orders that are injected only if they are named, because the programs do
-// not pass them yet or need not pass them.
-var onlyByName = []string{
-	"config unusable",
-	"config decimal",
-	"config lower",
-	"config disturbed",
-	"config lost",
-	"config lost, number used again",
-	"agents roll",
-	"entries roll",
-	"entries join",
-	"agents stall",
-}
-
 // order holds what an order draws from the seed.
 type order struct {
 	// wait is the time between two steps of the order.
