--- a/ibisfold-standin/soak/router.go
+++ b/ibisfold-standin/soak/router.go
@@ -25,6 +25,8 @@
 	// rotation is true for the entries that get packets.
 	rotation map[*vm]bool
 	conn     *net.UDPConn
+	// admitted is closed by admit. It is nil if nobody waits.
+	admitted chan struct{}
 }
 
 // poll updates the rotation until ctx is done. Two failed readiness calls in a row take an
@@ -44,25 +46,51 @@
 				failures[e] = 0
 			}
 			r.mu.Lock()
-			r.rotation[e] = failures[e] < 2
+			r.rotation[e] = failures[e] < 2 && !e.held.Load()
 			r.mu.Unlock()
 		}
 		time.Sleep(pollInterval)
 	}
 }
 
-// forward sends a packet of flow k to an entry of the zone. It drops the packet if none is
-// in rotation.
-func (r *router) forward(zone string, k segment.Key, b []byte) {
+// inRotation reports whether an entry gets packets.
+func (r *router) inRotation(v *vm) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.conn == nil {
-		c, err := net.ListenUDP("udp4", nil)
-		if err != nil {
-			return
-		}
-		r.conn = c
+
+	return r.rotation[v]
+}
+
+// admit puts entries in rotation that were held out of it. Callers that wait between two requests
+// send the next one at once.
+func (r *router) admit(list []*vm) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, v := range list {
+		v.held.Store(false)
+		r.rotation[v] = true
+	}
+	if r.admitted != nil {
+		close(r.admitted)
+		r.admitted = nil
+	}
+}
+
+// nextAdmission returns a channel that the next call of admit closes.
+func (r *router) nextAdmission() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.admitted == nil {
+		r.admitted = make(chan struct{})
 	}
+
+	return r.admitted
+}
+
+// pick returns the entry of the zone for flow k; nil if none is in rotation.
+func (r *router) pick(zone string, k segment.Key) *vm {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	best := (*vm)(nil)
 	bestHash := uint64(0)
 	for i, e := range r.entries {
@@ -72,8 +100,23 @@
 			bestHash = h
 		}
 	}
-	if best != nil {
+
+	return best
+}
+
+// send sends a packet to an entry. It drops the packet if there is none.
+func (r *router) send(entry *vm, b []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.conn == nil {
+		c, err := net.ListenUDP("udp4", nil)
+		if err != nil {
+			return
+		}
+		r.conn = c
+	}
+	if entry != nil {
 		// A packet that can't be sent is lost, as on a real network.
-		_, _ = r.conn.WriteToUDPAddrPort(b, best.settings.Packets)
+		_, _ = r.conn.WriteToUDPAddrPort(b, entry.settings.Packets)
 	}
 }
