Soak: the store's texts of configurations stand in platform/

The orders around configurations spelled the platform's field names in ibisfold-standin/soak. They move, word for word, to platform/platformtest beside the store that they are written to; the soak asks for a form or for decimal numbers.

--- a/ibisfold-standin/soak/configorder.go
+++ b/ibisfold-standin/soak/configorder.go
@@ -1,10 +1,10 @@
 package soak
 
 import (
-	"fmt"
-	"strings"
 	"syscall"
 	"time"
+
+	"ibisfold.example/platform/platformtest"
 )
 
 // settleTime is the time from the last version of an order to the next order.
@@ -26,21 +26,6 @@
 	b.writeConfig()
 }
 
-// unusableConfigs are values that are no usable configuration. A %d is the number of the version.
-var unusableConfigs = []string{
-	`{"Version":%d}`,
-	`{}`,
-	`null`,
-	`{"Version":%d,"Routes":[`,
-	`{"Version":%d,"Routes":[{"Name":"r","Host":"198.18.0.1","Prefix":"/443/","Service":"nirgends"}],"Services":[{"Name":"rufdienst"}]}`,
-	`{"Version":%d,"Routes":[{"Name":"r","Host":"198.18.0.1","Prefix":"/443/","Service":"rufdienst"},` +
-		`{"Name":"s","Host":"198.18.0.1","Prefix":"/443/","Service":"kartendienst"}],` +
-		`"Services":[{"Name":"rufdienst"},{"Name":"kartendienst"}]}`,
-	`{"Version":%d,"Routes":[{"Name":"r","Host":"198.18.0.1","Prefix":"/0/","Service":"rufdienst"}],"Services":[{"Name":"rufdienst"}]}`,
-	`{"Version":%d,"Routes":[{"Name":"r","Host":"198.18.0.1","Prefix":"/443/",` +
-		`"WeightedServices":[{"Service":"rufdienst","Weight":-1}]}],"Services":[{"Name":"rufdienst"}]}`,
-}
-
 // hugeNumber is a version number above all others of a run.
 const hugeNumber = 9_000_000
 
@@ -56,10 +41,7 @@
 			number = hugeNumber + b.version
 		}
 		b.mu.Unlock()
-		value := unusableConfigs[o.form]
-		if strings.Contains(value, "%d") {
-			value = fmt.Sprintf(value, number)
-		}
+		value := platformtest.UnusableConfig(o.form, number)
 		o.describe("%s", value)
 		b.store.SetRawConfig(value)
 		time.Sleep(o.wait)
@@ -74,15 +56,7 @@
 		defer b.mu.Unlock()
 		b.changeAddedRoute()
 		b.version += 3
-		routes := []string{}
-		for _, r := range b.currentRoutes() {
-			routes = append(routes, fmt.Sprintf(
-				`{"Name":"%v","Host":"%v","Prefix":"/%d/","Priority":1.0,"WeightedServices":[{"Service":%q,"Weight":50.0}]}`,
-				r.Address, r.Address.Addr(), r.Address.Port(), r.Service))
-		}
-		b.store.SetRawConfig(fmt.Sprintf(
-			`{"Version":%d.0,"Routes":[%s],"Services":[{"Name":%q,"MaxConns":2000.0},{"Name":%q}],"Limits":{"IdleTimeoutMs":15000.0}}`,
-			b.version, strings.Join(routes, ","), services[0], services[1]))
+		b.store.SetRawConfig(platformtest.DecimalConfig(b.version, b.currentRoutes(), services))
 		b.recordConfig()
 	})
 }
--- a/ibisfold-standin/soak/order.go
+++ b/ibisfold-standin/soak/order.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"ibisfold.example/platform/platformtest"
 )
 
 // orders are the faults with several steps.
@@ -50,7 +52,7 @@
 	o := &order{
 		wait:    minOrderWait + time.Duration(b.random.Int64N(int64(maxOrderWait-minOrderWait))),
 		huge:    b.random.IntN(2) == 0,
-		form:    b.random.IntN(len(unusableConfigs)),
+		form:    b.random.IntN(platformtest.UnusableForms()),
 		lost:    1 + b.random.IntN(maxLost),
 		disturb: disturbances[b.random.IntN(len(disturbances))],
 		entry:   pick(b, b.entries),
