--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -278,6 +278,10 @@
 	}
 	c := exec.Command(program, "-platform")
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "IBISFOLD_NODE_FILE=" + m.settingsPath()}
+	// The process ends with this one, however that ends.
+	c.SysProcAttr = &syscall.SysProcAttr{
+		Pdeathsig: syscall.SIGKILL,
+	}
 	c.Stdout = out
 	c.Stderr = out
 	if err := c.Start(); err != nil {
--- a/review/standin-2/endpoint.go
+++ b/review/standin-2/endpoint.go
@@ -213,7 +213,7 @@
 			})
 			e.bed.rec.add("endpoint %s: flow %v opened, SYN arrived %.1f ms ago, cold %v", e.id, s.Key, float64(time.Since(f.arrived).Microseconds())/1000, f.cold)
 		}
-		if s.Len > 0 {
+		if s.Len >= requestBytes {
 			e.handleRequest(s, f, raw[platform.PacketHeaderBytes:])
 		}
 	}
@@ -234,6 +234,9 @@
 	e.send(s.Key, segment.SYN|segment.ACK, f.seq, s.Seq+1, nil)
 }
 
+// requestBytes is the length of a request.
+const requestBytes = 8
+
 // handleRequest runs a request once and repeats its answer for each copy.
 func (e *endpoint) handleRequest(s *segment.Segment, f *endpointFlow, data []byte) {
 	if a, ok := f.answers[s.Seq]; ok {
