review: case 6, flows at a new endpoint are reset by a frontend whose source is frozen

The earlier cases 6 to 9 are now 7 to 10. Clients of the stand-in retry as the users' pages say; the endpoints of case 10 come back 30 ms after one another.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -9,4 +9,4 @@
 		exit 2
 	fi
 done
-exec target/review-2/standin no-id "$folder/record.txt"
+exec target/review-2/standin exporter "$folder/record.txt"
--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -69,6 +69,8 @@
 	router    router
 	// broken counts the findings against the rule of the case.
 	broken int
+	// judged means that resets are judged.
+	judged bool
 	mu     sync.Mutex
 	stops  []func()
 }
@@ -86,6 +88,7 @@
 			dir:     dir,
 			trouble: trouble,
 			rec:     rec,
+			judged:  true,
 		}
 		l, err := net.Listen("tcp4", b.address(netStore, 1, portStore).String())
 		if err != nil {
@@ -241,7 +244,11 @@
 	add("Bounds.ColdOvershoot", coldOver)
 	add("Bounds.ColdSlack", coldSlack)
 	add("Bounds.MaxFlowS", 60)
-	add("EcmpHash", "steady")
+	hash := "steady"
+	if m.bed.router.mod {
+		hash = "mod"
+	}
+	add("EcmpHash", hash)
 	add("ForwardingMode", "agent")
 	add("platform.Address", m.bed.address(netStore, 1, portStore))
 	add("platform.ForwardingMode", "read")
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -17,6 +17,10 @@
 
 // router stands in for the platform's routers: each flow has a ready frontend machine.
 type router struct {
+	// mod means that the machine is selected by the remainder of the hash, so that nearly all
+	// flows move when a machine joins or leaves the rotation.
+	mod bool
+
 	mu       sync.Mutex
 	rotation []*machine
 }
@@ -24,7 +28,7 @@
 // poll makes the readiness calls twice a second. After two misses a machine is out of rotation.
 func (r *router) poll(ctx context.Context, entries []*machine) {
 	c := &http.Client{
-		Timeout: 450 * time.Millisecond,
+		Timeout: 300 * time.Millisecond,
 	}
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -70,6 +74,9 @@
 func (r *router) pick(k segment.Key) *machine {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.mod && len(r.rotation) > 0 {
+		return r.rotation[(k.Hash()>>8)%uint64(len(r.rotation))]
+	}
 	best, top := (*machine)(nil), uint64(0)
 	for _, m := range r.rotation {
 		h := fnv.New64a()
@@ -89,9 +96,11 @@
 	route netip.AddrPort
 	// pause is the time between an answer and the next request, fresh that each request has
 	// its own flow.
-	pause  time.Duration
-	fresh  bool
-	budget time.Duration
+	pause time.Duration
+	fresh bool
+	// idempotent means that the client's requests may be repeated.
+	idempotent bool
+	budget     time.Duration
 
 	conn *net.UDPConn
 	port uint16
@@ -230,6 +239,12 @@
 
 // checkReset records a reset of an open flow whose endpoint lives and holds it.
 func (b *bed) checkReset(k segment.Key) {
+	b.mu.Lock()
+	judged := b.judged
+	b.mu.Unlock()
+	if !judged {
+		return
+	}
 	for _, e := range b.endpoints {
 		if e.holds(k) {
 			b.fail("FLOW: the client of flow %v got a reset though its endpoint %s lives and holds the flow", k, e.id)
@@ -237,26 +252,34 @@
 	}
 }
 
+// Clients try a request again after retryPause, at most maxRetries times: an idempotent one after
+// any failure, others only if the flow did not open.
+const (
+	maxRetries = 2
+	retryPause = 150 * time.Millisecond
+)
+
 func (c *client) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if c.needsFlow() {
-			if !c.open(ctx) {
+		for try := 0; try <= maxRetries && ctx.Err() == nil; try++ {
+			if try > 0 {
+				sleep(ctx, retryPause)
+			}
+			if c.needsFlow() && !c.open(ctx) {
 				c.addCounts(counts{
 					attempts: 1,
 				})
-				sleep(ctx, 150*time.Millisecond)
 				continue
 			}
+			ok := c.request(ctx)
+			if !ok || c.fresh {
+				c.closeFlow()
+			}
+			if ok || !c.idempotent {
+				break
+			}
 		}
-		ok := c.request(ctx)
-		if !ok || c.fresh {
-			c.closeFlow()
-		}
-		if ok {
-			sleep(ctx, c.pause)
-		} else {
-			sleep(ctx, 150*time.Millisecond)
-		}
+		sleep(ctx, c.pause)
 	}
 }
 
@@ -365,6 +388,9 @@
 			answered: 1,
 		})
 		c.bed.rec.add("client: request %d answered", id)
+		if s.Flags.Has(segment.FIN) {
+			c.closeFlow()
+		}
 
 		return true
 	}
--- a/review/standin-2/cold.go
+++ b/review/standin-2/cold.go
@@ -13,9 +13,11 @@
 	coldPerS      = 4
 	coldTime      = 2 * time.Second
 	downTime      = 2 * time.Second
+	// returnGap is the time between the starts of two endpoints that come back.
+	returnGap = 30 * time.Millisecond
 )
 
-// runColdReturn checks FAILBACK while the endpoints of a zone crash and come back together.
+// runColdReturn checks FAILBACK while the endpoints of a zone crash and come back together, within 0.1 s.
 func runColdReturn(ctx context.Context, b *bed) error {
 	b.addEntries(2)
 	for range coldEndpoints {
@@ -41,6 +43,7 @@
 			return err
 		}
 		c.pause = 300 * time.Millisecond
+		c.idempotent = true
 		go c.run(ctx)
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -50,16 +53,11 @@
 			e.crash()
 		}
 		sleep(ctx, downTime)
-		failed := make(chan error, len(b.endpoints))
 		for _, e := range b.endpoints {
-			go func() {
-				failed <- e.start(coldTime)
-			}()
-		}
-		for range b.endpoints {
-			if err := <-failed; err != nil {
+			if err := e.start(coldTime); err != nil {
 				return err
 			}
+			sleep(ctx, returnGap)
 		}
 	}
 	sleep(ctx, 8*time.Second)
--- a/review/standin-2/endpoint.go
+++ b/review/standin-2/endpoint.go
@@ -169,6 +169,21 @@
 	e.bed.rec.add("endpoint %s crashed", e.id)
 }
 
+// drain reports that the endpoint drains. It closes each flow after its next answer.
+func (e *endpoint) drain() {
+	e.mu.Lock()
+	e.state = "draining"
+	e.mu.Unlock()
+	e.register()
+}
+
+// leave ends a drained endpoint and removes its entry.
+func (e *endpoint) leave() {
+	e.crash()
+	e.bed.store.RemoveTarget(e.id)
+	e.bed.rec.add("store: servers/%s removed", e.id)
+}
+
 func (e *endpoint) read(c *net.UDPConn) {
 	b := make([]byte, 2048)
 	for {
@@ -265,10 +280,14 @@
 		if e.flows[key] != f {
 			return
 		}
+		flags := segment.ACK
+		if e.state == "draining" {
+			flags |= segment.FIN
+		}
 		a := platform.AppendPacket(nil, &segment.Segment{
 			Key:        key,
 			FromTarget: true,
-			Flags:      segment.ACK,
+			Flags:      flags,
 			Seq:        f.next,
 			Ack:        end,
 			Len:        len(body),
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,6 +28,7 @@
 	"no-id":       runNoID,
 	"probe-entry": runProbeEntry,
 	"cold-return": runColdReturn,
+	"release":     runRelease,
 }
 
 func main() {
