--- a/review/standin-2/foreign.go
+++ b/review/standin-2/foreign.go
@@ -43,8 +43,8 @@
 // Figures of the cases: endpoints, clients with long flows, and the pause between two requests of
 // a flow. Flows may be idle for 12 s.
 const (
-	foreignEndpoints = 3
-	foreignClients   = 24
+	foreignEndpoints = 4
+	foreignClients   = 48
 	foreignPause     = 4 * time.Second
 	// restartTime is the delay after which the platform starts a stopped process again.
 	restartTime = 1200 * time.Millisecond
