--- a/core/catalog/snapshot.go
+++ b/core/catalog/snapshot.go
@@ -11,8 +11,10 @@
 type Snapshot struct {
 	// Config is never nil.
 	Config *Config
-	// Groups holds the targets of each service, sorted by ID.
+	// Groups holds the targets of each service, sorted by ID: at most one for each address.
 	Groups map[uint64][]Member
+	// Hidden is the number of listed targets at whose address another one is in use.
+	Hidden int
 	// Departed holds the targets that left the list less than State.MaxAge ago, sorted by
 	// ID. They get no new flows but may hold old ones: the entry of a living target may
 	// expire during an outage of the configuration service.
@@ -40,9 +42,10 @@
 		Config: s.config,
 		Groups: map[uint64][]Member{},
 	}
-	latestIDs := s.latestIDs()
+	inUse := s.idsInUse()
 	for _, t := range slices.SortedFunc(maps.Values(s.targets), compareTargets) {
-		if latestIDs[t.Address] != t.ID {
+		if inUse[t.Address] != t.ID {
+			n.Hidden++
 			continue
 		}
 		n.Groups[t.Service] = append(n.Groups[t.Service], Member{
@@ -55,23 +58,18 @@
 	return n
 }
 
-// departedMembers returns the departed targets of the VMs that have no listed target. All
-// targets of a VM share one agent, so it returns one for each VM: the one that left last,
-// or that started last if several left at the same time.
+// departedMembers returns the departed targets of the VMs without a listed target that replaces
+// them. All targets of a VM share one agent, so it returns one for each VM.
 func (s *State) departedMembers() []Member {
 	list := []Member{}
+	inUse := s.targetsByVM()
 	taken := map[netip.Addr]bool{}
-	for _, t := range s.targets {
-		taken[t.Address.Addr()] = true
-	}
 	// The order of the ages is the same at any time, so the list is taken at time zero.
 	departed := s.departed.List(0)
-	slices.SortStableFunc(departed, func(a, b TargetDeparted) int {
-		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(b.Target.Born, a.Target.Born))
-	})
+	s.config.sortDeparted(departed)
 	for _, d := range departed {
 		a := d.Target.Address.Addr()
-		if taken[a] {
+		if t, listed := inUse[a]; taken[a] || listed && s.config.Replaces(&t, &d.Target) {
 			continue
 		}
 		taken[a] = true
@@ -87,13 +85,12 @@
 	return list
 }
 
-// latestIDs returns the ID of the target that started last at each address: the
-// address of a target that is gone may be reused, also by another service.
-func (s *State) latestIDs() map[netip.AddrPort]string {
+// idsInUse returns the ID of the target that is in use at each address.
+func (s *State) idsInUse() map[netip.AddrPort]string {
 	m := map[netip.AddrPort]string{}
 	for id, t := range s.targets {
 		other, ok := s.targets[m[t.Address]]
-		if !ok || cmp.Or(cmp.Compare(t.Born, other.Born), cmp.Compare(id, other.ID)) > 0 {
+		if !ok || s.config.ComparePrecedence(&t, &other) < 0 {
 			m[t.Address] = id
 		}
 	}
@@ -101,10 +98,36 @@
 	return m
 }
 
+// targetsByVM returns the target that is in use on each VM.
+func (s *State) targetsByVM() map[netip.Addr]Target {
+	m := map[netip.Addr]Target{}
+	for _, t := range s.targets {
+		other, ok := m[t.Address.Addr()]
+		if !ok || s.config.ComparePrecedence(&t, &other) < 0 {
+			m[t.Address.Addr()] = t
+		}
+	}
+
+	return m
+}
+
 func compareTargets(a, b Target) int {
 	return cmp.Compare(a.ID, b.ID)
 }
 
+// Undeclared returns the number of targets in Groups whose service the configuration does not
+// declare.
+func (n *Snapshot) Undeclared() int {
+	count := 0
+	for service, g := range n.Groups {
+		if !n.Config.Declares(service) {
+			count += len(g)
+		}
+	}
+
+	return count
+}
+
 // Route returns the route of a service address and whether there is one.
 func (n *Snapshot) Route(a netip.AddrPort) (Route, bool) {
 	r, ok := n.Config.Routes[a]
--- a/ibisfold-entry/catalog.go
+++ b/ibisfold-entry/catalog.go
@@ -121,7 +121,7 @@
 		targets += len(g)
 	}
 	p.Log.Info("catalog changed", "version", n.Config.Version, "routes", len(n.Config.Routes), "targets", targets,
-		"restored", u.restored, "unconfirmed", p.state.Unconfirmed())
+		"undeclared", n.Undeclared(), "hidden", n.Hidden, "restored", u.restored, "unconfirmed", p.state.Unconfirmed())
 	d := n.Since(p.published)
 	if d.Empty() {
 		return
