--- a/core/catalog/precedence_test.go
+++ b/core/catalog/precedence_test.go
@@ -126,3 +126,15 @@
 	s.Expire(LapseGrace)
 	is.Equal(departedIDs(s), []string{"ep-1"})
 }
+
+// Guards against an entry with an empty ID that hides all targets, those of declared services
+// and those that only hold open flows (review/8).
+func TestEmptyIDHidesNoTarget(t *testing.T) {
+	for _, newState := range []func(...Change) *State{newState, newDeclaredState} {
+		is := is.New(t)
+		s := newState(target("ep-1", vmAddress, 1000), target("ep-2", "10.0.0.2:8165", 1000))
+		s.Apply(0, otherTarget("", "10.0.0.1:9100", 2000, false))
+		is.Equal(currentIDs(s), []string{"ep-1", "ep-2"})
+		is.Equal(usedIDs(s, otherService), []string{""})
+	}
+}
--- a/core/catalog/snapshot.go
+++ b/core/catalog/snapshot.go
@@ -42,9 +42,11 @@
 		Config: s.config,
 		Groups: map[uint64][]Member{},
 	}
-	inUse := s.idsInUse()
+	inUse := targetsInUse(s, func(t *Target) netip.AddrPort {
+		return t.Address
+	})
 	for _, t := range slices.SortedFunc(maps.Values(s.targets), compareTargets) {
-		if inUse[t.Address] != t.ID {
+		if inUse[t.Address].ID != t.ID {
 			n.Hidden++
 			continue
 		}
@@ -62,7 +64,9 @@
 // them. All targets of a VM share one agent, so it returns one for each VM.
 func (s *State) departedMembers() []Member {
 	list := []Member{}
-	inUse := s.targetsByVM()
+	inUse := targetsInUse(s, func(t *Target) netip.Addr {
+		return t.Address.Addr()
+	})
 	taken := map[netip.Addr]bool{}
 	// The order of the ages is the same at any time, so the list is taken at time zero.
 	departed := s.departed.List(0)
@@ -85,26 +89,13 @@
 	return list
 }
 
-// idsInUse returns the ID of the target that is in use at each address.
-func (s *State) idsInUse() map[netip.AddrPort]string {
-	m := map[netip.AddrPort]string{}
-	for id, t := range s.targets {
-		other, ok := s.targets[m[t.Address]]
-		if !ok || s.config.ComparePrecedence(&t, &other) < 0 {
-			m[t.Address] = id
-		}
-	}
-
-	return m
-}
-
-// targetsByVM returns the target that is in use on each VM.
-func (s *State) targetsByVM() map[netip.Addr]Target {
-	m := map[netip.Addr]Target{}
+// targetsInUse returns the listed target that is in use in each place, such as an address.
+func targetsInUse[K comparable](s *State, place func(*Target) K) map[K]Target {
+	m := map[K]Target{}
 	for _, t := range s.targets {
-		other, ok := m[t.Address.Addr()]
+		other, ok := m[place(&t)]
 		if !ok || s.config.ComparePrecedence(&t, &other) < 0 {
-			m[t.Address.Addr()] = t
+			m[place(&t)] = t
 		}
 	}
 
