--- a/core/conntrack/clock_test.go
+++ b/core/conntrack/clock_test.go
@@ -126,3 +126,25 @@
 	is.True(!completeAfterFind(started, started-maxTargetLead.Milliseconds()-1, true))
 	is.True(completeAfterFind(started, started+3000, false))
 }
+
+// Guards against an agent that takes its target for a new one because of the start of an entry
+// that another writer made for the VM (review/7).
+func TestStartOfOtherServiceIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	const started = 1_000_000
+	c := Core{
+		Service: 7,
+		Started: started,
+	}
+	for _, service := range []uint64{0, 8} {
+		m := findWithStart(started, 0)
+		m.Message.Service = service
+		c.Update(0, m)
+		c.Update(startEvidenceTime, m)
+		is.True(!c.Complete)
+	}
+	m := findWithStart(started, 0)
+	m.Message.Service = c.Service
+	c.Update(2*startEvidenceTime, m)
+	is.True(c.Complete)
+}
--- a/core/conntrack/command.go
+++ b/core/conntrack/command.go
@@ -133,6 +133,9 @@
 	// TargetFresh means that the target holds no flow that the agent does not know: it
 	// started no earlier than the agent, or nothing listens at its address.
 	TargetFresh
+	// OtherStart means that an entry told the start of a target of another service, which is
+	// no evidence about this agent's target.
+	OtherStart
 	// TargetSilent means that the target does not respond, and may be slow.
 	TargetSilent
 	// TargetDown means that nothing listens at the target's address.
@@ -163,6 +166,7 @@
 	FlowLost:     "flow reset: target no longer holds it",
 	TargetReset:  "flow reset by target",
 	TargetFresh:  "target has no earlier flows",
+	OtherStart:   "start of another service's target ignored",
 	TargetSilent: "target silent",
 	TargetDown:   "target down",
 	TargetBack:   "target back",
--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -87,6 +87,8 @@
 	freshClaimed   bool
 	freshClaimedBy netip.AddrPort
 	targetOlder    bool
+	// otherStartNoted means that OtherStart was logged.
+	otherStartNoted bool
 	// lookups are the ownership lookups that the flow table of the previous process may
 	// still answer.
 	lookups []lookup
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -236,10 +236,18 @@
 // decide only if nothing else shows that the target is older: an entry that has known it for
 // longer, or the flow table of the previous process. For startEvidenceTime after the agent's
 // start such evidence is awaited.
+//
+// The start of a target of another service says nothing: entries may list a target on the VM that
+// is not this agent's, such as the entry of another writer.
 func (c *Core) checkTargetStart(now time.Duration, m *EntryMessage) {
 	if c.Complete || m.Message.Born == 0 || !c.isFreshStart(m.Message.Born) {
 		return
 	}
+	if m.Message.Service != c.Service {
+		c.noteOtherStart(now, m)
+
+		return
+	}
 	c.freshClaimed = true
 	c.freshClaimedBy = m.From
 	uptime := now - c.restore.startedAt
@@ -248,6 +256,20 @@
 	c.concludeFresh(now)
 }
 
+// noteOtherStart logs the first start of another service's target that would have shown that this
+// agent's target is new.
+func (c *Core) noteOtherStart(now time.Duration, m *EntryMessage) {
+	if c.otherStartNoted {
+		return
+	}
+	c.otherStartNoted = true
+	c.note(now, Note{
+		Decision: OtherStart,
+		Entry:    m.From,
+		Reason:   relay.ReasonWrongService,
+	})
+}
+
 // concludeFresh sets Complete once a start time shows that the target is new and no evidence
 // against it has come in time.
 func (c *Core) concludeFresh(now time.Duration) {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -110,6 +110,11 @@
 	}
 }
 
+// isLookup reports whether messages of the kind ask for the owners of flows.
+func (k Kind) isLookup() bool {
+	return k == Find || k == FindMany
+}
+
 // Reason is why an agent returned a packet, or the state of its target in Stopping.
 type Reason uint8
 
@@ -179,7 +184,9 @@
 	Kind   Kind
 	Reason Reason
 	// Service is, in Open, the ID of the service that the entry expects at the target. It
-	// shares its place in the header with Born and Table.ID.
+	// shares its place in the header with Born and Table.ID. In Find and FindMany it is the
+	// service of the target that Born tells of, in the place of ColdRate, Load, Flows and
+	// Slots; zero in those of earlier versions.
 	Service uint64
 	// Born is, in Find and FindMany, when the target started according to the entry, in
 	// Unix milliseconds; zero if the entry does not know it.
@@ -241,10 +248,14 @@
 	}
 	b = binary.LittleEndian.AppendUint64(b, m.sharedField())
 	b = appendKey(b, m.Key)
-	b = binary.LittleEndian.AppendUint16(b, m.ColdRate)
-	b = binary.LittleEndian.AppendUint16(b, m.Load)
-	b = binary.LittleEndian.AppendUint16(b, m.Flows)
-	b = binary.LittleEndian.AppendUint16(b, m.Slots)
+	if m.Kind.isLookup() {
+		b = binary.LittleEndian.AppendUint64(b, m.Service)
+	} else {
+		b = binary.LittleEndian.AppendUint16(b, m.ColdRate)
+		b = binary.LittleEndian.AppendUint16(b, m.Load)
+		b = binary.LittleEndian.AppendUint16(b, m.Flows)
+		b = binary.LittleEndian.AppendUint16(b, m.Slots)
+	}
 	b = binary.LittleEndian.AppendUint16(b, m.Age)
 	b = binary.LittleEndian.AppendUint16(b, m.Timeout)
 	b = append(b, m.Priority)
@@ -262,7 +273,7 @@
 // header. The kind determines which of them it is.
 func (m *Message) sharedField() uint64 {
 	switch {
-	case m.Kind == Find, m.Kind == FindMany:
+	case m.Kind.isLookup():
 		return uint64(m.Born)
 	case m.Table != nil:
 		return uint64(m.Table.ID)
@@ -276,7 +287,7 @@
 	m.Born = 0
 	m.Table = nil
 	switch {
-	case m.Kind == Find, m.Kind == FindMany:
+	case m.Kind.isLookup():
 		m.Born = int64(x)
 	case m.Kind.isHandover():
 		m.Table = &Table{
@@ -287,6 +298,20 @@
 	}
 }
 
+// setCounts decodes ColdRate, Load, Flows and Slots, or what a lookup has in their place.
+func (m *Message) setCounts(b []byte) {
+	m.ColdRate, m.Load, m.Flows, m.Slots = 0, 0, 0, 0
+	if m.Kind.isLookup() {
+		m.Service = binary.LittleEndian.Uint64(b)
+
+		return
+	}
+	m.ColdRate = binary.LittleEndian.Uint16(b)
+	m.Load = binary.LittleEndian.Uint16(b[2:])
+	m.Flows = binary.LittleEndian.Uint16(b[4:])
+	m.Slots = binary.LittleEndian.Uint16(b[6:])
+}
+
 // Decode decodes a message. Errors: ErrShort, ErrVersion, ErrKind, ErrKeys, ErrTable.
 func (m *Message) Decode(b []byte) error {
 	if len(b) < HeaderBytes {
@@ -306,10 +331,7 @@
 	m.Stopping = b[3]&flagStopping != 0
 	m.setSharedField(binary.LittleEndian.Uint64(b[4:]))
 	m.Key = decodeKey(b[12:])
-	m.ColdRate = binary.LittleEndian.Uint16(b[24:])
-	m.Load = binary.LittleEndian.Uint16(b[26:])
-	m.Flows = binary.LittleEndian.Uint16(b[28:])
-	m.Slots = binary.LittleEndian.Uint16(b[30:])
+	m.setCounts(b[24:32])
 	m.Age = binary.LittleEndian.Uint16(b[32:])
 	m.Timeout = binary.LittleEndian.Uint16(b[34:])
 	m.Priority = b[36]
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -87,3 +87,21 @@
 		}
 	})
 }
+
+// Guards against an agent that can't tell which target's start an entry tells.
+func TestFindRoundTrip(t *testing.T) {
+	is := is.New(t)
+	m := Message{
+		Kind:     FindMany,
+		Service:  1<<63 + 5,
+		Born:     1 << 43,
+		Leaving:  true,
+		Age:      7,
+		Timeout:  8,
+		Priority: 9,
+		Keys:     []segment.Key{segment.KeyOf(netip.MustParseAddrPort("100.64.0.7:40001"), netip.MustParseAddrPort("198.18.0.1:443"))},
+	}
+	got := Message{}
+	is.NoErr(got.Decode(m.Append(nil)))
+	is.Equal(got, m)
+}
--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -1,7 +1,6 @@
 package steer
 
 import (
-	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -85,8 +84,6 @@
 	flows    int
 	unstable bool
 	opened   int
-	// startKnownSince is when the list first told the present start of the target.
-	startKnownSince time.Duration
 	// spreadUntil is until when other entries may not know the target yet.
 	spreadUntil time.Duration
 	// avoidUntil is until when new flows avoid the target because the agent refused one.
@@ -114,36 +111,10 @@
 // query sends a query for a flow, which the agent answers at once.
 func (c *Core) query(now time.Duration, to netip.AddrPort, k segment.Key) {
 	c.recordQuery(now, c.agent(to))
-	c.send(to, relay.Message{
+	c.send(to, c.addTargetStart(now, to, relay.Message{
 		Kind: relay.Find,
 		Key:  k,
-		Born: c.bornOf(to),
-		Age:  c.startKnownFor(now, to),
-	})
-}
-
-// startKnownFor returns for how long this entry has known of the present start of an agent's
-// target, in milliseconds, at most math.MaxUint16. The target is at least that old, whatever
-// the clock of its VM says.
-func (c *Core) startKnownFor(now time.Duration, to netip.AddrPort) uint16 {
-	if !c.hasKnownTarget(to) {
-		return 0
-	}
-
-	return uint16(min((now - c.agent(to).startKnownSince).Milliseconds(), math.MaxUint16))
-}
-
-// bornOf returns when the target beside an agent started, in Unix milliseconds; zero if it
-// is not known.
-func (c *Core) bornOf(a netip.AddrPort) int64 {
-	if t, ok := c.listed[a]; ok {
-		return t.Born
-	}
-	if t, ok := c.listState.departed[a]; ok {
-		return t.Born
-	}
-
-	return 0
+	}))
 }
 
 // recordQuery notes that a message was sent that the agent answers at once.
--- a/core/steer/known_start_test.go
+++ b/core/steer/known_start_test.go
@@ -24,7 +24,7 @@
 		})
 	}
 	known := func(now time.Duration) time.Duration {
-		return time.Duration(c.startKnownFor(now, agent)) * time.Millisecond
+		return time.Duration(lookup(c, now, agent).Age) * time.Millisecond
 	}
 	is.Equal(known(2*time.Second), 2*time.Second)
 
--- a/core/steer/liststate.go
+++ b/core/steer/liststate.go
@@ -29,6 +29,8 @@
 	// new ones.
 	departed      map[netip.AddrPort]*catalog.Member
 	departedOrder []netip.AddrPort
+	// starts holds the starts of the targets of the snapshot.
+	starts map[targetStart]knownStart
 	// began is when the first list came.
 	began time.Duration
 	// confirmed means that the configuration service has confirmed the list, last at
@@ -56,6 +58,7 @@
 		}
 	}
 	c.setDeparted(n.Departed)
+	c.updateStarts(now)
 	c.markLeaving()
 	c.listState.generation++
 	if m.Confirmed {
@@ -63,19 +66,21 @@
 	}
 }
 
-// addListed adds a listed target. If it is a new one at an agent's address, it clears what
-// the agent said about the end of the previous target.
+// addListed adds a listed target. Of several on an agent's VM it keeps the one that takes
+// precedence: an agent has one target.
 func (c *Core) addListed(now time.Duration, m *CatalogChanged, t *catalog.Member, old map[netip.AddrPort]*catalog.Member) {
 	addr := c.agentOf(t)
-	before, known := old[addr]
-	if !known && c.firstListed(now, m, t) {
-		c.agent(addr).spreadUntil = now + c.Policy.SpreadTime
+	a := c.agent(addr)
+	if _, known := old[addr]; !known && c.firstListed(now, m, t) {
+		a.spreadUntil = now + c.Policy.SpreadTime
+	}
+	other, listed := c.listed[addr]
+	if !listed {
+		c.listedOrder = append(c.listedOrder, addr)
 	}
-	if !known || before.ID != t.ID || before.Born != t.Born {
-		c.recordStart(now, addr, t)
+	if !listed || c.snapshot.Config.ComparePrecedence(&t.Target, &other.Target) < 0 {
+		c.listed[addr] = t
 	}
-	c.listed[addr] = t
-	c.listedOrder = append(c.listedOrder, addr)
 }
 
 // firstListed reports whether a target that joined the list may be unknown to other entries.
@@ -90,27 +95,16 @@
 	return m.startedWithin(now, t, c.Policy.SpreadTime+maxClockError)
 }
 
-// recordStart notes that the list tells another start of an agent's target than before. One
-// that left the list and is back is not new.
-func (c *Core) recordStart(now time.Duration, addr netip.AddrPort, t *catalog.Member) {
-	a := c.agent(addr)
-	a.targetEnded = false
-	d, departed := c.listState.departed[addr]
-	if !departed || d.ID != t.ID || d.Born != t.Born {
-		a.startKnownSince = now
-	}
-}
-
-// setDeparted sets the targets that left the list, without those whose address another
-// target has now.
+// setDeparted sets the targets that left the list, without those that a listed target on the VM
+// replaces.
 func (c *Core) setDeparted(members []catalog.Member) {
 	l := &c.listState
 	l.departed = map[netip.AddrPort]*catalog.Member{}
 	l.departedOrder = l.departedOrder[:0]
 	for i := range members {
 		addr := c.agentOf(&members[i])
-		_, listed := c.listed[addr]
-		if _, duplicate := l.departed[addr]; listed || duplicate {
+		t, listed := c.listed[addr]
+		if _, duplicate := l.departed[addr]; duplicate || listed && c.snapshot.Config.Replaces(&t.Target, &members[i].Target) {
 			continue
 		}
 		l.departed[addr] = &members[i]
@@ -122,9 +116,9 @@
 // carry the mark.
 func (c *Core) markLeaving() {
 	for addr, a := range c.agents {
-		t, listed := c.listed[addr]
 		_, departed := c.listState.departed[addr]
-		a.leaving = departed || listed && t.Draining
+		t := c.targetOf(addr)
+		a.leaving = departed || t != nil && t.Draining
 	}
 }
 
