--- a/core/feed/age_test.go
+++ b/core/feed/age_test.go
@@ -37,8 +37,8 @@
 			is.True(c.Current)
 			ages = append(ages, c.Age)
 		}
-		f.Confirmed = func(age time.Duration) {
-			ages = append(ages, age)
+		f.Confirmed = func(c Confirmation) {
+			ages = append(ages, c.Age)
 		}
 		before := time.Since(source.lastAnswer)
 		b, err := f.call(context.Background(), client, after == 0, 100*time.Millisecond, sourceTimeout)
@@ -59,8 +59,8 @@
 	f, _ := newTestFollower(&fakeUpstream{})
 	f.learning = true
 	got := time.Duration(0)
-	f.Confirmed = func(age time.Duration) {
-		got = age
+	f.Confirmed = func(c Confirmation) {
+		got = c.Age
 	}
 	f.report(nil, Confirmation{
 		Current: true,
@@ -107,12 +107,12 @@
 	}
 	at := time.Time{}
 	oldest := time.Duration(0)
-	follower.Confirmed = func(age time.Duration) {
+	follower.Confirmed = func(c Confirmation) {
 		now := time.Now()
 		if !at.IsZero() {
 			oldest = max(oldest, now.Sub(at))
 		}
-		at = now.Add(-age)
+		at = now.Add(-c.Age)
 	}
 	follower.Follow(false, []Upstream{newTestSource(t, source.Log)})
 	group := sync.WaitGroup{}
--- a/core/feed/body.go
+++ b/core/feed/body.go
@@ -17,6 +17,8 @@
 	AfterOutage bool
 	Current     bool
 	Age         time.Duration `json:",omitempty"`
+	// MaxAge is missing in answers of earlier versions.
+	MaxAge time.Duration `json:",omitempty"`
 	// Departed is separate from Changes so that processes of an earlier version can still
 	// decode the rest.
 	Departed []catalog.TargetDeparted `json:",omitempty"`
@@ -39,6 +41,7 @@
 		AfterOutage: b.AfterOutage,
 		Current:     b.Current,
 		Age:         b.Age,
+		MaxAge:      b.MaxAge,
 		Departed:    b.Departed,
 		Changes:     []bodyChange{},
 	}
@@ -87,9 +90,13 @@
 		AfterOutage: x.AfterOutage,
 		Current:     x.Current,
 		Age:         min(x.Age, maxAge),
+		MaxAge:      min(x.MaxAge, maxAge),
 	}
-	if b.Age < 0 {
-		return Batch{}, errors.Annotatef(ErrInvalidAnswer, "negative age %v", b.Age)
+	if b.Age < 0 || b.MaxAge < 0 {
+		return Batch{}, errors.Annotatef(ErrInvalidAnswer, "negative age %v or %v", b.Age, b.MaxAge)
+	}
+	if b.MaxAge == 0 {
+		b.MaxAge = maxAge
 	}
 	if len(x.Departed) > catalog.MaxDeparted {
 		return Batch{}, errors.Annotatef(ErrInvalidAnswer, "too many departed targets: %d", len(x.Departed))
--- a/core/feed/confirm_test.go
+++ b/core/feed/confirm_test.go
@@ -23,7 +23,7 @@
 
 func countConfirmations(f *Follower) *confirmations {
 	n := &confirmations{}
-	f.Confirmed = func(time.Duration) {
+	f.Confirmed = func(Confirmation) {
 		n.calls++
 	}
 	f.Change = func(_ []catalog.Change, c Confirmation) {
@@ -85,7 +85,7 @@
 		f.Log = &Log{}
 		f.Follow(isSource, []Upstream{newTestSource(t, old)})
 		calls := 0
-		f.Confirmed = func(time.Duration) {
+		f.Confirmed = func(Confirmation) {
 			calls++
 		}
 		for range 4 {
--- a/core/feed/departed_test.go
+++ b/core/feed/departed_test.go
@@ -226,7 +226,7 @@
 		early <- c.Current
 	}
 	confirmed := make(chan time.Duration, 1)
-	f.Confirmed = func(time.Duration) {
+	f.Confirmed = func(Confirmation) {
 		select {
 		case confirmed <- time.Since(begin):
 		default:
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -46,6 +46,9 @@
 	// Age is the time from the service's last answer to a source until the source's answer.
 	// It is zero in an answer of the service.
 	Age time.Duration
+	// MaxAge is an upper bound on the time from the service making that answer until the
+	// source's or, in an answer of the service, this process having it.
+	MaxAge time.Duration
 	// Departed holds targets that left but may still hold flows: all of them in a complete
 	// Batch, otherwise only those that the source recently learned from another source.
 	Departed []catalog.TargetDeparted
@@ -53,15 +56,6 @@
 	Changes []catalog.Change
 }
 
-// Confirmation states whether an answer confirms that the list of targets is current.
-type Confirmation struct {
-	// Current means that the upstream was current and so confirms the list.
-	Current bool
-	// Age is the time since the service's own answer reached this process or the source,
-	// without the network delay between the source and this process.
-	Age time.Duration
-}
-
 // Upstream provides the catalog in force: the configuration service or a source.
 type Upstream interface {
 	// List returns a complete Batch.
--- a/core/feed/follower.go
+++ b/core/feed/follower.go
@@ -66,8 +66,8 @@
 	// the list of targets. It is called by one goroutine at a time.
 	Change func(changes []catalog.Change, c Confirmation)
 	// Confirmed is called after each answer of a current upstream, also without changes,
-	// with the age of its Confirmation; it comes after Change.
-	Confirmed func(age time.Duration)
+	// with its Confirmation; it comes after Change.
+	Confirmed func(Confirmation)
 	// Called is called before each call to the service or, if isSource is set, to a source.
 	Called func(isSource bool)
 	// Failed is called after each failed call to a followed upstream, with its error.
@@ -86,14 +86,18 @@
 	relist   bool
 	sources  []*followedSource
 	// learnDue means that the sources have to be asked for departed targets.
-	learnDue bool
+	learnDue        bool
+	confirmRequests confirmRequests
+	// wake ends the pause between two calls.
+	wake chan struct{}
 
 	reportMutex sync.Mutex
 	// learning means that the sources are being asked for departed targets. Meanwhile
-	// confirmations are held back: pendingConfirmation is the time of the latest one, zero
-	// if there is none.
+	// confirmations are held back: pendingConfirmation is the latest one, which came at
+	// pendingSince; it is not Current if there is none.
 	learning            bool
-	pendingConfirmation time.Time
+	pendingConfirmation Confirmation
+	pendingSince        time.Time
 	// configReported means that some answer had a configuration. Until then the sources are
 	// asked again at relearnAt, which is relearnPause after the last time.
 	configReported bool
@@ -156,11 +160,15 @@
 func (f *Follower) Run(ctx context.Context) error {
 	f.started = time.Now()
 	f.lastAnswer = f.started
+	f.mutex.Lock()
+	wake := f.wakeUp()
+	f.mutex.Unlock()
 	for ctx.Err() == nil {
 		f.startLearning(ctx)
 		pause := f.step(ctx)
 		select {
 		case <-time.After(pause):
+		case <-wake:
 		case <-ctx.Done():
 		}
 	}
@@ -171,7 +179,10 @@
 // step makes one call and returns the pause before the next one.
 func (f *Follower) step(ctx context.Context) time.Duration {
 	isSource, s := f.chooseUpstream(time.Now())
+	confirm := f.takeConfirmRequest()
 	switch {
+	case confirm:
+		return f.confirmAtService(ctx, isSource)
 	case s == nil:
 		return f.callService(ctx, isSource)
 	case isSource:
@@ -218,18 +229,16 @@
 		wait = pollWait
 	}
 	limit = min(limit+time.Duration(f.failures)*timeoutStep, maxTimeout)
-	f.Called(false)
-	b, err := f.call(ctx, f.Service, f.needsListing(), wait, limit)
-	if err == nil {
-		err = f.checkServiceAnswer(&b)
-	}
-	if errors.Is(err, ErrHistoryGone) {
+	b, err := f.askService(ctx, f.needsListing(), wait, limit)
+	switch {
+	case errors.Is(err, errInterrupted):
+		return 0
+	case errors.Is(err, ErrHistoryGone):
 		f.listed = false
 		f.Failed(err)
 
 		return 0
-	}
-	if err != nil {
+	case err != nil:
 		pause := f.recordFailure(ctx, err, isSource)
 		if isSource && f.listed && time.Since(f.lastAnswer) > minOutageTime {
 			return f.followOtherSources(ctx, pause)
@@ -238,6 +247,11 @@
 		return pause
 	}
 
+	return f.acceptServiceAnswer(b, isSource)
+}
+
+// acceptServiceAnswer takes an answer of the service and returns the pause before the next call.
+func (f *Follower) acceptServiceAnswer(b Batch, isSource bool) time.Duration {
 	f.serviceNext = false
 	f.recordSuccess()
 	f.moveTo(b.Position)
@@ -275,9 +289,12 @@
 	defer cancel()
 
 	b, err := Batch{}, error(nil)
-	if list {
+	switch {
+	case list:
 		b, err = u.List(c)
-	} else {
+	case wait > pollWait:
+		b, err = f.watch(c, u, wait)
+	default:
 		b, err = u.Watch(c, f.position, wait)
 	}
 	if err == nil && time.Now().After(end) {
@@ -287,6 +304,18 @@
 	return b, err
 }
 
+// watch watches an upstream until it answers or a confirmation is requested. Errors: those of the
+// upstream, errInterrupted.
+func (f *Follower) watch(ctx context.Context, u Upstream, wait time.Duration) (Batch, error) {
+	c, release := f.interruptible(ctx)
+	b, err := u.Watch(c, f.position, wait)
+	if interrupted := release(); interrupted && err != nil && ctx.Err() == nil {
+		return Batch{}, errInterrupted
+	}
+
+	return b, err
+}
+
 // callSource makes one call to a source. If it fails, the service is called at once.
 func (f *Follower) callSource(ctx context.Context, s *followedSource) time.Duration {
 	list := !f.listed
@@ -295,7 +324,10 @@
 	if err == nil {
 		err = f.checkSourceAnswer(&b)
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, errInterrupted):
+		return 0
+	case err != nil:
 		f.avoidSource(ctx, s, err)
 
 		return 0
@@ -385,6 +417,7 @@
 	if ctx.Err() != nil {
 		return 0
 	}
+	f.stopConfirmRequests()
 	f.failing = true
 	f.failures++
 	f.serviceNext = false
--- a/core/feed/follower_test.go
+++ b/core/feed/follower_test.go
@@ -79,7 +79,7 @@
 		Change: func(c []catalog.Change, _ Confirmation) {
 			*changes = append(*changes, c...)
 		},
-		Confirmed: func(time.Duration) {},
+		Confirmed: func(Confirmation) {},
 		Called:    func(bool) {},
 		Failed:    func(error) {},
 		Recovered: func(time.Duration) {},
--- a/core/feed/learn.go
+++ b/core/feed/learn.go
@@ -96,8 +96,8 @@
 	f.reportMutex.Lock()
 	defer f.reportMutex.Unlock()
 	f.learning = false
-	if !f.pendingConfirmation.IsZero() {
-		f.Confirmed(time.Since(f.pendingConfirmation))
-		f.pendingConfirmation = time.Time{}
+	if f.pendingConfirmation.Current {
+		f.Confirmed(f.pendingConfirmation.since(elapsedSince(f.pendingSince)))
+		f.pendingConfirmation = Confirmation{}
 	}
 }
--- a/core/feed/learn_test.go
+++ b/core/feed/learn_test.go
@@ -32,7 +32,7 @@
 			}
 		}
 	}
-	f.Confirmed = func(time.Duration) {}
+	f.Confirmed = func(Confirmation) {}
 	f.Follow(false, []Upstream{newTestSource(t, young), newTestSource(t, old)})
 	f.startLearning(context.Background())
 	time.Sleep(300 * time.Millisecond)
--- a/core/feed/log.go
+++ b/core/feed/log.go
@@ -31,6 +31,8 @@
 	reachable bool
 	// lastAnswer is when the service last answered.
 	lastAnswer time.Time
+	// madeAt is the earliest time at which the service can have made that answer.
+	madeAt time.Time
 	// position is that of the newest batch. history holds the changes after historyStart;
 	// all of it is of one era.
 	position     Position
@@ -72,6 +74,7 @@
 	}
 	l.reachable = true
 	l.lastAnswer = time.Now()
+	l.madeAt = l.lastAnswer.Add(-b.MaxAge)
 	before := l.targets
 	if b.Complete {
 		l.targets = map[string]seenTarget{}
@@ -159,6 +162,7 @@
 		AfterOutage: !l.outageEnd.IsZero() && time.Since(l.outageEnd) < catalog.LapseGrace,
 		Current:     l.isCurrent(),
 		Age:         time.Since(l.lastAnswer),
+		MaxAge:      elapsedSince(l.madeAt),
 		Departed:    l.listDeparted(),
 	}
 	if l.config != nil {
@@ -234,6 +238,7 @@
 		Position: l.position,
 		Current:  true,
 		Age:      time.Since(l.lastAnswer),
+		MaxAge:   elapsedSince(l.madeAt),
 		Departed: l.listLearned(),
 		Changes:  l.learnedConfig(),
 	}, nil
@@ -276,6 +281,7 @@
 		Position: l.position,
 		Current:  true,
 		Age:      time.Since(l.lastAnswer),
+		MaxAge:   elapsedSince(l.madeAt),
 		Departed: l.listLearned(),
 		Changes:  l.learnedConfig(),
 	}
--- a/core/feed/log_test.go
+++ b/core/feed/log_test.go
@@ -116,6 +116,7 @@
 		Position:    at(7),
 		Complete:    true,
 		AfterOutage: true,
+		MaxAge:      time.Second,
 		Changes: []catalog.Change{
 			catalog.ConfigChange{
 				Config: &catalog.Config{
--- a/core/feed/othersources_test.go
+++ b/core/feed/othersources_test.go
@@ -31,7 +31,7 @@
 		return Batch{}, ErrUnavailable
 	}
 	confirmed := 0
-	f.Confirmed = func(time.Duration) {
+	f.Confirmed = func(Confirmation) {
 		confirmed++
 	}
 	other.Add(Batch{
@@ -88,7 +88,7 @@
 		f.Log = logs[i]
 		f.Follow(true, []Upstream{newTestSource(t, logs[1-i])})
 		f.step(context.Background())
-		f.Confirmed = func(time.Duration) {
+		f.Confirmed = func(Confirmation) {
 			confirmed++
 		}
 		followers = append(followers, f)
--- a/core/feed/report.go
+++ b/core/feed/report.go
@@ -45,7 +45,7 @@
 	}
 	after := b.AfterOutage || f.afterOutage()
 	if b.Complete {
-		f.report(b.stateChanges(after, f.recentlyRestored()), b.confirmation(current))
+		f.report(b.stateChanges(after, f.recentlyRestored()), f.confirmation(&b, current))
 
 		return
 	}
@@ -61,15 +61,23 @@
 	for _, d := range b.Departed {
 		stateChanges = append(stateChanges, d)
 	}
-	f.report(stateChanges, b.confirmation(current))
+	f.report(stateChanges, f.confirmation(&b, current))
 }
 
-// confirmation returns the Confirmation of a batch that has just arrived.
-func (b *Batch) confirmation(current bool) Confirmation {
-	return Confirmation{
+// confirmation returns the Confirmation of a batch that has just arrived. While the service may
+// lack entries of living targets, after an outage or a return from an older copy, no answer shows
+// that the list is complete.
+func (f *Follower) confirmation(b *Batch, current bool) Confirmation {
+	c := Confirmation{
 		Current: current,
 		Age:     b.Age,
+		MaxAge:  b.MaxAge,
 	}
+	if b.AfterOutage || f.afterOutage() || f.recentlyRestored() {
+		c.MaxAge = maxAge
+	}
+
+	return c
 }
 
 // report passes on changes and the confirmation of a current upstream. While the sources are
@@ -79,7 +87,8 @@
 	f.reportMutex.Lock()
 	defer f.reportMutex.Unlock()
 	if c.Current && f.learning {
-		f.pendingConfirmation = time.Now().Add(-c.Age)
+		f.pendingConfirmation = c
+		f.pendingSince = time.Now()
 		c.Current = false
 	}
 	if len(changes) > 0 {
@@ -87,7 +96,7 @@
 		f.Change(changes, c)
 	}
 	if c.Current {
-		f.Confirmed(c.Age)
+		f.Confirmed(c)
 	}
 }
 
@@ -110,5 +119,5 @@
 func (f *Follower) dropPendingConfirmation() {
 	f.reportMutex.Lock()
 	defer f.reportMutex.Unlock()
-	f.pendingConfirmation = time.Time{}
+	f.pendingConfirmation = Confirmation{}
 }
--- a/core/steer/command.go
+++ b/core/steer/command.go
@@ -28,6 +28,10 @@
 	Other netip.AddrPort
 }
 
+// ConfirmList asks for a call to the configuration service that confirms the list of targets or
+// tells what has changed. The result is a CatalogConfirmed or a CatalogChanged.
+type ConfirmList struct{}
+
 // Reset resets a flow towards its caller.
 type Reset struct {
 	Key segment.Key
@@ -101,11 +105,12 @@
 	return measureNames[:]
 }
 
-func (*Send) command()     {}
-func (CheckPort) command() {}
-func (Reset) command()     {}
-func (Note) command()      {}
-func (Measured) command()  {}
+func (*Send) command()       {}
+func (CheckPort) command()   {}
+func (ConfirmList) command() {}
+func (Reset) command()       {}
+func (Note) command()        {}
+func (Measured) command()    {}
 
 // Decision identifies what was decided, for logs and counters.
 type Decision uint8
@@ -143,6 +148,9 @@
 	// did not answer or the list of targets is not current. The caller's next packet starts
 	// another search.
 	SearchUnresolved
+	// ConfirmationRequested means that no agent holds a flow, and that a confirmation of the
+	// list was requested because the list is older than the flow's packet.
+	ConfirmationRequested
 	// SearchReplaced means that the search ended because the caller opened another flow
 	// with the same key.
 	SearchReplaced
@@ -171,19 +179,22 @@
 )
 
 var decisionNames = [decisions]string{
-	DecisionNone:      "none",
-	Placed:            "flow placed",
-	PlacedAgain:       "flow placed again",
-	SYNRepeated:       "flow's SYN repeated",
-	SYNKept:           "flow's SYN waits for a target",
-	NoRoute:           "flow reset: no route",
-	NoTarget:          "flow reset: no target",
-	NoCatalog:         "packet dropped: no catalog yet",
-	SearchStarted:     "owner search started",
-	SearchFound:       "owner found",
-	ProbesSent:        "packet on trial",
-	SearchUnresolved:  "owner search open",
-	SearchReplaced:    "owner search ended: flow opened anew",
+	DecisionNone:     "none",
+	Placed:           "flow placed",
+	PlacedAgain:      "flow placed again",
+	SYNRepeated:      "flow's SYN repeated",
+	SYNKept:          "flow's SYN waits for a target",
+	NoRoute:          "flow reset: no route",
+	NoTarget:         "flow reset: no target",
+	NoCatalog:        "packet dropped: no catalog yet",
+	SearchStarted:    "owner search started",
+	SearchFound:      "owner found",
+	ProbesSent:       "packet on trial",
+	SearchUnresolved: "owner search open",
+	SearchReplaced:   "owner search ended: flow opened anew",
+
+	ConfirmationRequested: "confirmation of the list requested",
+
 	NotHeld:           "flow reset: held by no target",
 	OwnerGone:         "flow reset: owner gone",
 	AgentSilent:       "agent silent",
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -136,9 +136,11 @@
 		}
 	case CatalogChanged:
 		c.setSnapshot(now, m)
+		c.resolveSearches(now)
 		c.replayEarly(now)
 	case CatalogConfirmed:
-		c.confirmList(now - m.Age)
+		c.confirmList(now-m.Age, now-m.MaxAge)
+		c.resolveSearches(now)
 	case PortChecked:
 		c.handlePortCheck(now, m)
 	case Tick:
--- a/core/steer/liststate.go
+++ b/core/steer/liststate.go
@@ -37,6 +37,7 @@
 	// confirmedAt.
 	confirmed   bool
 	confirmedAt time.Duration
+	proof       listProof
 	// generation counts the changes of the set of agents that may hold a flow; zero before
 	// the first list.
 	generation int
@@ -62,7 +63,7 @@
 	c.markLeaving()
 	c.listState.generation++
 	if m.Confirmed {
-		c.confirmList(now - m.Age)
+		c.confirmList(now-m.Age, now-m.MaxAge)
 	}
 }
 
@@ -127,10 +128,12 @@
 	return now < t.ColdUntil || t.Born != 0 && m.Wall-t.Born < d.Milliseconds()
 }
 
-// confirmList notes that the list was current at a time. An earlier time than the known one
-// is ignored.
-func (c *Core) confirmList(confirmedAt time.Duration) {
+// confirmList notes that the list was current by an answer of the configuration service that
+// arrived at confirmedAt and was made no earlier than madeAt. Earlier times than the known ones
+// are ignored.
+func (c *Core) confirmList(confirmedAt, madeAt time.Duration) {
 	l := &c.listState
+	l.proof.record(madeAt)
 	if l.confirmed {
 		confirmedAt = max(confirmedAt, l.confirmedAt)
 	}
@@ -138,8 +141,8 @@
 	l.confirmedAt = confirmedAt
 }
 
-// listCurrent reports whether the list contains all targets that may have got flows: new
-// targets wait for SpreadTime before they get any. The time counts from the configuration
+// listCurrent reports whether the list contains all targets that should have got flows by now:
+// new targets wait for SpreadTime if there are others. The time counts from the configuration
 // service's own answer.
 func (c *Core) listCurrent(now time.Duration) bool {
 	return c.listState.confirmed && now-c.listState.confirmedAt <= c.Policy.SpreadTime
--- a/core/steer/liststate_test.go
+++ b/core/steer/liststate_test.go
@@ -23,10 +23,11 @@
 	ports   map[netip.AddrPort]PortState
 	owner   netip.AddrPort
 	// probes counts the probes, delivered the packets that the owner got, resets the
-	// resets.
+	// resets, requests the confirmations of the list that were asked for.
 	probes    int
 	delivered int
 	resets    int
+	requests  int
 	notes     []Note
 }
 
@@ -64,6 +65,8 @@
 				State:      t.port(x.Agent),
 				OtherState: t.port(x.Other),
 			})
+		case ConfirmList:
+			t.requests++
 		case Reset:
 			t.resets++
 		case Note:
--- a/core/steer/message.go
+++ b/core/steer/message.go
@@ -37,8 +37,9 @@
 	// Confirmed means that the upstream has just confirmed the list of targets, as with
 	// CatalogConfirmed.
 	Confirmed bool
-	// Age is the age of the confirmation, as in CatalogConfirmed.
-	Age time.Duration
+	// Age and MaxAge are those of the confirmation, as in CatalogConfirmed.
+	Age    time.Duration
+	MaxAge time.Duration
 }
 
 // CatalogConfirmed tells that the upstream, the configuration service or another entry, has
@@ -46,6 +47,9 @@
 type CatalogConfirmed struct {
 	// Age is the time since the configuration service itself confirmed the list.
 	Age time.Duration
+	// MaxAge is an upper bound on the time since the service made its answer, however long
+	// that was under way or waited for a process that stood still.
+	MaxAge time.Duration
 }
 
 // PortChecked is the result of a CheckPort.
--- a/core/steer/resolve.go
+++ b/core/steer/resolve.go
@@ -37,6 +37,10 @@
 // none reaches its own, the flow counts as misrouted, whichever entries sent them. For the
 // same reason, probing that has begun goes on with the agents that are there. Agents that
 // were added to the list since the last tick are queried first.
+//
+// A flow that no agent holds is reset only if the list is not older than the flow's packet: other
+// entries may know targets that this one does not, and use them at once if all others are draining
+// or full.
 func (c *Core) resolve(now time.Duration, k segment.Key, s *search) {
 	c.queryRemaining(now, k, s)
 	v := c.classifyReplies(now, s)
@@ -51,6 +55,8 @@
 		c.queryMissing(now, k, s, v)
 	case len(v.unsure) > 0:
 		c.probe(now, k, s, v.unsure)
+	case !c.listState.proof.covers(s.began):
+		c.requestConfirmation(now)
 	case c.listCurrent(now):
 		c.resetNotHeld(now, k, s)
 	}
--- a/core/steer/search.go
+++ b/core/steer/search.go
@@ -266,6 +266,15 @@
 	}
 }
 
+// resolveSearches decides the searches that waited for nothing but a confirmation of the list.
+func (c *Core) resolveSearches(now time.Duration) {
+	for _, k := range segment.SortedKeys(c.searches) {
+		if s := c.searches[k]; s.stage == stageAll && s.outstanding <= 0 {
+			c.resolve(now, k, s)
+		}
+	}
+}
+
 // restartTimers restarts the timeouts of a search after a pause of this process. It extends
 // the search only once per packet of the caller: otherwise a process whose sockets always
 // have a backlog would never end it.
--- a/ibisfold-entry/catalog.go
+++ b/ibisfold-entry/catalog.go
@@ -75,6 +75,7 @@
 			delay := p.Clock() - received
 			c.Current = c.Current && delay < maxConfirmationDelay
 			c.Age += delay
+			c.MaxAge += delay
 			p.publish(describeChanges(changes, c))
 		}
 	})
@@ -82,16 +83,17 @@
 
 // handleConfirmation implements feed.Follower.Confirmed. It ignores a confirmation that
 // waited for maxConfirmationDelay or longer.
-func (p *opaqueEntry) handleConfirmation(age time.Duration) {
+func (p *opaqueEntry) handleConfirmation(c feed.Confirmation) {
 	received := p.Clock()
 	p.Post(func() {
 		now := p.Clock()
 		if now-received >= maxConfirmationDelay {
 			return
 		}
-		p.confirmedAt.Store(max(p.confirmedAt.Load(), int64(received-age)))
+		p.confirmedAt.Store(max(p.confirmedAt.Load(), int64(received-c.Age)))
 		p.execute(p.core.Update(now, steer.CatalogConfirmed{
-			Age: now - received + age,
+			Age:    now - received + c.Age,
+			MaxAge: now - received + c.MaxAge,
 		}))
 	})
 }
@@ -112,6 +114,7 @@
 		Wall:      time.Now().UnixMilli(),
 		Confirmed: u.confirmation.Current,
 		Age:       u.confirmation.Age,
+		MaxAge:    u.confirmation.MaxAge,
 	}))
 }
 
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -365,6 +365,8 @@
 			p.toAgent.Add(c.Message.Append(p.toAgent.Next()), c.To)
 		case steer.CheckPort:
 			p.ports.check(c)
+		case steer.ConfirmList:
+			p.follower.RequestConfirmation()
 		case steer.Reset:
 			to := platform.CallerAddress(c.Key, p.settings)
 			p.toCaller.Add(platform.AppendReset(p.toCaller.Next(), c.Key, c.Seq), to)
--- a/proof/opaque_list_test.go
+++ b/proof/opaque_list_test.go
@@ -28,6 +28,19 @@
 	})
 }
 
+// opaqueStoreDelay is the duration of a call to the configuration service.
+const opaqueStoreDelay = 15 * time.Millisecond
+
+// confirmOnRequest answers an entry's request for a confirmation of its view. An entry whose view
+// is behind stays so until the change reaches it in its own time.
+func (w *opaqueWorld) confirmOnRequest(e *opaqueEntry) {
+	if !e.down && !e.noUpdates && e.view != nil && e.viewVersion == w.version {
+		w.entryUpdate(e, steer.CatalogConfirmed{
+			MaxAge: opaqueStoreDelay,
+		})
+	}
+}
+
 // confirm lets the upstreams confirm the views of all entries that are up to date.
 func (w *opaqueWorld) confirm() {
 	for _, e := range w.entries {
--- a/proof/opaque_network_test.go
+++ b/proof/opaque_network_test.go
@@ -65,6 +65,10 @@
 			w.toAgent(e, c.To, c.Message)
 		case steer.CheckPort:
 			w.checkPort(e, c)
+		case steer.ConfirmList:
+			w.After(opaqueStoreDelay, func() {
+				w.confirmOnRequest(e)
+			})
 		case steer.Reset:
 			w.toCaller(e.zone, c.Key, platform.AppendReset(nil, c.Key, c.Seq))
 		case steer.Note:
