Soak: entries of other writers, and a release beside a frozen source

Two orders, drawn beside the other faults: 'other writers' writes entries of undeclared services with the address of targets and of their VMs, one with an empty ID, and restarts the agents as planned, later than their flow table is kept; 'release beside frozen source' replaces all targets of a service by those of reserve VMs while the source of an entry stands still, and lets other entries leave the rotation. A target that drains closes each flow with its next answer, as the users' page says.

--- a/ibisfold-standin/soak/order.go
+++ b/ibisfold-standin/soak/order.go
@@ -19,6 +19,8 @@
 	{name: "entries roll", run: (*testbed).rollEntries, order: true},
 	{name: "entries join", run: (*testbed).joinEntries, order: true},
 	{name: "agents stall", run: (*testbed).stallAgents, order: true},
+	{name: "other writers", run: (*testbed).restartBesideOtherWriters, order: true},
+	{name: "release beside frozen source", run: (*testbed).releaseBesideFrozenSource, order: true},
 }
 
 // order holds what an order draws from the seed.
--- a/ibisfold-standin/soak/target.go
+++ b/ibisfold-standin/soak/target.go
@@ -152,6 +152,10 @@
 		Seq:        s.Ack,
 		Ack:        s.Seq + uint32(len(data)),
 	}
+	if !t.drainingSince.IsZero() {
+		// A target that drains closes each flow after its next answer.
+		answer.Flags |= segment.FIN
+	}
 	copied := append([]byte(nil), data...)
 	time.AfterFunc(serviceTime, func() {
 		t.mu.Lock()
--- a/ibisfold-standin/soak/vm.go
+++ b/ibisfold-standin/soak/vm.go
@@ -191,6 +191,27 @@
 	v.signal(syscall.SIGTERM)
 }
 
+// restartLate stops the process as planned and starts it again longRestartDelay after its end.
+func (v *vm) restartLate(bin, dir string) error {
+	v.leave()
+	end := time.Now().Add(maxStopTime)
+	for v.running() && time.Now().Before(end) {
+		time.Sleep(pollInterval / 50)
+	}
+	// restart has found that the VM is gone by then.
+	time.Sleep(longRestartDelay)
+
+	return v.resume(bin, dir)
+}
+
+// running reports whether the current process has not exited.
+func (v *vm) running() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	return v.cmd.Process.Signal(syscall.Signal(0)) == nil
+}
+
 // resume starts the process of the VM that takes the place of one that has ended.
 func (v *vm) resume(bin, dir string) error {
 	v.mu.Lock()
