--- a/core/feed/confirmation.go
+++ b/core/feed/confirmation.go
@@ -147,7 +147,15 @@
 		return 0
 	}
 
-	return f.acceptServiceAnswer(b, isSource)
+	pause := f.acceptServiceAnswer(b, isSource)
+	if !isSource {
+		// The next call goes to a source, which collects changes itself.
+		f.lastBatchDelay = 0
+
+		return 0
+	}
+
+	return pause
 }
 
 // recordConfirmCall notes the result of a confirmAtService. After a failure requests are ignored
