Soak: a VM that restarts late never has two processes

The fault is the stand-in's.

The late restart is now the VM's own: the one restart of a process takes a longer delay once, and an ended VM starts nothing, as before.

--- a/ibisfold-standin/soak/otherwriters.go
+++ b/ibisfold-standin/soak/otherwriters.go
@@ -23,8 +23,8 @@
 	// longRestartDelay is the time until the process of a VM starts again that is too long for the
 	// agent's flow table to be kept.
 	longRestartDelay = 1200 * time.Millisecond
-	// maxStopTime bounds the wait for the end of a process that was stopped as planned.
-	maxStopTime = 6 * time.Second
+	// maxStopTime bounds the wait for the next process of a VM.
+	maxStopTime = 8 * time.Second
 )
 
 // restartBesideOtherWriters stops half of the agents as planned and starts them again, while
@@ -38,10 +38,9 @@
 		b.writeOther("", withPort(linkAddress(o.agents[0].settings.Target), portExporter), o.form, time.Now())
 		time.Sleep(o.wait)
 		for _, v := range o.agents {
-			if err := v.restartLate(b.bin, b.dir); err != nil {
-				fmt.Fprintln(os.Stderr, err)
-			}
-			started := time.Now()
+			count := v.process()
+			v.stopForLong()
+			started := v.awaitProcess(count + 1)
 			time.Sleep(writeDelay)
 			b.writeOthers(v, o.form, started)
 		}
@@ -55,6 +54,17 @@
 	})
 }
 
+// awaitProcess waits until the process of a number has been started, at most maxStopTime, and
+// returns the time.
+func (v *vm) awaitProcess(number int) time.Time {
+	end := time.Now().Add(maxStopTime)
+	for v.process() < number && time.Now().Before(end) {
+		time.Sleep(pollInterval / 50)
+	}
+
+	return time.Now()
+}
+
 // otherIDs returns the IDs of the entries that writeOthers writes for a VM.
 func otherIDs(v *vm) []string {
 	list := []string{}
--- a/ibisfold-standin/soak/vm.go
+++ b/ibisfold-standin/soak/vm.go
@@ -55,6 +55,9 @@
 	cmd *exec.Cmd
 	// starts is the number of processes so far.
 	starts int
+	// delay is the time from the end of the process until the next start if it is longer than
+	// restartDelay.
+	delay time.Duration
 	// impairedUntil is the end of the last unplanned fault of the VM or its links.
 	impairedUntil time.Time
 	stopped       bool
@@ -152,7 +155,7 @@
 func (v *vm) restart(c *exec.Cmd, bin, dir string) {
 	// The exit status is ignored: most exits are caused by injected faults.
 	_ = c.Wait()
-	time.Sleep(restartDelay)
+	time.Sleep(v.takeDelay())
 	if err := v.start(bin, dir); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
@@ -191,25 +194,22 @@
 	v.signal(syscall.SIGTERM)
 }
 
-// restartLate stops the process as planned and starts it again longRestartDelay after its end.
-func (v *vm) restartLate(bin, dir string) error {
-	v.leave()
-	end := time.Now().Add(maxStopTime)
-	for v.running() && time.Now().Before(end) {
-		time.Sleep(pollInterval / 50)
-	}
-	// restart has found that the VM is gone by then.
-	time.Sleep(longRestartDelay)
-
-	return v.resume(bin, dir)
+// stopForLong stops the process as planned. It is started again longRestartDelay after its end.
+func (v *vm) stopForLong() {
+	v.mu.Lock()
+	v.delay = longRestartDelay
+	v.mu.Unlock()
+	v.signal(syscall.SIGTERM)
 }
 
-// running reports whether the current process has not exited.
-func (v *vm) running() bool {
+// takeDelay returns the time until the process is started again.
+func (v *vm) takeDelay() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	d := max(v.delay, restartDelay)
+	v.delay = 0
 
-	return v.cmd.Process.Signal(syscall.Signal(0)) == nil
+	return d
 }
 
 // resume starts the process of the VM that takes the place of one that has ended.
