--- a/ibisfold-standin/soak/testbed.go
+++ b/ibisfold-standin/soak/testbed.go
@@ -94,51 +94,86 @@
 		_ = http.Serve(l, &b.store)
 	}()
 	for z := range zones {
-		for n := range o.entries {
-			v, err := newEntry(z, n+1, storeAddress)
-			if err != nil {
-				return nil, err
-			}
-			b.entries = append(b.entries, v)
-			if err := b.addProber(v, z, n+1); err != nil {
-				return nil, err
-			}
+		if err := b.addZone(z, o, storeAddress); err != nil {
+			return nil, err
 		}
-		spare, err := newEntry(z, o.entries+1, storeAddress)
+	}
+	b.writeConfig()
+
+	return b, b.seed()
+}
+
+// addZone adds the VMs and the callers of a zone.
+func (b *testbed) addZone(zone int, o *options, store netip.AddrPort) error {
+	if err := b.addEntries(zone, o.entries, store); err != nil {
+		return err
+	}
+	if err := b.addAgents(zone, o.agents); err != nil {
+		return err
+	}
+
+	return b.addCallers(zone, o.callers)
+}
+
+// addEntries adds the entries of a zone with their probers, and a spare one.
+func (b *testbed) addEntries(zone, count int, store netip.AddrPort) error {
+	for n := range count {
+		v, err := newEntry(zone, n+1, store)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		spare.firstStart = false
-		b.spares = append(b.spares, spare)
-		for n := range o.agents {
-			// The first two agents of a zone belong to the first service, all others to the
-			// second one.
-			v, err := b.newAgent(z, n+100, services[min(n, 2)/2])
-			if err != nil {
-				return nil, err
-			}
-			b.agents = append(b.agents, v)
-			b.register(v)
+		b.entries = append(b.entries, v)
+		if err := b.addProber(v, zone, n+1); err != nil {
+			return err
+		}
+	}
+	spare, err := newEntry(zone, count+1, store)
+	if err != nil {
+		return err
+	}
+	spare.firstStart = false
+	b.spares = append(b.spares, spare)
+
+	return nil
+}
+
+// addAgents adds the agents of a zone with registered targets, and a reserve. The first two belong to
+// the first service, all others to the second one.
+func (b *testbed) addAgents(zone, count int) error {
+	for n := range count {
+		v, err := b.newAgent(zone, n+100, services[min(n, 2)/2])
+		if err != nil {
+			return err
 		}
-		reserve, err := b.newAgent(z, o.agents+100, services[0])
+		b.agents = append(b.agents, v)
+		b.register(v)
+	}
+	reserve, err := b.newAgent(zone, count+100, services[0])
+	if err != nil {
+		return err
+	}
+	b.reserves = append(b.reserves, reserve)
+
+	return nil
+}
+
+// idleShare is the ratio of busy callers to those whose flows are mostly idle.
+const idleShare = 2
+
+// addCallers adds the busy callers of a zone, and the idle ones.
+func (b *testbed) addCallers(zone, busy int) error {
+	for n := range busy + busy/idleShare {
+		c, err := newCaller(b, zone, callerNetwork, n+1)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		b.reserves = append(b.reserves, reserve)
-		for n := range o.callers + o.callers/idleShare {
-			c, err := newCaller(b, z, callerNetwork, n+1)
-			if err != nil {
-				return nil, err
-			}
-			if n >= o.callers {
-				c.think = idleTime
-			}
-			b.callers = append(b.callers, c)
+		if n >= busy {
+			c.think = idleTime
 		}
+		b.callers = append(b.callers, c)
 	}
-	b.writeConfig()
 
-	return b, b.seed()
+	return nil
 }
 
 // newEntry returns entry n of a zone with the proxy for its calls to the store.
@@ -185,9 +220,6 @@
 	return list
 }
 
-// idleShare is the ratio of busy callers to those whose flows are mostly idle.
-const idleShare = 2
-
 // newAgent returns agent n of a zone with its proxy and its target.
 func (b *testbed) newAgent(zone, n int, service string) (*vm, error) {
 	v := newVM("agent", zone, n)
