Soak: other writers and drains use what was there

writeOther built the value that Store.SetTarget of platformtest builds, and 'target drained' repeated the steps of the release's drain and restartTargets. One piece serves both now; the fields that differ (Version, SeqNo) are not read.

--- a/ibisfold-standin/soak/fault.go
+++ b/ibisfold-standin/soak/fault.go
@@ -185,15 +185,11 @@
 	if v.target.lent() {
 		return
 	}
-	v.target.mu.Lock()
-	v.target.drainingSince = time.Now()
-	v.target.mu.Unlock()
-	b.register(v)
+	list := []*vm{v}
+	b.drain(list)
 	time.AfterFunc(maxDrainTime+maxFaultTime, func() {
 		v.markImpaired(maxFaultTime)
-		v.target.crash()
-		v.target.restart()
-		b.register(v)
+		b.restartTargets(list)
 	})
 }
 
--- a/ibisfold-standin/soak/otherwriters.go
+++ b/ibisfold-standin/soak/otherwriters.go
@@ -1,13 +1,10 @@
 package soak
 
 import (
-	"encoding/json"
-	"fmt"
 	"net/netip"
-	"os"
 	"time"
 
-	"github.com/juju/errors"
+	"ibisfold.example/core/catalog"
 )
 
 // otherServices are the services of entries that another writer than a target wrote. No
@@ -96,25 +93,12 @@
 
 // writeOther writes the entry of another writer.
 func (b *testbed) writeOther(id string, address netip.AddrPort, form int, born time.Time) {
-	state := "ready"
-	if form%2 == 1 {
-		state = "draining"
-	}
-	value, err := json.Marshal(map[string]any{
-		"Service":    otherServices[form%len(otherServices)],
-		"Address":    address.String(),
-		"Zone":       zones[0],
-		"Version":    "1.8.2",
-		"Slots":      1,
-		"State":      state,
-		"ColdLeftMs": 0,
-		"SeqNo":      0,
-		"born":       born.UnixMilli(),
-	})
-	if err != nil {
-		fmt.Fprintln(os.Stderr, errors.Trace(err))
-
-		return
-	}
-	b.store.SetEntry(id, value)
+	b.store.SetTarget(catalog.Target{
+		ID:       id,
+		Address:  address,
+		Zone:     zones[0],
+		Slots:    1,
+		Draining: form%2 == 1,
+		Born:     born.UnixMilli(),
+	}, otherServices[form%len(otherServices)])
 }
