--- a/review/standin-3/earlymessage.go
+++ b/review/standin-3/earlymessage.go
@@ -33,7 +33,7 @@
 		return false, err
 	}
 	defer b.close()
-	if err := b.start(); err != nil {
+	if err := b.start(len(b.agents)); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -214,9 +214,6 @@
 			zone:    zone,
 			service: service,
 		}
-		if err := s.start(); err != nil {
-			return err
-		}
 		b.servers = append(b.servers, s)
 		name := fmt.Sprintf("side-%d", i)
 		path, err := b.settings(name, host, "side", seeds, "ListenAddrs.outbound="+s.out.String(), "app="+s.addr.String(), "Service="+service)
@@ -265,9 +262,23 @@
 	return nil
 }
 
-// start starts all processes and waits until all entries are ready.
-func (b *bed) start() error {
-	for _, p := range append(append([]*process{}, b.agents...), b.entries...) {
+// startSide starts a server and the agent on its machine.
+func (b *bed) startSide(i int) error {
+	if err := b.servers[i].start(); err != nil {
+		return err
+	}
+
+	return b.agents[i].start()
+}
+
+// start starts the first side machines and all entries, and waits until all entries are ready.
+func (b *bed) start(sides int) error {
+	for i := range sides {
+		if err := b.startSide(i); err != nil {
+			return err
+		}
+	}
+	for _, p := range b.entries {
 		if err := p.start(); err != nil {
 			return err
 		}
@@ -333,6 +344,7 @@
 	}
 	cases := map[string]func(*record, string, string, bool) (bool, error){
 		"early-message": earlyMessage,
+		"clock-back":    clockBack,
 	}
 	c, ok := cases[name]
 	if !ok {
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -33,9 +33,13 @@
 	out     netip.AddrPort
 	zone    string
 	service string
+	// ahead is by how much the clock of the machine is ahead when the server starts.
+	ahead time.Duration
 
 	mu    sync.Mutex
 	id    string
+	seq   int
+	born  int64
 	live  bool
 	conn  *net.UDPConn
 	tcp   net.Listener
@@ -52,30 +56,38 @@
 	if err != nil {
 		return err
 	}
-	born := time.Now().UnixMilli()
 	s.mu.Lock()
 	s.id = fmt.Sprintf("i-%08x", rand.Uint32())
+	s.seq = 0
 	s.live = true
 	s.conn, s.tcp = conn, l
 	s.flows = map[[2]netip.AddrPort]*serverFlow{}
+	s.born = time.Now().Add(s.ahead).UnixMilli()
 	id := s.id
 	s.mu.Unlock()
 	go s.serveHealth(l)
 	go s.serve(conn)
-	go s.store.put("servers/"+id, map[string]any{
+	s.register("ready")
+	s.log.add("server %s starts at %v", id, s.addr)
+
+	return nil
+}
+
+// register writes the server's entry.
+func (s *server) register(state string) {
+	s.seq++
+	go s.store.put("servers/"+s.id, map[string]any{
 		"Service":    s.service,
 		"Address":    s.addr.String(),
 		"Zone":       s.zone,
 		"Version":    "v1",
 		"Slots":      8,
-		"State":      "ready",
+		"State":      state,
 		"ColdLeftMs": 0,
-		"SeqNo":      1,
-		"born":       born,
+		"SeqNo":      s.seq,
+		"born":       s.born,
 	})
-	s.log.add("server %s starts at %v", id, s.addr)
-
-	return nil
+	s.log.add("server %s says that it is %s", s.id, state)
 }
 
 // crash ends the incarnation without a word. Its entry expires after three check-ins.
