--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -345,6 +345,7 @@
 	cases := map[string]func(*record, string, string, bool) (bool, error){
 		"early-message": earlyMessage,
 		"clock-back":    clockBack,
+		"quick-restart": quickRestart,
 	}
 	c, ok := cases[name]
 	if !ok {
--- a/review/standin-3/process.go
+++ b/review/standin-3/process.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"os/exec"
@@ -11,7 +12,8 @@
 	"time"
 )
 
-// restartDelay is the time after which the platform restarts a process that has ended.
+// restartDelay is the time after which the platform restarts a process that has ended, unless a case
+// sets another one.
 const restartDelay = 500 * time.Millisecond
 
 // record is the file of what was sent, answered and run.
@@ -34,6 +36,8 @@
 	program  string
 	settings string
 	dir      string
+	// delay is the time after which the process is restarted; restartDelay if zero.
+	delay time.Duration
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -84,7 +88,7 @@
 	stopped := p.stopped
 	p.mu.Unlock()
 	if !stopped {
-		time.AfterFunc(restartDelay, func() { p.start() })
+		time.AfterFunc(cmp.Or(p.delay, restartDelay), func() { p.start() })
 	}
 }
 
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -33,6 +33,8 @@
 	out     netip.AddrPort
 	zone    string
 	service string
+	// keepID means that the server starts again under the id that it had.
+	keepID bool
 	// ahead is by how much the clock of the machine is ahead when the server starts.
 	ahead time.Duration
 
@@ -57,7 +59,9 @@
 		return err
 	}
 	s.mu.Lock()
-	s.id = fmt.Sprintf("i-%08x", rand.Uint32())
+	if s.id == "" || !s.keepID {
+		s.id = fmt.Sprintf("i-%08x", rand.Uint32())
+	}
 	s.seq = 0
 	s.live = true
 	s.conn, s.tcp = conn, l
@@ -99,7 +103,14 @@
 	id := s.id
 	s.mu.Unlock()
 	s.log.add("server %s crashes", id)
-	time.AfterFunc(3*heartbeat, func() { s.store.remove("servers/" + id) })
+	time.AfterFunc(3*heartbeat, func() {
+		s.mu.Lock()
+		expired := !s.live || s.id != id
+		s.mu.Unlock()
+		if expired {
+			s.store.remove("servers/" + id)
+		}
+	})
 }
 
 func (s *server) serveHealth(l net.Listener) {
