--- a/core/steer/command.go
+++ b/core/steer/command.go
@@ -136,6 +136,9 @@
 	// NoCatalog means that a packet was dropped because too many wait for the first
 	// catalog.
 	NoCatalog
+	// ReturnedHeld means that an agent returned a packet before the first catalog, and that the
+	// packet waits for it.
+	ReturnedHeld
 	// SearchStarted means that a packet of an unknown flow came and that the search for
 	// the flow's owner began.
 	SearchStarted
@@ -187,6 +190,7 @@
 	NoRoute:          "flow reset: no route",
 	NoTarget:         "flow reset: no target",
 	NoCatalog:        "packet dropped: no catalog yet",
+	ReturnedHeld:     "returned packet held: no catalog yet",
 	SearchStarted:    "owner search started",
 	SearchFound:      "owner found",
 	ProbesSent:       "packet on trial",
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -43,6 +43,8 @@
 	Policy *Policy
 	Random *rand.Rand
 
+	// snapshot is nil before the first catalog. Until then updateEarly handles all messages, and
+	// there are no flows and no searches.
 	snapshot *catalog.Snapshot
 	// listed maps the agents of all targets in the snapshot to their targets, listedOrder
 	// holds them in a fixed order.
@@ -127,6 +129,17 @@
 	c.commands = c.commands[:0]
 	c.sendCount = 0
 	c.detectPause(now)
+	if c.snapshot == nil {
+		c.updateEarly(now, m)
+	} else {
+		c.update(now, m)
+	}
+
+	return c.commands
+}
+
+// update handles a message once there is a catalog.
+func (c *Core) update(now time.Duration, m Message) {
 	switch m := m.(type) {
 	case *CallerPacket:
 		c.handleCallerPacket(now, m)
@@ -137,7 +150,6 @@
 	case CatalogChanged:
 		c.setSnapshot(now, m)
 		c.resolveSearches(now)
-		c.replayEarly(now)
 	case CatalogConfirmed:
 		c.confirmList(now-m.Age, now-m.MaxAge)
 		c.resolveSearches(now)
@@ -146,8 +158,6 @@
 	case Tick:
 		c.tick(now, m.Behind)
 	}
-
-	return c.commands
 }
 
 func (c *Core) init(now time.Duration) {
--- a/core/steer/forward.go
+++ b/core/steer/forward.go
@@ -12,11 +12,6 @@
 // a known flow goes to the flow's owner, and a packet of an unknown flow starts a search for
 // the owner.
 func (c *Core) handleCallerPacket(now time.Duration, m *CallerPacket) {
-	if c.snapshot == nil {
-		c.holdEarly(now, m)
-
-		return
-	}
 	if m.Segment.Opens() {
 		c.open(now, m)
 
--- a/core/steer/liststate.go
+++ b/core/steer/liststate.go
@@ -38,8 +38,8 @@
 	confirmed   bool
 	confirmedAt time.Duration
 	proof       listProof
-	// generation counts the changes of the set of agents that may hold a flow; zero before
-	// the first list.
+	// generation counts the changes of the set of agents that may hold a flow. It is not zero
+	// once there is a list.
 	generation int
 }
 
--- a/core/steer/malformed_test.go
+++ b/core/steer/malformed_test.go
@@ -38,14 +38,27 @@
 		Ack:   r.Uint32(),
 		Len:   r.IntN(1200),
 	}
-	switch r.IntN(5) {
+	switch r.IntN(7) {
 	case 0:
-		return Tick{}
+		return Tick{
+			Behind: r.IntN(4) == 0,
+		}
 	case 1, 2:
 		return &CallerPacket{
 			Segment: s,
 			Packet:  make([]byte, r.IntN(40)),
 		}
+	case 3:
+		return CatalogConfirmed{
+			Age:    time.Duration(r.Int64N(int64(time.Second))),
+			MaxAge: time.Duration(r.Int64N(int64(time.Hour))),
+		}
+	case 4:
+		return PortChecked{
+			Agent:      c.listedOrder[r.IntN(len(c.listedOrder))],
+			State:      PortState(r.IntN(5)),
+			OtherState: PortState(r.IntN(5)),
+		}
 	default:
 		from := netip.MustParseAddrPort("10.9.9.9:7720")
 		if r.IntN(4) > 0 {
--- a/core/steer/open.go
+++ b/core/steer/open.go
@@ -254,9 +254,9 @@
 	c.reset(k, 0)
 }
 
-// refused handles a SYN that an agent returned because its target does not accept it.
-func (c *Core) refused(now time.Duration, m *AgentMessage, a *agent) {
-	switch m.Message.Reason {
+// avoid keeps new flows from a target whose agent refused one, for a time that depends on the reason.
+func (c *Core) avoid(now time.Duration, a *agent, r relay.Reason) {
+	switch r {
 	case relay.ReasonTargetDown:
 		a.avoidUntil = now + c.Policy.DownTime
 	case relay.ReasonWrongService:
@@ -264,6 +264,11 @@
 	default:
 		a.avoidUntil = now + c.Policy.FullTime
 	}
+}
+
+// refused handles a SYN that an agent returned because its target does not accept it.
+func (c *Core) refused(now time.Duration, m *AgentMessage, a *agent) {
+	c.avoid(now, a, m.Message.Reason)
 	k := m.Message.Key
 	f, ok := c.flows[k]
 	if !ok || f.syn == nil || !slices.Contains(f.tried, m.From) {
