Entries: packets that wait for the first catalog make room once they are too old

Callers whose packets came while the store was silent waited for their own retransmission although the catalog came within 400 ms: the queue of early packets was full of older ones, which were dropped only when the catalog came.

Cause: maxEarly packets were kept from the first on, whatever their age, and later ones were refused. With 2,600 packets a second that is after 0.4 s of silence. Change: when the queue is full, those older than maxEarlyAge leave it.

TestEarlyPacketsReplaceOldOnes fails before: no SYN is placed.

--- a/core/steer/early.go
+++ b/core/steer/early.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// maxEarly bounds the packets that wait for the first catalog.
+	// maxEarly bounds the packets that wait for the first catalog. The oldest make room for new
+	// ones once they are older than maxEarlyAge.
 	maxEarly = 1024
 	// maxEarlyAge bounds the age of the packets that are handled once the catalog is there:
 	// callers have retransmitted older ones.
@@ -77,6 +78,9 @@
 // holdEarly keeps a packet until the first catalog. After a power outage all callers come
 // back at once, while the configuration service may be slow.
 func (c *Core) holdEarly(now time.Duration, m *CallerPacket, returned bool) {
+	if len(c.early) == maxEarly {
+		c.dropOldEarly(now)
+	}
 	if len(c.early) == maxEarly {
 		c.note(now, Note{
 			Decision: NoCatalog,
@@ -93,6 +97,16 @@
 	})
 }
 
+// dropOldEarly drops the packets that are too old to be handled. They are in the order of their
+// arrival.
+func (c *Core) dropOldEarly(now time.Duration) {
+	n := 0
+	for n < len(c.early) && now-c.early[n].at > maxEarlyAge {
+		n++
+	}
+	c.early = slices.Delete(c.early, 0, n)
+}
+
 // replayEarly handles the packets that waited for the first catalog. A returned one is of no use if
 // a packet of its caller has come as well: that one is later.
 func (c *Core) replayEarly(now time.Duration) {
--- a/core/steer/early_test.go
+++ b/core/steer/early_test.go
@@ -150,3 +150,17 @@
 	offers := tablesSent(early.Update(time.Second+TickTime+offerInterval, Tick{}), relay.HandoverOffer)
 	is.Equal(len(offers), 1)
 }
+
+// Guards against callers that wait for their own retransmission because the packets that were held
+// for the first catalog are all too old: the store was silent for a second, and a thousand packets
+// came before the present ones.
+func TestEarlyPacketsReplaceOldOnes(t *testing.T) {
+	is := is.New(t)
+	early, settled := newEarlyCore(6)
+	for i := range maxEarly {
+		early.Update(0, testPacket(i, segment.SYN))
+	}
+	early.Update(time.Second, testPacket(maxEarly, segment.SYN))
+	to, _ := synRecipients(early.Update(time.Second+TickTime, firstCatalog(settled)))
+	is.Equal(len(to), 1)
+}
