Entries and agents: a datagram whose handling fails is dropped, and the process goes on

An entry or agent now drops such a datagram, counts it (ibisfold_panics_total) and logs the sender, the kind, the flow and the stack. It forgets the flow: an entry searches for it at its next packet, an agent is unsure of it and lets the target decide, so no reset can rest on what the failed handling left. Ticks and changes of the catalog still end it: half of one would be missing for good.

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -252,6 +252,20 @@
 	c.restore.recordEnded(k)
 }
 
+// Doubt discards what is known of a flow, after a packet or a message of it could not be handled. The
+// target may hold the flow, so the agent is unsure of it, and the target decides. The zero key, that
+// of messages about no flow or about several, has no effect.
+func (c *Core) Doubt(now time.Duration, k segment.Key) {
+	if c.flows == nil || k == (segment.Key{}) {
+		return
+	}
+	c.forget(k)
+	c.flows[k] = &flow{
+		state:    stateProbed,
+		lastUsed: now,
+	}
+}
+
 // sendToEntry sends a message to an entry.
 func (c *Core) sendToEntry(to netip.AddrPort, m relay.Message) {
 	c.replyToEntry(ToEntry{
--- a/core/opaque/process.go
+++ b/core/opaque/process.go
@@ -30,7 +30,10 @@
 	Malformed *metrics.Counter
 	// SocketErrors counts transient socket errors.
 	SocketErrors *metrics.Counter
+	// Panics counts the datagrams that were dropped because their handling failed.
+	Panics *metrics.Counter
 
+	panicLimit  panicLimit
 	loopMetrics loopMetrics
 	started     time.Time
 	calls       chan func()
@@ -49,6 +52,7 @@
 	}
 	p.Malformed = p.Metrics.NewCounter("ibisfold_packets_malformed_total")
 	p.SocketErrors = p.Metrics.NewCounter("ibisfold_socket_errors_total")
+	p.Panics = p.Metrics.NewCounter("ibisfold_panics_total")
 	p.loopMetrics = newLoopMetrics(p.Metrics)
 
 	return p
--- a/core/steer/core.go
+++ b/core/steer/core.go
@@ -194,6 +194,17 @@
 	return len(c.flows)
 }
 
+// Forget discards what is known of a flow, after a message about it could not be handled. The
+// flow's next packet starts a search for its owner.
+func (c *Core) Forget(k segment.Key) {
+	delete(c.flows, k)
+	delete(c.opening, k)
+	if s, ok := c.searches[k]; ok {
+		c.releaseReserved(s)
+		delete(c.searches, k)
+	}
+}
+
 func (c *Core) send(to netip.AddrPort, m relay.Message) {
 	if c.sendCount == len(c.sendPool) {
 		c.sendPool = append(c.sendPool, &Send{})
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -324,10 +324,34 @@
 			m.Segment = s
 		}
 		m.From = from
-		p.execute(p.core.Update(now, &m))
+		p.handleDatagram(now, &m, m.Message.Key)
 	}
 }
 
+// handleDatagram passes a packet or a message about a flow to the core.
+func (p *opaqueAgent) handleDatagram(now time.Duration, m conntrack.Message, k segment.Key) {
+	defer p.dropOnPanic(now, m, k)
+	p.execute(p.core.Update(now, m))
+}
+
+// dropOnPanic ends a panic of handleDatagram: one datagram must not end the process, which knows
+// what flows its target holds.
+func (p *opaqueAgent) dropOnPanic(now time.Duration, m conntrack.Message, k segment.Key) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	fields := []any{"flow", k}
+	switch m := m.(type) {
+	case *conntrack.EntryMessage:
+		fields = append(fields, "entry", m.From, "kind", m.Message.Kind)
+	case *conntrack.TargetPacket:
+		fields = append(fields, "flags", m.Segment.Flags)
+	}
+	p.RecordPanic(value, fields...)
+	p.core.Doubt(now, k)
+}
+
 func (p *opaqueAgent) handleTargetBatch(b udp.Batch) {
 	defer b.Done()
 	now := p.Clock()
@@ -341,7 +365,7 @@
 		}
 		m.Segment = s
 		m.Packet = data
-		p.execute(p.core.Update(now, &m))
+		p.handleDatagram(now, &m, s.Key)
 	}
 }
 
--- a/ibisfold-entry/opaque.go
+++ b/ibisfold-entry/opaque.go
@@ -330,7 +330,7 @@
 		}
 		m.Segment = s
 		m.Packet = data
-		p.execute(p.core.Update(now, &m))
+		p.handleDatagram(now, &m, s.Key)
 	}
 }
 
@@ -354,10 +354,33 @@
 			m.Segment = s
 		}
 		m.From = from
-		p.execute(p.core.Update(now, &m))
+		p.handleDatagram(now, &m, m.Message.Key)
 	}
 }
 
+// handleDatagram passes a packet or a message about a flow to the core.
+func (p *opaqueEntry) handleDatagram(now time.Duration, m steer.Message, k segment.Key) {
+	defer p.dropOnPanic(m, k)
+	p.execute(p.core.Update(now, m))
+}
+
+// dropOnPanic ends a panic of handleDatagram: one datagram must not end the process with all flows.
+func (p *opaqueEntry) dropOnPanic(m steer.Message, k segment.Key) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	fields := []any{"flow", k}
+	switch m := m.(type) {
+	case *steer.CallerPacket:
+		fields = append(fields, "flags", m.Segment.Flags)
+	case *steer.AgentMessage:
+		fields = append(fields, "agent", m.From, "kind", m.Message.Kind, "reason", m.Message.Reason)
+	}
+	p.RecordPanic(value, fields...)
+	p.core.Forget(k)
+}
+
 func (p *opaqueEntry) execute(commands []steer.Command) {
 	for _, c := range commands {
 		switch c := c.(type) {
