Agents: a SYN waits for the first confirmation of the target's service

The program reads the settings before each SYN, so no caller met it; a SYN could have gone to a target of another service once something else calls the core.

--- a/core/conntrack/service.go
+++ b/core/conntrack/service.go
@@ -17,7 +17,8 @@
 
 // serviceEvidence is the state of the knowledge that the target belongs to Core.Service.
 type serviceEvidence struct {
-	// confirmedAt is when the last ServiceConfirmed came.
+	// confirmed means that a ServiceConfirmed came, the last one at confirmedAt.
+	confirmed   bool
 	confirmedAt time.Duration
 	// waitUntil is until when SYNs wait after a pause of minReplaceTime or more.
 	waitUntil time.Duration
@@ -27,6 +28,7 @@
 
 // confirmService handles a ServiceConfirmed.
 func (c *Core) confirmService(now time.Duration, service uint64) {
+	c.evidence.confirmed = true
 	c.evidence.confirmedAt = now
 	if service == c.Service {
 		return
@@ -43,7 +45,7 @@
 	}
 	e := &c.evidence
 
-	return now-e.confirmedAt <= c.ServiceValidity && now >= e.waitUntil
+	return e.confirmed && now-e.confirmedAt <= c.ServiceValidity && now >= e.waitUntil
 }
 
 // recordPause notes a pause of the process that has just ended.
