Entries: calls that failed since the start count as an outage of unknown length

Callers saw a reset on a flow whose target lives, from an entry that had started shortly before the store was back: entries of living targets expire while the store is away and are back up to 2 s later. The rule for that (no answer proves the list for 2.5 s after an outage) took the time since the start of the process for the length of the outage, so an entry that was killed during one and came back less than a second before its end trusted the first list.

Change: if the first call of a process to the service fails, the first answer is one after an outage. A service that answers the first call was there, as far as the process can know.

Tests that fail before: TestOutageBeforeStartIsSeen (core/feed); TestFlowOfLapsedTargetOutlivesStart (a real entry: ten resets, the first 0.1 s after the start).

--- a/core/feed/early_test.go
+++ b/core/feed/early_test.go
@@ -58,3 +58,37 @@
 		}
 	}
 }
+
+// Guards against resets of living flows by an entry that starts shortly before the service is back:
+// entries of living targets have expired, and the process can't know for how long the service was
+// away. A service that answers the first call was there.
+func TestOutageBeforeStartIsSeen(t *testing.T) {
+	is := is.New(t)
+	failures := 0
+	service := &fakeUpstream{
+		list: func() (Batch, error) {
+			if failures > 0 {
+				failures--
+
+				return Batch{}, ErrUnavailable
+			}
+
+			return listingOf(4), nil
+		},
+	}
+	for _, failures = range []int{1, 0} {
+		away := failures > 0
+		f, _ := newTestFollower(service)
+		f.Follow(true, nil)
+		told := Confirmation{}
+		f.Confirmed = func(c Confirmation) {
+			told = c
+		}
+		for !f.listed {
+			f.step(context.Background())
+		}
+		is.True(told.Current)
+		is.Equal(told.MaxAge == maxAge, away)
+		is.Equal(f.afterOutage(), away)
+	}
+}
--- a/core/feed/follower.go
+++ b/core/feed/follower.go
@@ -115,6 +115,8 @@
 	started    time.Time
 	lastAnswer time.Time
 	failing    bool
+	// answered means that an upstream has answered since the start.
+	answered bool
 	// serviceNext means that the next call goes to the service: a source has failed, and
 	// changes that it did not report may be overdue.
 	serviceNext bool
@@ -253,6 +255,10 @@
 // acceptServiceAnswer takes an answer of the service and returns the pause before the next call.
 func (f *Follower) acceptServiceAnswer(b Batch, isSource bool) time.Duration {
 	f.serviceNext = false
+	if f.failing && !f.answered {
+		// The outage may have begun long before this process.
+		f.outageEnd = time.Now()
+	}
 	f.recordSuccess()
 	f.moveTo(b.Position)
 	f.listed = true
@@ -406,6 +412,7 @@
 			f.outageEnd = now
 		}
 	}
+	f.answered = true
 	f.lastAnswer = now
 	f.retryDelay = 0
 	f.failures = 0
--- a/ibisfold-entry/early_process_test.go
+++ b/ibisfold-entry/early_process_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"ibisfold.example/core/relay"
 	"ibisfold.example/core/segment"
+	"ibisfold.example/core/steer"
 	"ibisfold.example/platform"
 	"ibisfold.example/platform/platformtest"
 )
@@ -136,3 +139,56 @@
 	sendTo(t, caller, p.settings.Packets, testPacket(segment.SYN))
 	awaitKind(t, agent, relay.Open)
 }
+
+// denyLookups answers all lookups that come to an agent with NotOwned, until its socket is closed.
+func denyLookups(agent *net.UDPConn) {
+	buffer := make([]byte, 2048)
+	for {
+		n, from, err := agent.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		m := relay.Message{}
+		if m.Decode(buffer[:n]) != nil {
+			continue
+		}
+		answer := relay.Message{
+			Kind: relay.NotOwned,
+			Key:  m.Key,
+		}
+		if m.Kind == relay.FindMany {
+			answer.Kind = relay.Answers
+			answer.Keys = m.Keys
+			answer.Ownership = slices.Repeat([]relay.Kind{relay.NotOwned}, len(m.Keys))
+		}
+		// A lost answer is asked for again.
+		_, _ = agent.WriteToUDPAddrPort(answer.Append(nil), from)
+	}
+}
+
+// Guards against the reset of a living flow by an entry that starts shortly before the store is back:
+// the entry of the flow's target expired meanwhile and is written again a second later.
+func TestFlowOfLapsedTargetOutlivesStart(t *testing.T) {
+	is := is.New(t)
+	store, url := routedStore(t)
+	store.SetStatus(http.StatusServiceUnavailable)
+	caller := listenAt(t, "127.33.27.9:0")
+	go denyLookups(listenAt(t, "127.33.26.100:7720"))
+	p := runEntry(t, 23, url)
+	is.True(await(5*time.Second, func() bool {
+		return p.storeCalls.Get() > 1
+	}))
+	store.SetStatus(0)
+	is.True(await(3*time.Second, p.ready.Load))
+	for range 10 {
+		sendTo(t, caller, p.settings.Packets, testPacket(segment.ACK))
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.Equal(p.decisions[steer.NotHeld].Get(), uint64(0))
+	// A flow that no target holds is reset once all living targets are back.
+	is.True(await(5*time.Second, func() bool {
+		sendTo(t, caller, p.settings.Packets, testPacket(segment.ACK))
+
+		return p.decisions[steer.NotHeld].Get() > 0
+	}))
+}
