Programs: SIGHUP never ends a process

A process that had new settings announced while it started, or while it stopped, was ended by the signal: it had no handler yet, or no more.

--- a/core/program/program.go
+++ b/core/program/program.go
@@ -36,6 +36,7 @@
 	policy := flag.String("policy", "", "path of the policy file, with the thresholds of decisions on opaque flows (YAML); only with -platform")
 	flag.Parse()
 
+	ignoreHangups()
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	l := NewLogger(os.Stderr, p.Name)
@@ -53,6 +54,12 @@
 	}
 }
 
+// ignoreHangups keeps SIGHUP from ending the process, which is what it does to one that has no handler
+// for it. A process that watches its settings adds a handler of its own, later and not to the end.
+func ignoreHangups() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+}
+
 // timeFormat includes milliseconds, so that the log lines of several processes can be
 // merged in order.
 const timeFormat = "2006/01/02 15:04:05.000"
