Soak: processes that end by themselves, and entries without a catalog beside frozen agents

It now reports each process that ends without a signal of the soak, and each datagram that a process could not handle. The order 'entries without catalog' freezes half of the agents and kills all entries while the store is silent.

--- a/ibisfold-standin/soak/command.go
+++ b/ibisfold-standin/soak/command.go
@@ -114,6 +114,9 @@
 		return 0, ctx.Err()
 	}
 	b.checkRecovery()
+	if err := b.checkEnds(c.dir); err != nil {
+		return 0, err
+	}
 
 	return c.report(b, count), nil
 }
--- a/ibisfold-standin/soak/order.go
+++ b/ibisfold-standin/soak/order.go
@@ -20,6 +20,7 @@
 	{name: "entries join", run: (*testbed).joinEntries, order: true},
 	{name: "agents stall", run: (*testbed).stallAgents, order: true},
 	{name: "other writers", run: (*testbed).restartBesideOtherWriters, order: true},
+	{name: "entries without catalog", run: (*testbed).killEntriesBesideFrozenAgents, order: true},
 	{name: "release beside frozen source", run: (*testbed).releaseBesideFrozenSource, order: true},
 }
 
--- a/ibisfold-standin/soak/vm.go
+++ b/ibisfold-standin/soak/vm.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -55,6 +56,8 @@
 	cmd *exec.Cmd
 	// starts is the number of processes so far.
 	starts int
+	// ends holds the statuses of the processes that ended by themselves.
+	ends []string
 	// delay is the time from the end of the process until the next start if it is longer than
 	// restartDelay.
 	delay time.Duration
@@ -153,8 +156,13 @@
 
 // restart waits for the process to exit and starts it again.
 func (v *vm) restart(c *exec.Cmd, bin, dir string) {
-	// The exit status is ignored: most exits are caused by injected faults.
+	// An error is a status that endedByItself tells from the ends that the soak caused.
 	_ = c.Wait()
+	if endedByItself(c) {
+		v.mu.Lock()
+		v.ends = append(v.ends, c.ProcessState.String())
+		v.mu.Unlock()
+	}
 	time.Sleep(v.takeDelay())
 	if err := v.start(bin, dir); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -177,6 +185,14 @@
 	return v.starts
 }
 
+// ownEnds returns the statuses of the processes that ended by themselves.
+func (v *vm) ownEnds() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	return slices.Clone(v.ends)
+}
+
 // end kills the process and prevents its restart until resume.
 func (v *vm) end() {
 	v.mu.Lock()
