Entries and agents: a probe goes once to each zone and is passed on there

Cause: after a loss of power an entry sent the packet of each dead flow to every unsure agent itself, 197 bytes each, and got it back from each. A quarter of a link of 10 Mbit/s bears 31 such trials a second before 51 targets.

Change: the targets that the flow's hash prefers get the packet from the entry as before. The rest of a trial is one ProbeZone a zone: the agent that gets it passes the packet on to the others that it names, and each answers the entry. An agent that did not react gets the next probe directly. A bounced probe is denied without the packet, of which the entry has a copy, in one message and one log line for what arrived together.

Ruled out: denials collected by the agent that passes the packet on (moves the work from entries to agents, which have more of it already); all targets in one wave.

TestOpaquePowerLostAtScale without the conclusion: 276 of 480 requests time out before this change, none after it.

--- a/core/conntrack/command.go
+++ b/core/conntrack/command.go
@@ -33,6 +33,12 @@
 	Bounced bool
 }
 
+// ToAgent sends a message to another agent.
+type ToAgent struct {
+	To      netip.AddrPort
+	Message relay.Message
+}
+
 // CheckTarget asks for a TCP connection to the target. The kernel of the VM answers it, so that
 // a target which gets no processor time differs from one that has ended. The result is a
 // TargetChecked.
@@ -58,8 +64,8 @@
 	Reason relay.Reason
 	// Age is the time since the last packet from the target.
 	Age time.Duration
-	// Count is, depending on Decision, the number of unanswered packets, of queued flows,
-	// or of flows in a flow table.
+	// Count is, depending on Decision, the number of unanswered packets, of queued flows, of
+	// flows in a flow table, or of probes.
 	Count int
 	// TableAge is how long ago the previous process wrote the flow table that was
 	// restored.
@@ -101,6 +107,7 @@
 func (ToTarget) command()    {}
 func (ToCaller) command()    {}
 func (ToEntry) command()     {}
+func (ToAgent) command()     {}
 func (CheckTarget) command() {}
 func (Reset) command()       {}
 func (Note) command()        {}
@@ -122,6 +129,9 @@
 	// NotHeld means that a packet other than a SYN was returned to its entry because the
 	// target does not hold the flow or is down; Reason tells which.
 	NotHeld
+	// ProbesDenied means that the target bounced probes of an entry; Count is their number. The
+	// entry logs what becomes of each flow.
+	ProbesDenied
 	// Adopted means that the target turned out to hold a flow that was not known to be
 	// held, usually one from before the agent's start.
 	Adopted
@@ -162,6 +172,7 @@
 	Refused:      "flow refused",
 	Waiting:      "flow waits for room at the target",
 	NotHeld:      "packet returned: flow not held",
+	ProbesDenied: "probes returned: flows not held",
 	Adopted:      "flow adopted",
 	FlowLost:     "flow reset: target no longer holds it",
 	TargetReset:  "flow reset by target",
--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -92,6 +92,7 @@
 	// lookups are the ownership lookups that the flow table of the previous process may
 	// still answer.
 	lookups []lookup
+	denials denials
 	// now is the time of the current Update.
 	now time.Duration
 	// lastTick is the time of the last Tick, or the end of the last pause if that is
@@ -143,8 +144,10 @@
 	// only if sentEndKnown is set.
 	sentEnd      uint32
 	sentEndKnown bool
-	// entry is the entry that sent the caller's last packet.
-	entry netip.AddrPort
+	// entry is the entry that sent the caller's last packet; byProbe means as a Probe, of which
+	// the entry has a copy.
+	entry   netip.AddrPort
+	byProbe bool
 	// lastUsed is when the last packet passed, openedAt when the SYN did.
 	lastUsed time.Duration
 	openedAt time.Duration
@@ -185,6 +188,8 @@
 		c.confirmService(now, m.Service)
 	case TargetLeaves:
 		c.leaveTarget(now)
+	case BatchEnd:
+		c.sendDenials(now)
 	case Stop:
 		c.stop(now, m)
 	case Tick:
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -9,8 +9,16 @@
 )
 
 func (c *Core) handleEntryMessage(now time.Duration, m *EntryMessage) {
+	if m.Message.Kind == relay.ForwardedProbe {
+		m = asProbe(m, m.Message.Origin)
+	} else {
+		c.leaving.record(now, m.Message.Leaving)
+	}
 	c.entries[m.From] = now
-	c.leaving.record(now, m.Message.Leaving)
+	if m.Message.Kind == relay.ProbeZone {
+		c.forwardProbe(m)
+		m = asProbe(m, m.From)
+	}
 	if c.blockedByStop(now, m) {
 		return
 	}
@@ -188,6 +196,7 @@
 	}
 
 	f.entry = m.From
+	f.byProbe = m.Message.Kind == relay.Probe
 	f.lastUsed = now
 	f.lastAck = m.Segment.Ack
 	switch f.state {
--- a/core/conntrack/message.go
+++ b/core/conntrack/message.go
@@ -52,6 +52,10 @@
 	TargetEnded bool
 }
 
+// BatchEnd reports that no message of those that arrived together is left. It is due after each
+// batch with which Core.HasDenials becomes true.
+type BatchEnd struct{}
+
 // Tick reports that time has passed. It is due every TickTime.
 type Tick struct {
 	// Behind means that messages which arrived before this Tick may still wait in the
@@ -66,4 +70,5 @@
 func (ServiceConfirmed) message() {}
 func (TargetLeaves) message()     {}
 func (Stop) message()             {}
+func (BatchEnd) message()         {}
 func (Tick) message()             {}
--- a/core/conntrack/pause_test.go
+++ b/core/conntrack/pause_test.go
@@ -164,7 +164,8 @@
 			}
 		}
 		bounce := targetAnswer(notHeld, segment.ACK|segment.Bounced, 1)
-		is.True(hasDecision(c.Update(now, bounce), NotHeld))
+		c.Update(now, bounce)
+		is.True(hasDecision(c.Update(now, BatchEnd{}), ProbesDenied))
 	}
 }
 
--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -260,9 +260,15 @@
 		c.forget(k)
 		c.returnBounced(now, m, f, relay.ReasonFull, Refused)
 	case f.state == stateProbed, f.state == stateAssumed, f.state == stateAnswered:
+		searched := f.state == stateProbed && f.byProbe
 		c.inflight.drop(k)
 		f.state = stateNotHeld
 		delete(c.probes, k)
+		if searched {
+			c.denials.add(f.entry, k)
+
+			return
+		}
 		c.returnBounced(now, m, f, relay.ReasonNotHeld, NotHeld)
 	case f.state == stateHeld && f.isOtherFlow(m.Segment.Ack):
 		// The packet is of another flow, which may be held elsewhere or have ended. Later
--- a/core/relay/keys.go
+++ b/core/relay/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 
 	"ibisfold.example/core/segment"
 )
@@ -31,8 +32,8 @@
 	}
 }
 
-// appendBody encodes what follows the header: a packet, a list of keys, or a part of a
-// flow table.
+// appendBody encodes what follows the header: addresses and a packet, a list of keys, or a part
+// of a flow table.
 func (m *Message) appendBody(b []byte) []byte {
 	switch m.Kind {
 	case FindMany, Answers:
@@ -47,7 +48,7 @@
 	case Handover, HandoverOffer, HandoverWanted, HandoverDone, HandoverPart:
 		return m.Table.appendBody(m.Kind, b)
 	default:
-		return append(b, m.Packet...)
+		return append(m.appendAddresses(b), m.Packet...)
 	}
 }
 
@@ -55,6 +56,8 @@
 	m.Packet = nil
 	m.Keys = nil
 	m.Ownership = nil
+	m.Forwards = nil
+	m.Origin = netip.AddrPort{}
 	size := KeyBytes
 	switch m.Kind {
 	case FindMany:
@@ -63,9 +66,10 @@
 	case Handover, HandoverOffer, HandoverWanted, HandoverDone, HandoverPart:
 		return m.Table.decodeBody(m.Kind, b)
 	default:
-		m.Packet = b
+		packet, err := m.decodeAddresses(b)
+		m.Packet = packet
 
-		return nil
+		return err
 	}
 	if len(b)%size != 0 || len(b)/size > MaxKeys {
 		return ErrKeys
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 
 	"github.com/juju/errors"
 
@@ -65,6 +66,12 @@
 	// it. It carries no packet, so that an agent which has lost its flow table does not
 	// probe its target.
 	Withdraw
+	// ProbeZone is Probe to several agents of one zone: the receiver also passes the packet
+	// on to the agents in Forwards, each as a ForwardedProbe.
+	ProbeZone
+	// ForwardedProbe is Probe from the entry Origin, which gets the answer. Another agent
+	// passed it on.
+	ForwardedProbe
 	kinds
 )
 
@@ -89,6 +96,8 @@
 	HandoverDone:   "handover_done",
 	HandoverPart:   "handover_part",
 	Withdraw:       "withdraw",
+	ProbeZone:      "probe_zone",
+	ForwardedProbe: "forwarded_probe",
 }
 
 // String returns the name of the kind in logs.
@@ -103,7 +112,7 @@
 // CarriesPacket reports whether messages of the kind carry a packet of their flow.
 func (k Kind) CarriesPacket() bool {
 	switch k {
-	case Open, Deliver, Confirm, Probe, Returned:
+	case Open, Deliver, Confirm, Probe, Returned, ProbeZone, ForwardedProbe:
 		return true
 	default:
 		return false
@@ -229,6 +238,11 @@
 	Ownership []Kind
 	// Table is set in all messages about flow tables.
 	Table *Table
+	// Forwards lists, in ProbeZone, the agents that the packet is passed on to, at most
+	// MaxForwards.
+	Forwards []netip.AddrPort
+	// Origin is, in ForwardedProbe, the entry that probes.
+	Origin netip.AddrPort
 	// Packet is the packet as its sender wrote it. After Decode it aliases the decoded
 	// buffer.
 	Packet []byte
@@ -312,7 +326,8 @@
 	m.Slots = binary.LittleEndian.Uint16(b[6:])
 }
 
-// Decode decodes a message. Errors: ErrShort, ErrVersion, ErrKind, ErrKeys, ErrTable.
+// Decode decodes a message. Errors: ErrShort, ErrVersion, ErrKind, ErrKeys, ErrTable,
+// ErrAddresses.
 func (m *Message) Decode(b []byte) error {
 	if len(b) < HeaderBytes {
 		return ErrShort
--- a/core/steer/confirm.go
+++ b/core/steer/confirm.go
@@ -26,7 +26,7 @@
 	}
 	f.recordRecipients(to)
 	for _, a := range to {
-		c.sendProbe(now, relay.Confirm, a, m.Segment.Key, m.Packet)
+		c.sendConfirm(now, a, m.Segment.Key, m.Packet)
 	}
 }
 
@@ -93,7 +93,7 @@
 	}
 	for _, a := range to {
 		if !slices.Contains(f.recipients, a) {
-			c.sendProbe(now, relay.Confirm, a, m.Message.Key, m.Message.Packet)
+			c.sendConfirm(now, a, m.Message.Key, m.Message.Packet)
 		}
 	}
 }
--- a/core/steer/forward.go
+++ b/core/steer/forward.go
@@ -56,12 +56,12 @@
 	})
 }
 
-// sendProbe sends a packet as a Confirm or a Probe to an agent whose target may hold the
-// flow; the answer tells whether it does.
-func (c *Core) sendProbe(now time.Duration, kind relay.Kind, to netip.AddrPort, k segment.Key, packet []byte) {
+// sendConfirm sends a packet as a Confirm to an agent whose target may hold the flow; the
+// answer tells whether it does.
+func (c *Core) sendConfirm(now time.Duration, to netip.AddrPort, k segment.Key, packet []byte) {
 	c.agent(to).expectReply(now, k)
 	c.send(to, relay.Message{
-		Kind:   kind,
+		Kind:   relay.Confirm,
 		Key:    k,
 		Packet: packet,
 	})
--- a/core/steer/liststate_test.go
+++ b/core/steer/liststate_test.go
@@ -53,7 +53,7 @@
 
 func (t *testAgents) collect(commands []Command) []Message {
 	answers := []Message{}
-	for _, x := range commands {
+	for _, x := range passOn(commands) {
 		switch x := x.(type) {
 		case *Send:
 			if m, ok := t.answer(x); ok {
--- a/core/steer/probe.go
+++ b/core/steer/probe.go
@@ -4,13 +4,12 @@
 	"slices"
 	"time"
 
-	"ibisfold.example/core/relay"
 	"ibisfold.example/core/segment"
 )
 
 // unsureQueryInterval is the time until a search whose probes exceed the limit queries the
-// unsure agents again. A query carries the start time of the listed target, which makes an
-// agent sure once its new target is listed.
+// unsure agents again: packets of their targets and flow tables of earlier processes may have
+// made them sure of the flow since.
 const unsureQueryInterval = 200 * time.Millisecond
 
 // probing is the state of the part of a search that sends the packet to targets whose
@@ -31,8 +30,9 @@
 // may hold the flow have denied it or, once probing has begun, are missing.
 func (c *Core) probe(now time.Duration, k segment.Key, s *search, unsure []*reply) {
 	h := s.oldest(now)
-	size := len(h.packet) + messageOverhead
-	if need := len(unsure)*size - s.probing.reserved; need > 0 {
+	first, others := splitWaves(unsure)
+	wave, next := c.probeEach(first), c.probeZones(k, others, len(h.packet))
+	if need := probeBytes(wave, h.packet) + probeBytes(next, h.packet) - s.probing.reserved; need > 0 {
 		if !c.probes.take(now, need) {
 			c.queryUnsure(now, k, s, unsure)
 
@@ -40,45 +40,35 @@
 		}
 		s.probing.reserved += need
 	}
-	wave := c.wave(unsure)
+	if len(wave) == 0 {
+		wave = next
+	}
 	h.tried = true
-	for _, r := range wave {
-		r.answer = answerProbed
-		r.sentAt = now
-		r.probeCount = min(r.probeCount+1, maxBackoffDoublings+1)
-		c.sendProbe(now, relay.Probe, r.addr, k, h.packet)
+	s.outstanding = 0
+	for i := range wave {
+		s.outstanding += c.sendProbe(now, k, &wave[i], h.packet)
 	}
-	s.outstanding = len(wave)
-	s.probing.packets += len(wave)
-	s.probing.reserved = max(0, s.probing.reserved-len(wave)*size)
+	s.probing.packets += s.outstanding
+	s.probing.reserved = max(0, s.probing.reserved-probeBytes(wave, h.packet))
 	c.note(now, Note{
 		Decision: ProbesSent,
 		Key:      k,
-		Count:    len(wave),
+		Count:    s.outstanding,
 	})
 }
 
-// wave returns the agents that get the packet now: the preferred ones that have not got
-// one yet, or else all, those of this zone first.
-func (c *Core) wave(unsure []*reply) []*reply {
-	first := []*reply{}
-	local := []*reply{}
-	remote := []*reply{}
+// splitWaves returns the agents that get the packet first, the preferred ones that have not got
+// one yet, and the others.
+func splitWaves(unsure []*reply) (first, others []*reply) {
 	for _, r := range unsure {
 		if r.preferred && r.probeCount == 0 {
 			first = append(first, r)
-		}
-		if m, ok := c.listed[r.addr]; ok && m.Zone == c.Zone {
-			local = append(local, r)
 		} else {
-			remote = append(remote, r)
+			others = append(others, r)
 		}
 	}
-	if len(first) > 0 {
-		return first
-	}
 
-	return append(local, remote...)
+	return first, others
 }
 
 // queryUnsure queries the unsure agents again while probes wait for their share of the
--- a/core/steer/probe_test.go
+++ b/core/steer/probe_test.go
@@ -11,13 +11,36 @@
 	"ibisfold.example/core/segment"
 )
 
+// passOn returns commands with each ProbeZone as the probes that its agents get.
+func passOn(commands []Command) []Command {
+	list := []Command{}
+	for _, x := range commands {
+		s, ok := x.(*Send)
+		if !ok || s.Message.Kind != relay.ProbeZone {
+			list = append(list, x)
+			continue
+		}
+		for _, to := range append([]netip.AddrPort{s.To}, s.Message.Forwards...) {
+			m := s.Message
+			m.Kind = relay.Probe
+			m.Forwards = nil
+			list = append(list, &Send{
+				To:      to,
+				Message: m,
+			})
+		}
+	}
+
+	return list
+}
+
 // answerAllUnsure lets all agents but a silent one answer that they are unsure, and their
 // targets bounce probes. It returns the number of probes.
 func answerAllUnsure(c *Core, now time.Duration, silent netip.AddrPort, commands []Command) int {
 	probes := 0
 	for len(commands) > 0 {
 		replies := []AgentMessage{}
-		for _, x := range commands {
+		for _, x := range passOn(commands) {
 			s, ok := x.(*Send)
 			if !ok || s.To == silent {
 				continue
--- a/core/steer/probing_test.go
+++ b/core/steer/probing_test.go
@@ -89,7 +89,7 @@
 
 // dropFirstProbe removes the first probe to the owner.
 func dropFirstProbe(commands []Command, agents *testAgents, lost *int) []Command {
-	return slices.DeleteFunc(slices.Clone(commands), func(x Command) bool {
+	return slices.DeleteFunc(passOn(commands), func(x Command) bool {
 		s, ok := x.(*Send)
 		if !ok || s.Message.Kind != relay.Probe || s.To != agents.owner || *lost > 0 {
 			return false
--- a/core/steer/wave_test.go
+++ b/core/steer/wave_test.go
@@ -37,7 +37,7 @@
 		for len(queue) > 0 {
 			next := queue[0]
 			queue = queue[1:]
-			for _, x := range c.Update(now, next) {
+			for _, x := range passOn(c.Update(now, next)) {
 				s, ok := x.(*Send)
 				if !ok {
 					continue
@@ -105,7 +105,7 @@
 	step := func(now time.Duration, m Message) {
 		queue := []Message{m}
 		for ; len(queue) > 0; queue = queue[1:] {
-			for _, x := range c.Update(now, queue[0]) {
+			for _, x := range passOn(c.Update(now, queue[0])) {
 				s, ok := x.(*Send)
 				if !ok {
 					continue
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -293,6 +293,9 @@
 }
 
 func (p *opaqueAgent) flush() {
+	if p.core.HasDenials() {
+		p.execute(p.core.Update(p.Clock(), conntrack.BatchEnd{}))
+	}
 	p.toTarget.Flush()
 	p.toCaller.Flush()
 	p.toEntry.Flush()
@@ -392,6 +395,8 @@
 				platform.RestoreBounced(c.Message.Packet)
 			}
 			p.toEntry.Add(c.Message.Append(p.toEntry.Next()), c.To)
+		case conntrack.ToAgent:
+			p.toEntry.Add(c.Message.Append(p.toEntry.Next()), c.To)
 		case conntrack.CheckTarget:
 			go p.checkTarget()
 		case conntrack.Reset:
--- a/proof/opaque_network_test.go
+++ b/proof/opaque_network_test.go
@@ -79,18 +79,23 @@
 }
 
 func (w *opaqueWorld) toAgent(e *opaqueEntry, to netip.AddrPort, m relay.Message) {
-	if m.Kind == relay.Probe {
-		w.probed++
-		w.probeBytes += relay.HeaderBytes + len(m.Packet)
-	}
 	b := m.Append(nil)
+	if m.Kind == relay.Probe || m.Kind == relay.ProbeZone {
+		w.probed += 1 + len(m.Forwards)
+		w.probeBytes += len(b)
+	}
+	w.sendToAgent(e.zone, e.addr, to, b)
+}
+
+// sendToAgent carries a message of an entry or an agent in a zone to an agent.
+func (w *opaqueWorld) sendToAgent(zone string, from, to netip.AddrPort, b []byte) {
 	for _, a := range w.agents {
 		if a.addr != to {
 			continue
 		}
-		w.carry(w.delay(e.zone, a.zone), func() {
+		w.carry(w.delay(zone, a.zone), func() {
 			if !a.down {
-				w.deliverToAgent(a, e.addr, b)
+				w.deliverToAgent(a, from, b)
 			}
 		})
 	}
@@ -122,6 +127,7 @@
 	if w.deferMessage(&a.pause, m, func() { w.agentUpdate(a, m) }) {
 		return
 	}
+	defer w.endBatch(a)
 	for _, c := range slices.Clone(a.core.Update(w.Now, m)) {
 		switch c := c.(type) {
 		case conntrack.ToTarget:
@@ -136,6 +142,8 @@
 				platform.RestoreBounced(c.Message.Packet)
 			}
 			w.toEntry(a, c.To, c.Message)
+		case conntrack.ToAgent:
+			w.sendToAgent(a.zone, a.addr, c.To, c.Message.Append(nil))
 		case conntrack.Reset:
 			w.toCaller(a.zone, c.Key, platform.AppendReset(nil, c.Key, c.Seq))
 		case conntrack.CheckTarget:
@@ -146,6 +154,22 @@
 	}
 }
 
+// endBatch lets an agent tell entries of bounced probes once it has handled all messages of this
+// moment.
+func (w *opaqueWorld) endBatch(a *opaqueAgent) {
+	if a.batchEnds || !a.core.HasDenials() {
+		return
+	}
+	a.batchEnds = true
+	core := a.core
+	w.After(0, func() {
+		a.batchEnds = false
+		if !a.down && a.core == core {
+			w.agentUpdate(a, conntrack.BatchEnd{})
+		}
+	})
+}
+
 func (w *opaqueWorld) toEntry(a *opaqueAgent, to netip.AddrPort, m relay.Message) {
 	if m.Kind == relay.Stopping && w.disabled == opaqueAnnouncement {
 		return
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -74,10 +74,12 @@
 	// the longest time for which packets of an open flow did not reach its own target.
 	strays     int
 	longestGap time.Duration
-	// probeBytes counts the bytes that were sent to agents as probes.
+	// probeBytes counts the bytes that entries sent as probes, probed the agents that the
+	// probes were for.
 	probeBytes int
-	// probed counts the probes.
-	probed int
+	probed     int
+	// slowestReset is the longest time from a caller's last packet to the reset of its flow.
+	slowestReset time.Duration
 }
 
 // opaqueEntry is a VM with an entry.
@@ -111,6 +113,10 @@
 	target opaqueTarget
 	// impairedUntil is when the VM's last unplanned fault ends; zero means none.
 	impairedUntil time.Duration
+	// clockOffset is how far the clock of the VM is ahead.
+	clockOffset time.Duration
+	// batchEnds means that a BatchEnd is due.
+	batchEnds bool
 	// unlistedUntil is until when the target is missing from the list although it lives.
 	unlistedUntil time.Duration
 	pause         opaquePauseState
