Entries: the last packet of a trial reaches the flow's own target

What callers could see: a flow that counts as misrouted. Probes of a trial that arrive at other targets after the owner's stay the last packets of the flow while it is idle; those of its next trial add to them: three or more at other targets, none at its own, for longer than 2 s.

Ruled out: an owner that got nothing (it got the first packet of each trial).

Change: where a trial went to more agents than the owner's, the owner gets the packet once more when it is found.

--- a/core/steer/search.go
+++ b/core/steer/search.go
@@ -190,10 +190,14 @@
 	c.measure(SearchTime, now-s.began)
 	i, queried := s.queried[owner]
 	ownerProbed := queried && s.replies[i].answer == answerProbed
+	// Probes that reached other targets after the owner's have to be followed by a packet that
+	// reaches the owner: else those of the flow's next search add to them, however long the flow
+	// is idle in between. See resolve.
+	onlyOwnerTried := ownerProbed && s.probing.packets == 1
 	c.closeSearch(now, k, s, SearchFound, owner)
 	c.setOwner(now, k, owner)
 	for _, h := range s.held {
-		if h.tried && ownerProbed || now-h.at > searchTimeout {
+		if h.tried && onlyOwnerTried || now-h.at > searchTimeout {
 			continue
 		}
 		c.send(owner, relay.Message{
