--- a/core/conntrack/command.go
+++ b/core/conntrack/command.go
@@ -140,12 +140,9 @@
 	FlowLost
 	// TargetReset means that the target reset a flow while a request was in progress.
 	TargetReset
-	// TargetFresh means that the target holds no flow that the agent does not know: it
-	// started no earlier than the agent, or nothing listens at its address.
+	// TargetFresh means that nothing listens at the target's address, so the target holds no
+	// flow that the agent does not know.
 	TargetFresh
-	// OtherStart means that an entry told the start of a target of another service, which is
-	// no evidence about this agent's target.
-	OtherStart
 	// TargetSilent means that the target does not respond, and may be slow.
 	TargetSilent
 	// TargetDown means that nothing listens at the target's address.
@@ -177,7 +174,6 @@
 	FlowLost:     "flow reset: target no longer holds it",
 	TargetReset:  "flow reset by target",
 	TargetFresh:  "target has no earlier flows",
-	OtherStart:   "start of another service's target ignored",
 	TargetSilent: "target silent",
 	TargetDown:   "target down",
 	TargetBack:   "target back",
--- a/core/conntrack/completeness.go
+++ b/core/conntrack/completeness.go
@@ -19,3 +19,15 @@
 		Decision: AllFlowsKnown,
 	})
 }
+
+// markComplete records that nothing listens at the target's address: flows that open from now
+// on pass this process.
+func (c *Core) markComplete(now time.Duration) {
+	if c.Complete {
+		return
+	}
+	c.Complete = true
+	c.note(now, Note{
+		Decision: TargetFresh,
+	})
+}
--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -30,17 +30,6 @@
 	// probeTimeout bounds how long a responsive target takes to bounce a packet of a flow
 	// that it does not hold.
 	probeTimeout = 40 * time.Millisecond
-	// maxTargetLead bounds how long before the agent its target may have started and still
-	// hold no flow that the agent missed. A process that ended is restarted after about
-	// 0.5 s, so no earlier agent process can have opened a flow in that time.
-	maxTargetLead = 400 * time.Millisecond
-	// maxStartLag bounds how long after the agent's start a target that was already
-	// listening then may report to have started: it may read the clock shortly after it
-	// starts to listen.
-	maxStartLag = 100 * time.Millisecond
-	// startEvidenceTime is how long after its start an agent waits for evidence that its
-	// target is older than the clocks say. Entries offer flow tables every 60 ms.
-	startEvidenceTime = maxLookupWait
 )
 
 // Core makes the decisions of one agent. Set the exported fields before the first Update.
@@ -50,19 +39,17 @@
 	// ServiceValidity is how long a ServiceConfirmed holds: later on, SYNs wait for the next
 	// one. Zero means that they need none.
 	ServiceValidity time.Duration
-	// Complete means that the target holds no flow that is not known here: no flow of it
-	// is older than this process, the previous process handed over its whole flow table,
-	// or this process has observed the target for MaxFlowAge.
+	// Complete means that the target holds no flow that is not known here. It rests only on
+	// what this process has observed: nothing listened at the target's address at some time
+	// in its life, or it has observed the target for MaxFlowAge. The one exception is the
+	// first start of the whole system. See docs/decisions/0034-evidence-of-completeness.md.
 	Complete bool
 	// MaxFlowAge is the idle time after which both ends discard a flow, by default 60 s.
 	// Idle flows are kept here for as long.
 	MaxFlowAge time.Duration
-	// Started is when the process started, in Unix milliseconds, on the clock that also
-	// gives the target's start.
+	// Started is when the process started, in Unix milliseconds. It tells flow tables apart
+	// and is evidence of nothing: the clock may have been set.
 	Started int64
-	// TargetListened means that the target was already listening when the process started,
-	// so the target started first.
-	TargetListened bool
 	// Policy is DefaultPolicy by default.
 	Policy *Policy
 
@@ -82,13 +69,6 @@
 	lastStop plannedStop
 	leaving  leaving
 	restore  tableRestore
-	// freshClaimed means that by its start time, which freshClaimedBy told, the target is no
-	// older than this process; targetOlder that an entry has known of that start for longer.
-	freshClaimed   bool
-	freshClaimedBy netip.AddrPort
-	targetOlder    bool
-	// otherStartNoted means that OtherStart was logged.
-	otherStartNoted bool
 	// lookups are the ownership lookups that the flow table of the previous process may
 	// still answer.
 	lookups []lookup
@@ -195,7 +175,6 @@
 	case Tick:
 		c.tick(now, m.Behind)
 	}
-	c.concludeFresh(now)
 	c.admitWaiting(now)
 	c.answerDeferredLookups(now)
 
--- a/core/conntrack/entry.go
+++ b/core/conntrack/entry.go
@@ -31,10 +31,8 @@
 		c.backlog.remove(m.Message.Key)
 		c.inflight.clearExpected(m.Message.Key)
 	case relay.Find:
-		c.checkTargetStart(now, m)
 		c.find(now, m)
 	case relay.FindMany:
-		c.checkTargetStart(now, m)
 		c.findMany(now, m)
 	case relay.HandoverOffer, relay.HandoverPart:
 		c.handleTableMessage(now, m)
@@ -240,80 +238,6 @@
 	}
 }
 
-// checkTargetStart sets Complete if the target started no earlier than the agent: such a
-// target holds no flow that the agent does not know. Clocks may have been set since, so they
-// decide only if nothing else shows that the target is older: an entry that has known it for
-// longer, or the flow table of the previous process. For startEvidenceTime after the agent's
-// start such evidence is awaited.
-//
-// The start of a target of another service says nothing: entries may list a target on the VM that
-// is not this agent's, such as the entry of another writer.
-func (c *Core) checkTargetStart(now time.Duration, m *EntryMessage) {
-	if c.Complete || m.Message.Born == 0 || !c.isFreshStart(m.Message.Born) {
-		return
-	}
-	if m.Message.Service != c.Service {
-		c.noteOtherStart(now, m)
-
-		return
-	}
-	c.freshClaimed = true
-	c.freshClaimedBy = m.From
-	uptime := now - c.restore.startedAt
-	known := time.Duration(m.Message.Age) * time.Millisecond
-	c.targetOlder = c.targetOlder || known > uptime+maxTargetLead
-	c.concludeFresh(now)
-}
-
-// noteOtherStart logs the first start of another service's target that would have shown that this
-// agent's target is new.
-func (c *Core) noteOtherStart(now time.Duration, m *EntryMessage) {
-	if c.otherStartNoted {
-		return
-	}
-	c.otherStartNoted = true
-	c.note(now, Note{
-		Decision: OtherStart,
-		Entry:    m.From,
-		Reason:   relay.ReasonWrongService,
-	})
-}
-
-// concludeFresh sets Complete once a start time shows that the target is new and no evidence
-// against it has come in time.
-func (c *Core) concludeFresh(now time.Duration) {
-	if !c.freshClaimed || c.targetOlder || c.restore.parts > 0 || now-c.restore.startedAt < startEvidenceTime {
-		return
-	}
-	c.markComplete(now, c.freshClaimedBy)
-}
-
-// isFreshStart reports whether a target with the given start time started together with
-// the agent or after it. Both times are read from the VM's clock, which may have been set
-// in between. If the agent saw the target listen at its own start, a later start time
-// means either that the clock was set back or that the target has restarted since; the
-// agent can't tell which, so it stays unsure until the target refuses a packet.
-func (c *Core) isFreshStart(born int64) bool {
-	if c.TargetListened && born > c.Started+maxStartLag.Milliseconds() {
-		return false
-	}
-
-	return born >= c.Started-maxTargetLead.Milliseconds()
-}
-
-// markComplete records that the target holds no flow that is not known here: it has just
-// started, or nothing listens at its address any more.
-func (c *Core) markComplete(now time.Duration, entry netip.AddrPort) {
-	if c.Complete {
-		return
-	}
-	c.Complete = true
-	c.note(now, Note{
-		Decision: TargetFresh,
-		Entry:    entry,
-	})
-}
-
 // find handles the lookup of a flow's owner by an entry.
 func (c *Core) find(now time.Duration, m *EntryMessage) {
 	if !c.deferLookup(now, m.From, m.Message.Key) {
--- a/core/conntrack/lookup.go
+++ b/core/conntrack/lookup.go
@@ -29,15 +29,13 @@
 
 // deferLookup keeps a lookup that the flow table of the previous process may answer. It
 // reports whether the answer is deferred until the table is restored because its parts are
-// on their way, or until the agent concludes whether the target has just started. Until a
-// table is offered the agent answers that it is unsure and corrects that later: after a kill
-// there is no table, and entries would wait in vain.
+// on their way. Until a table is offered the agent answers that it is unsure and corrects that
+// later: after a kill there is no table, and entries would wait in vain.
 func (c *Core) deferLookup(now time.Duration, from netip.AddrPort, k segment.Key) bool {
 	if !c.canRestore(now) || c.lastStop.active(now) || len(c.lookups) == maxPendingLookups || c.ownership(k) != relay.Unsure {
 		return false
 	}
-	awaited := c.restore.parts > 0 || c.freshClaimed && !c.targetOlder
-	deferred := awaited && now-c.restore.startedAt < maxLookupWait
+	deferred := c.restore.parts > 0 && now-c.restore.startedAt < maxLookupWait
 	c.lookups = append(c.lookups, lookup{
 		from:     from,
 		key:      k,
--- a/core/conntrack/target.go
+++ b/core/conntrack/target.go
@@ -1,7 +1,6 @@
 package conntrack
 
 import (
-	"net/netip"
 	"time"
 
 	"ibisfold.example/core/relay"
@@ -100,7 +99,7 @@
 		c.resetHeldFlows(now)
 		c.refuseAllWaiting(now, relay.ReasonTargetDown)
 	}
-	c.markComplete(now, netip.AddrPort{})
+	c.markComplete(now)
 }
 
 // resetHeldFlows resets the flows that the target held.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -193,23 +193,16 @@
 	Kind   Kind
 	Reason Reason
 	// Service is, in Open, the ID of the service that the entry expects at the target. It
-	// shares its place in the header with Born and Table.ID. In Find and FindMany it is the
-	// service of the target that Born tells of, in the place of ColdRate, Load, Flows and
-	// Slots; zero in those of earlier versions.
+	// shares its place in the header with Table.ID.
 	Service uint64
-	// Born is, in Find and FindMany, when the target started according to the entry, in
-	// Unix milliseconds; zero if the entry does not know it.
-	Born int64
-	Key  segment.Key
+	Key     segment.Key
 	// ColdRate is, in Open, the rate of new flows that a cold target can take, in flows
 	// per second times 10; zero means no limit.
 	ColdRate uint16
 	// Slots is, in Open, the number of requests that the target works on at once; zero if
 	// it is not known.
 	Slots uint16
-	// Age is, in Open, how long ago the caller sent the flow's first SYN, and, in Find and
-	// FindMany, how long the entry has known of the start of the target that Born tells, both
-	// in milliseconds.
+	// Age is, in Open, how long ago the caller sent the flow's first SYN, in milliseconds.
 	Age uint16
 	// Timeout is, in Open, how long callers of the route wait for an answer, in
 	// milliseconds; zero if it is not known.
@@ -262,14 +255,10 @@
 	}
 	b = binary.LittleEndian.AppendUint64(b, m.sharedField())
 	b = appendKey(b, m.Key)
-	if m.Kind.isLookup() {
-		b = binary.LittleEndian.AppendUint64(b, m.Service)
-	} else {
-		b = binary.LittleEndian.AppendUint16(b, m.ColdRate)
-		b = binary.LittleEndian.AppendUint16(b, m.Load)
-		b = binary.LittleEndian.AppendUint16(b, m.Flows)
-		b = binary.LittleEndian.AppendUint16(b, m.Slots)
-	}
+	b = binary.LittleEndian.AppendUint16(b, m.ColdRate)
+	b = binary.LittleEndian.AppendUint16(b, m.Load)
+	b = binary.LittleEndian.AppendUint16(b, m.Flows)
+	b = binary.LittleEndian.AppendUint16(b, m.Slots)
 	b = binary.LittleEndian.AppendUint16(b, m.Age)
 	b = binary.LittleEndian.AppendUint16(b, m.Timeout)
 	b = append(b, m.Priority)
@@ -283,26 +272,22 @@
 	return m.Stopping || m.Kind == Stopping
 }
 
-// sharedField returns the value of Service, Born or Table.ID, which share one field of the
-// header. The kind determines which of them it is.
+// sharedField returns the value of Service or Table.ID, which share one field of the header.
+// The kind determines which of them it is. Entries of earlier versions tell in lookups when the
+// target started.
 func (m *Message) sharedField() uint64 {
-	switch {
-	case m.Kind.isLookup():
-		return uint64(m.Born)
-	case m.Table != nil:
+	if m.Table != nil {
 		return uint64(m.Table.ID)
-	default:
-		return m.Service
 	}
+
+	return m.Service
 }
 
 func (m *Message) setSharedField(x uint64) {
 	m.Service = 0
-	m.Born = 0
 	m.Table = nil
 	switch {
 	case m.Kind.isLookup():
-		m.Born = int64(x)
 	case m.Kind.isHandover():
 		m.Table = &Table{
 			ID: int64(x),
@@ -312,12 +297,11 @@
 	}
 }
 
-// setCounts decodes ColdRate, Load, Flows and Slots, or what a lookup has in their place.
+// setCounts decodes ColdRate, Load, Flows and Slots. Lookups of earlier versions have another
+// value in their place.
 func (m *Message) setCounts(b []byte) {
 	m.ColdRate, m.Load, m.Flows, m.Slots = 0, 0, 0, 0
 	if m.Kind.isLookup() {
-		m.Service = binary.LittleEndian.Uint64(b)
-
 		return
 	}
 	m.ColdRate = binary.LittleEndian.Uint16(b)
--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -111,10 +111,10 @@
 // query sends a query for a flow, which the agent answers at once.
 func (c *Core) query(now time.Duration, to netip.AddrPort, k segment.Key) {
 	c.recordQuery(now, c.agent(to))
-	c.send(to, c.addTargetStart(now, to, relay.Message{
+	c.send(to, relay.Message{
 		Kind: relay.Find,
 		Key:  k,
-	}))
+	})
 }
 
 // recordQuery notes that a message was sent that the agent answers at once.
--- a/core/steer/liststate.go
+++ b/core/steer/liststate.go
@@ -29,8 +29,8 @@
 	// new ones.
 	departed      map[netip.AddrPort]*catalog.Member
 	departedOrder []netip.AddrPort
-	// starts holds the starts of the targets of the snapshot.
-	starts map[targetStart]knownStart
+	// starts holds the starts of the listed targets.
+	starts map[targetStart]bool
 	// began is when the first list came.
 	began time.Duration
 	// confirmed means that the configuration service has confirmed the list, last at
@@ -59,7 +59,7 @@
 		}
 	}
 	c.setDeparted(n.Departed)
-	c.updateStarts(now)
+	c.updateStarts()
 	c.markLeaving()
 	c.listState.generation++
 	if m.Confirmed {
--- a/core/steer/queryqueue.go
+++ b/core/steer/queryqueue.go
@@ -100,10 +100,10 @@
 			return false
 		}
 		c.recordQuery(now, c.agent(to))
-		c.send(to, c.addTargetStart(now, to, relay.Message{
+		c.send(to, relay.Message{
 			Kind: relay.FindMany,
 			Keys: keys[:n:n],
-		}))
+		})
 		keys = keys[n:]
 	}
 	q.retain(to, nil)
--- a/core/steer/targetstart.go
+++ b/core/steer/targetstart.go
@@ -1,12 +1,9 @@
 package steer
 
 import (
-	"math"
 	"net/netip"
-	"time"
 
 	"ibisfold.example/core/catalog"
-	"ibisfold.example/core/relay"
 )
 
 // targetStart identifies a start of a target.
@@ -24,39 +21,18 @@
 	}
 }
 
-// knownStart is what an entry knows of a start of a target that is listed, or left the list
-// lately.
-type knownStart struct {
-	// since is when the start was first told. A target that left the list and is back is not
-	// new.
-	since  time.Duration
-	listed bool
-}
-
-// updateStarts notes the starts that the present snapshot tells. Another start on an agent's VM
-// than before clears what the agent said about the end of the previous target.
-func (c *Core) updateStarts(now time.Duration) {
+// updateStarts notes the starts of the listed targets. A start that was not listed before
+// clears what the agent on the VM said about the end of the previous target.
+func (c *Core) updateStarts() {
 	before := c.listState.starts
-	starts := map[targetStart]knownStart{}
+	starts := map[targetStart]bool{}
 	for _, group := range c.snapshot.Groups {
 		for i := range group {
 			start := startOf(&group[i])
-			known, ok := before[start]
-			if !ok {
-				known.since = now
-			}
-			if !known.listed {
+			if !before[start] {
 				c.agent(c.agentOf(&group[i])).targetEnded = false
 			}
-			known.listed = true
-			starts[start] = known
-		}
-	}
-	for i := range c.snapshot.Departed {
-		start := startOf(&c.snapshot.Departed[i])
-		if known, ok := before[start]; ok {
-			known.listed = false
-			starts[start] = known
+			starts[start] = true
 		}
 	}
 	c.listState.starts = starts
@@ -72,20 +48,3 @@
 
 	return c.listed[agent]
 }
-
-// addTargetStart adds to a query when the target beside an agent started, whose service it names,
-// and for how long this entry has known of that start. The target is at least that old, whatever
-// the clock of its VM says.
-func (c *Core) addTargetStart(now time.Duration, agent netip.AddrPort, m relay.Message) relay.Message {
-	t := c.targetOf(agent)
-	if t == nil {
-		return m
-	}
-	m.Service = t.Service
-	m.Born = t.Born
-	if known, ok := c.listState.starts[startOf(t)]; ok {
-		m.Age = uint16(min((now - known.since).Milliseconds(), math.MaxUint16))
-	}
-
-	return m
-}
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "target")
 	}
-	mayListen, listens := probeTarget(s.Target)
+	mayListen := probeTarget(s.Target)
 	p := &opaqueAgent{
 		settings: s,
 		policies: policies,
@@ -92,7 +92,6 @@
 			Service:         catalog.ServiceID(s.Service),
 			ServiceValidity: serviceValidity,
 			Complete:        s.FirstStart || !mayListen,
-			TargetListened:  listens,
 			Started:         time.Now().UnixMilli(),
 			MaxFlowAge:      s.MaxFlowAge,
 			Policy:          &policies.Agent,
@@ -111,21 +110,21 @@
 const dialTimeout = 50 * time.Millisecond
 
 // probeTarget tries to connect to the target's address. It reports whether something may
-// listen there, which only a refused connection rules out, and whether something does. A
-// target whose port is closed holds no flow.
-func probeTarget(target netip.AddrPort) (mayListen, listens bool) {
+// listen there, which only a refused connection rules out. A target whose port is closed holds
+// no flow.
+func probeTarget(target netip.AddrPort) bool {
 	c, err := net.DialTimeout("tcp4", target.String(), dialTimeout)
 	if err != nil {
-		return !errors.Is(err, syscall.ECONNREFUSED), false
+		return !errors.Is(err, syscall.ECONNREFUSED)
 	}
 	c.Close()
 
-	return true, true
+	return true
 }
 
 // checkTarget tells the core whether the target still listens. It takes at most dialTimeout.
 func (p *opaqueAgent) checkTarget() {
-	mayListen, _ := probeTarget(p.settings.Target)
+	mayListen := probeTarget(p.settings.Target)
 	p.Post(func() {
 		p.execute(p.core.Update(p.Clock(), conntrack.TargetChecked{
 			Refused: !mayListen,
@@ -253,7 +252,7 @@
 				p.execute(p.core.Update(p.Clock(), conntrack.TargetLeaves{}))
 			}
 		})
-		if mayListen, _ := probeTarget(p.settings.Target); !mayListen {
+		if !probeTarget(p.settings.Target) {
 			waiting = false
 		}
 		if waiting {
@@ -272,8 +271,7 @@
 
 // announceStop passes the stop to the core and sends its messages, stopAnnouncements times.
 func (p *opaqueAgent) announceStop() {
-	mayListen, _ := probeTarget(p.settings.Target)
-	ended := !mayListen
+	ended := !probeTarget(p.settings.Target)
 	p.Log.Info("stop announced", "flows", p.core.Flows(), "target ended", ended)
 	for range stopAnnouncements {
 		p.execute(p.core.Update(p.Clock(), conntrack.Stop{
--- a/proof/opaque_endpoints_test.go
+++ b/proof/opaque_endpoints_test.go
@@ -225,8 +225,9 @@
 	// packets.
 	copies int
 	number int
-	// requestStart is when the request was first sent.
+	// requestStart is when the request was first sent, lastCopy when it was last sent.
 	requestStart time.Duration
+	lastCopy     time.Duration
 	// slowestAnswer is the longest time that an answer took, resets the number of flows
 	// that were reset, timeouts the number of requests without an answer in time.
 	slowestAnswer time.Duration
@@ -319,6 +320,7 @@
 
 		return
 	}
+	c.lastCopy = w.Now
 	w.recordRequest(c.key)
 	w.toRouters(c.zone, c.key, platform.AppendPacket(nil, &segment.Segment{
 		Key:   c.key,
@@ -395,6 +397,9 @@
 		w.violate("flow %v was reset, though the target at %v holds it", c.key, a.addr)
 	}
 	c.resets++
+	if c.open {
+		w.slowestReset = max(w.slowestReset, w.Now-c.lastCopy)
+	}
 	w.openFlow(c)
 }
 
