Entries: a late message of an agent's former process tells nothing of the next one

What callers could see: flows of a living target that are reset. The announcement that a target has ended may arrive 0.2 s late. If the agent and another target are back sooner, the entry took it for that of the present process and reset the flows opened since. The rule rested on a restart that takes 0.5 s (maxMessageDelay, 250 ms). The same rule kept an agent that was back at once without new flows.

Change: messages of agents tell their process by a random number, in the place of Service, which agents did not use. A stop ends with the first message of another process, and messages of the former one change nothing. An end of the target that is told by a process of which nothing else was heard, while another is known, is not taken. Agents of earlier versions send zero, and parts of flow tables do not tell; the time decides for them as before.

Found by reading for what else rests on the delay; not seen in a run of the programs. The quick worlds have the order too: "target and agent replaced as planned".

--- a/core/conntrack/core.go
+++ b/core/conntrack/core.go
@@ -47,6 +47,9 @@
 	// MaxFlowAge is the idle time after which both ends discard a flow, by default 60 s.
 	// Idle flows are kept here for as long.
 	MaxFlowAge time.Duration
+	// Process differs between the processes of the agent. Entries tell by it which of them sent
+	// a message.
+	Process uint64
 	// Started is when the process started, in Unix milliseconds. It tells flow tables apart
 	// and is evidence of nothing: the clock may have been set.
 	Started int64
@@ -274,6 +277,7 @@
 }
 
 func (c *Core) withState(m relay.Message) relay.Message {
+	m.Process = c.Process
 	m.Stopping = c.lastStop.announced
 	m.Load = uint16(min(100*max(c.meanLoad, c.demand()), maxLoad))
 	m.Unstable = c.damping.unstable(c.now)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -119,6 +119,16 @@
 	}
 }
 
+// tellsProcess reports whether messages of the kind come from agents and tell their process.
+func (k Kind) tellsProcess() bool {
+	switch k {
+	case Answers, Accepted, Owned, NotOwned, Unsure, Returned, Stopping:
+		return true
+	default:
+		return false
+	}
+}
+
 // isLookup reports whether messages of the kind ask for the owners of flows.
 func (k Kind) isLookup() bool {
 	return k == Find || k == FindMany
@@ -193,8 +203,11 @@
 	Kind   Kind
 	Reason Reason
 	// Service is, in Open, the ID of the service that the entry expects at the target. It
-	// shares its place in the header with Table.ID.
+	// shares its place in the header with Process and Table.ID.
 	Service uint64
+	// Process is, in messages from agents that are not about flow tables, a number that
+	// differs between the processes of an agent; zero in those of earlier versions.
+	Process uint64
 	Key     segment.Key
 	// ColdRate is, in Open, the rate of new flows that a cold target can take, in flows
 	// per second times 10; zero means no limit.
@@ -272,19 +285,23 @@
 	return m.Stopping || m.Kind == Stopping
 }
 
-// sharedField returns the value of Service or Table.ID, which share one field of the header.
-// The kind determines which of them it is. Entries of earlier versions tell in lookups when the
-// target started.
+// sharedField returns the value of Service, Process or Table.ID, which share one field of the
+// header. The kind determines which of them it is. Entries of earlier versions tell in lookups when
+// the target started.
 func (m *Message) sharedField() uint64 {
-	if m.Table != nil {
+	switch {
+	case m.Table != nil:
 		return uint64(m.Table.ID)
+	case m.Kind.tellsProcess():
+		return m.Process
+	default:
+		return m.Service
 	}
-
-	return m.Service
 }
 
 func (m *Message) setSharedField(x uint64) {
 	m.Service = 0
+	m.Process = 0
 	m.Table = nil
 	switch {
 	case m.Kind.isLookup():
@@ -292,6 +309,8 @@
 		m.Table = &Table{
 			ID: int64(x),
 		}
+	case m.Kind.tellsProcess():
+		m.Process = x
 	default:
 		m.Service = x
 	}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -16,7 +16,7 @@
 	m := Message{
 		Kind:     Returned,
 		Reason:   ReasonFull,
-		Service:  1 << 60,
+		Process:  1 << 60,
 		Key:      segment.KeyOf(netip.MustParseAddrPort("100.64.0.7:40001"), netip.MustParseAddrPort("198.18.0.1:443")),
 		ColdRate: 3,
 		Load:     4,
--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -25,10 +25,8 @@
 	// linkCheckQueries is the number of other agents that a tick queries to check whether
 	// this entry's own link works.
 	linkCheckQueries = 2
-	// maxMessageDelay bounds the time after a stop announcement within which messages that
-	// were sent before it may arrive. Datagrams may be delayed by 200 ms. A process
-	// restarts about 0.5 s after its end, which is 300 ms after the arrival of an
-	// announcement that was delayed by 200 ms. The bound is halfway between 200 and 300 ms.
+	// maxMessageDelay is the time after a stop announcement within which messages count as sent
+	// before it if they do not tell their process. Datagrams may be delayed by 200 ms.
 	maxMessageDelay = 250 * time.Millisecond
 	// resendAfter is how long an agent has to leave a query unanswered before the packets
 	// that were sent to it in that time count as possibly lost. They are sent again once
@@ -48,14 +46,17 @@
 	// heard.
 	everHeard bool
 	heard     time.Duration
+	processes processes
 	// firstQuery is when the first query was sent that has no answer yet, lastQuery when
 	// the last query was sent, and unanswered the number of queries from firstQuery on.
 	firstQuery time.Duration
 	lastQuery  time.Duration
 	unanswered int
-	// stopAnnounced is when the last message came that shows that the agent has announced
-	// its stop; zero if none did.
+	// stopAnnounced is when the last message came that shows that the agent's current process
+	// has announced its stop; zero if none did.
 	stopAnnounced time.Duration
+	// stopUnattributed means that this message does not tell which process sent it.
+	stopUnattributed bool
 	// targetEnded means that the agent announced its stop with the reason that its target
 	// had ended, and that no other target was listed at its address since.
 	targetEnded bool
@@ -126,9 +127,14 @@
 	a.lastQuery = now
 }
 
-// recordHeard updates the state of an agent from any of its messages.
+// recordHeard updates the state of an agent from any of its messages. What a process says that has
+// ended tells nothing of the agent's state.
 func (c *Core) recordHeard(now time.Duration, from netip.AddrPort, m *relay.Message) *agent {
 	a := c.agent(from)
+	process := a.processes.record(m.Process)
+	if process == processFormer {
+		return a
+	}
 	if a.silent {
 		c.note(now, Note{
 			Decision: AgentBack,
@@ -148,7 +154,7 @@
 	a.silent = false
 	a.goneBy = EvidenceNone
 	a.port = portCheck{}
-	if now-a.stopAnnounced > maxMessageDelay {
+	if process == processNew || a.stopUnattributed && now-a.stopAnnounced > maxMessageDelay {
 		c.awaitTable(now, a)
 		a.stopAnnounced = 0
 		a.targetEnded = false
@@ -159,7 +165,7 @@
 	a.unstable = m.Unstable
 	a.opened = 0
 	if m.AnnouncesStop() {
-		c.recordStop(now, from, m)
+		c.recordStop(now, from, m, process)
 	}
 
 	return a
--- a/core/steer/handover.go
+++ b/core/steer/handover.go
@@ -81,7 +81,7 @@
 	case relay.Handover:
 		c.keepPart(now, m.From, t)
 		if m.Message.Stopping {
-			c.recordStop(now, m.From, &m.Message)
+			c.recordStop(now, m.From, &m.Message, processUnknown)
 		}
 
 		return true
--- a/ibisfold-agent/opaque.go
+++ b/ibisfold-agent/opaque.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"syscall"
@@ -92,6 +94,7 @@
 			Service:         catalog.ServiceID(s.Service),
 			ServiceValidity: serviceValidity,
 			Complete:        s.FirstStart || !mayListen,
+			Process:         1 + rand.Uint64N(math.MaxUint64),
 			Started:         time.Now().UnixMilli(),
 			MaxFlowAge:      s.MaxFlowAge,
 			Policy:          &policies.Agent,
--- a/proof/opaque_quick_test.go
+++ b/proof/opaque_quick_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"ibisfold.example/core/conntrack"
 )
 
 // opaqueQuick begins the kinds of worlds in which a process is started again after any delay,
@@ -89,6 +91,26 @@
 			}
 		})
 	}},
+	{"target and agent replaced as planned", func(w *opaqueWorld) {
+		a := w.anyAgent()
+		if a.down || a.target.draining {
+			return
+		}
+		a.target.restart()
+		a.target.refusing = true
+		for range opaqueStopCopies {
+			w.agentUpdate(a, conntrack.Stop{
+				TargetEnded: true,
+			})
+		}
+		a.down = true
+		w.After(w.downtime(), func() {
+			a.target.restart()
+			a.target.born = w.wallOf(a)
+			w.publish()
+		})
+		w.After(w.downtime(), func() { w.startAgent(a, false) })
+	}},
 	{"all entries replaced", func(w *opaqueWorld) {
 		for _, e := range w.entries {
 			w.startEntry(e)
--- a/proof/opaque_world_test.go
+++ b/proof/opaque_world_test.go
@@ -48,6 +48,8 @@
 	routed       map[string]bool
 	// violations lists what the oracle found.
 	violations []string
+	// processes counts the processes of agents.
+	processes uint64
 	// version is the version of the latest routes and targets.
 	version uint64
 	// disabled names a protection that this world lacks.
@@ -263,12 +265,15 @@
 }
 
 // startAgent starts an agent without flow state. First means that no agent has run beside
-// the target before, so that the agent knows all flows of the target.
+// the target before, so that the agent knows all flows of the target, as it does if its
+// connection to the target is refused.
 func (w *opaqueWorld) startAgent(a *opaqueAgent, first bool) {
 	w.log = append(w.log, fmt.Sprint(w.Now, " agent ", a.addr, " starts"))
+	w.processes++
 	a.core = &conntrack.Core{
 		Service:  catalog.ServiceID(a.target.service),
-		Complete: first || w.disabled == opaqueUnsure,
+		Complete: first || a.target.refusing || w.disabled == opaqueUnsure,
+		Process:  w.processes,
 		Started:  w.wallOf(a),
 	}
 	a.down = false
