Soak: restarts after any delay, clocks that are ahead or behind, and answers to probes that agents pass on

Every second process is back within 60 ms, the others within 0.5 s as before at the most; every second start of a target reads a clock that is 0.1 to 3.2 s ahead or behind. So far each process was back after exactly 0.5 s and all clocks agreed, so that no run could find a rule that rests on either.

The proxies in front of agents translate addresses. An agent that answers an entry because another one passed a probe on is now known to the entry by its own proxy.

--- a/ibisfold-standin/soak/configorder.go
+++ b/ibisfold-standin/soak/configorder.go
@@ -100,7 +100,7 @@
 	{name: "entries roll", run: func(b *testbed, _ *order) {
 		for _, v := range b.entries {
 			v.signal(syscall.SIGTERM)
-			time.Sleep(restartDelay / 2)
+			time.Sleep(maxRestartDelay / 2)
 		}
 	}},
 }
--- a/ibisfold-standin/soak/fault.go
+++ b/ibisfold-standin/soak/fault.go
@@ -78,7 +78,7 @@
 
 // kill ends the process of a VM with SIGKILL.
 func kill(v *vm) {
-	v.markImpaired(restartDelay)
+	v.markImpaired(maxRestartDelay)
 	v.signal(syscall.SIGKILL)
 }
 
--- a/ibisfold-standin/soak/floworder.go
+++ b/ibisfold-standin/soak/floworder.go
@@ -64,7 +64,7 @@
 		for range stopSeries {
 			go o.stop(o.agents)
 			o.stop(o.entries)
-			time.Sleep(restartDelay)
+			time.Sleep(maxRestartDelay)
 		}
 	})
 }
--- a/ibisfold-standin/soak/proxy.go
+++ b/ibisfold-standin/soak/proxy.go
@@ -20,10 +20,26 @@
 	Delay time.Duration
 }
 
-// datagramProxy forwards datagrams between entries and one agent.
+// datagramProxies holds the proxies of all agents, by the addresses of the agents.
+type datagramProxies struct {
+	sync.Map
+}
+
+// find returns the proxy in front of an agent.
+func (p *datagramProxies) find(agent netip.AddrPort) (*datagramProxy, bool) {
+	x, ok := p.Load(agent)
+	if !ok {
+		return nil, false
+	}
+
+	return x.(*datagramProxy), true
+}
+
+// datagramProxy forwards datagrams between one agent and the entries and agents that send to it.
 type datagramProxy struct {
 	listen *net.UDPConn
-	to     *net.UDPAddr
+	to     netip.AddrPort
+	others *datagramProxies
 	fault  atomic.Pointer[linkFault]
 
 	mu sync.Mutex
@@ -31,17 +47,19 @@
 	sockets map[netip.AddrPort]*net.UDPConn
 }
 
-func newDatagramProxy(listen, to netip.AddrPort) (*datagramProxy, error) {
+func newDatagramProxy(listen, to netip.AddrPort, others *datagramProxies) (*datagramProxy, error) {
 	l, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen))
 	if err != nil {
 		return nil, err
 	}
 	p := &datagramProxy{
 		listen:  l,
-		to:      net.UDPAddrFromAddrPort(to),
+		to:      to,
+		others:  others,
 		sockets: map[netip.AddrPort]*net.UDPConn{},
 	}
 	p.fault.Store(&linkFault{})
+	others.Store(to, p)
 	go p.run()
 
 	return p, nil
@@ -64,7 +82,7 @@
 			continue
 		}
 		f.deliver(b[:n], func(b []byte) {
-			_, _ = socket.Write(b)
+			_, _ = socket.WriteToUDPAddrPort(b, p.to)
 		})
 	}
 }
@@ -76,7 +94,8 @@
 	if c, ok := p.sockets[from]; ok {
 		return c, nil
 	}
-	c, err := net.DialUDP("udp4", nil, p.to)
+	local := net.UDPAddrFromAddrPort(netip.AddrPortFrom(p.to.Addr(), 0))
+	c, err := net.ListenUDP("udp4", local)
 	if err != nil {
 		return nil, err
 	}
@@ -86,25 +105,26 @@
 	return c, nil
 }
 
-// forwardReplies forwards datagrams of the agent to the entry at to.
+// forwardReplies forwards datagrams of the agent to the entry at to, and those of other agents that
+// answer the entry because this one passed a message on to them. The entry knows each agent by the
+// address of its proxy.
 func (p *datagramProxy) forwardReplies(c *net.UDPConn, to netip.AddrPort) {
 	b := make([]byte, maxDatagram)
 	for {
-		n, err := c.Read(b)
-		if err == net.ErrClosed {
+		n, from, err := c.ReadFromUDPAddrPort(b)
+		if err != nil {
 			return
 		}
-		if err != nil {
-			// The agent's process is down and may be back for the next datagram.
-			time.Sleep(time.Millisecond)
+		sender, ok := p.others.find(from)
+		if !ok {
 			continue
 		}
-		f := p.fault.Load()
+		f := sender.fault.Load()
 		if f.DropOut || rand.Float64() < f.Loss {
 			continue
 		}
 		f.deliver(b[:n], func(b []byte) {
-			_, _ = p.listen.WriteToUDPAddrPort(b, to)
+			_, _ = sender.listen.WriteToUDPAddrPort(b, to)
 		})
 	}
 }
--- a/ibisfold-standin/soak/reuse.go
+++ b/ibisfold-standin/soak/reuse.go
@@ -115,7 +115,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.service = service
-	t.born = time.Now().UnixMilli()
+	t.born = t.vm.clock()
 	t.id = fmt.Sprintf("%s-%d", t.vm.name, t.born)
 	t.flows = map[segment.Key]*targetFlow{}
 	t.drainingSince = time.Time{}
--- a/ibisfold-standin/soak/target.go
+++ b/ibisfold-standin/soak/target.go
@@ -55,7 +55,7 @@
 		conn:     c,
 		outbound: net.UDPAddrFromAddrPort(v.settings.Outbound),
 		flows:    map[segment.Key]*targetFlow{},
-		born:     time.Now().UnixMilli(),
+		born:     v.clock(),
 	}
 	// Targets answer health checks over TCP at the same address. An agent takes a closed
 	// port to mean that the target has not started yet.
@@ -194,7 +194,7 @@
 	defer t.mu.Unlock()
 	t.down = false
 	t.drainingSince = time.Time{}
-	t.born = time.Now().UnixMilli()
+	t.born = t.vm.clock()
 }
 
 // requestBytes is the length of a request. It holds only the request number of its caller.
--- a/ibisfold-standin/soak/testbed.go
+++ b/ibisfold-standin/soak/testbed.go
@@ -71,6 +71,10 @@
 	configs configLog
 	// effects holds the versions whose effects were seen through each entry.
 	effects map[*vm]effect
+	// delaySeed is the seed of restart delays and clock offsets.
+	delaySeed uint64
+	// links holds the proxies in front of agents.
+	links datagramProxies
 	// storeFaultEnd is the end of the last fault of the store.
 	storeFaultEnd time.Time
 }
@@ -79,6 +83,7 @@
 func newTestbed(o *options) (*testbed, error) {
 	b := &testbed{
 		random:       rand.New(rand.NewPCG(o.seed, 0)),
+		delaySeed:    o.seed,
 		bin:          o.bin,
 		dir:          o.dir,
 		routeService: services[0],
@@ -118,7 +123,7 @@
 // addEntries adds the entries of a zone with their probers, and a spare one.
 func (b *testbed) addEntries(zone, count int, store netip.AddrPort) error {
 	for n := range count {
-		v, err := newEntry(zone, n+1, store)
+		v, err := newEntry(zone, n+1, b.delaySeed, store)
 		if err != nil {
 			return err
 		}
@@ -127,7 +132,7 @@
 			return err
 		}
 	}
-	spare, err := newEntry(zone, count+1, store)
+	spare, err := newEntry(zone, count+1, b.delaySeed, store)
 	if err != nil {
 		return err
 	}
@@ -177,8 +182,8 @@
 }
 
 // newEntry returns entry n of a zone with the proxy for its calls to the store.
-func newEntry(zone, n int, store netip.AddrPort) (*vm, error) {
-	v := newVM("entry", zone, n)
+func newEntry(zone, n int, seed uint64, store netip.AddrPort) (*vm, error) {
+	v := newVM("entry", zone, n, seed)
 	v.settings.Store = linkAddress(v.settings.Ready)
 	v.settings.Control = address(zone, n, portControl)
 	var err error
@@ -222,11 +227,11 @@
 
 // newAgent returns agent n of a zone with its proxy and its target.
 func (b *testbed) newAgent(zone, n int, service string) (*vm, error) {
-	v := newVM("agent", zone, n)
+	v := newVM("agent", zone, n, b.delaySeed)
 	v.settings.Service = service
 	v.settings.Store = v.settings.Ready
 	var err error
-	if v.link, err = newDatagramProxy(linkAddress(v.settings.Relay), v.settings.Relay); err != nil {
+	if v.link, err = newDatagramProxy(linkAddress(v.settings.Relay), v.settings.Relay, &b.links); err != nil {
 		return nil, err
 	}
 	v.target, err = newTarget(b, v, service)
--- a/ibisfold-standin/soak/vm.go
+++ b/ibisfold-standin/soak/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
@@ -30,8 +31,16 @@
 	portRelay    = 7720
 )
 
-// restartDelay is the time between the exit of a process and its restart.
-const restartDelay = 500 * time.Millisecond
+const (
+	// maxRestartDelay bounds the time between the exit of a process and its restart, and
+	// shortRestartDelay that of every second one.
+	maxRestartDelay   = 500 * time.Millisecond
+	shortRestartDelay = 60 * time.Millisecond
+	// minClockOffset is the smallest time that the clock of a VM is ahead or behind, if it is.
+	// Each of clockOffsets sizes is twice the one before.
+	minClockOffset = 100 * time.Millisecond
+	clockOffsets   = 6
+)
 
 // vm is a VM with one process of the system. A VM with an agent also has a target.
 type vm struct {
@@ -58,9 +67,11 @@
 	starts int
 	// ends holds the statuses of the processes that ended by themselves.
 	ends []string
-	// delay is the time from the end of the process until the next start if it is longer than
-	// restartDelay.
+	// delay is the time from the end of the process until the next start; zero means a random
+	// one.
 	delay time.Duration
+	// random draws restart delays and clock offsets.
+	random *rand.Rand
 	// impairedUntil is the end of the last unplanned fault of the VM or its links.
 	impairedUntil time.Time
 	stopped       bool
@@ -83,10 +94,11 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(ip), a.Port())
 }
 
-func newVM(role string, zone, n int) *vm {
+func newVM(role string, zone, n int, seed uint64) *vm {
 	return &vm{
-		name: fmt.Sprintf("%s-%d-%d", role, zone, n),
-		zone: zones[zone],
+		random: rand.New(rand.NewPCG(seed, uint64(zone)<<32|uint64(n)<<8|uint64(role[0]))),
+		name:   fmt.Sprintf("%s-%d-%d", role, zone, n),
+		zone:   zones[zone],
 		settings: platform.Settings{
 			Name:       fmt.Sprintf("%s-%d-%d", role, zone, n),
 			Zone:       zones[zone],
@@ -222,10 +234,34 @@
 func (v *vm) takeDelay() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	d := max(v.delay, restartDelay)
-	v.delay = 0
+	if d := v.delay; d > 0 {
+		v.delay = 0
+
+		return d
+	}
+	limit := maxRestartDelay
+	if v.random.IntN(2) == 0 {
+		limit = shortRestartDelay
+	}
+
+	return time.Duration(v.random.Int64N(int64(limit)))
+}
+
+// clock returns the time of day that a target reads at its start, in Unix milliseconds. Every
+// second time the VM's clock is ahead or behind.
+func (v *vm) clock() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	offset := minClockOffset << v.random.IntN(clockOffsets)
+	switch v.random.IntN(4) {
+	case 0:
+		offset = -offset
+	case 1:
+	default:
+		offset = 0
+	}
 
-	return d
+	return time.Now().Add(offset).UnixMilli()
 }
 
 // resume starts the process of the VM that takes the place of one that has ended.
