Entries: a process of an agent that is heard on is the current one

A late message of a process that had not been heard before made the running one the former, for good: its agent would have seemed silent. Found by reading; TestLateEndOfFormerTarget now goes on and fails without this. Messages of a former process count as heard, and change nothing about planned stops; once the current process has been silent for longer than a datagram may be late, the one that is heard is the current one.

--- a/core/steer/agent.go
+++ b/core/steer/agent.go
@@ -25,8 +25,8 @@
 	// linkCheckQueries is the number of other agents that a tick queries to check whether
 	// this entry's own link works.
 	linkCheckQueries = 2
-	// maxMessageDelay is the time after a stop announcement within which messages count as sent
-	// before it if they do not tell their process. Datagrams may be delayed by 200 ms.
+	// maxMessageDelay is the time within which a message may arrive after one that was sent
+	// later. Datagrams may be delayed by 200 ms.
 	maxMessageDelay = 250 * time.Millisecond
 	// resendAfter is how long an agent has to leave a query unanswered before the packets
 	// that were sent to it in that time count as possibly lost. They are sent again once
@@ -127,14 +127,11 @@
 	a.lastQuery = now
 }
 
-// recordHeard updates the state of an agent from any of its messages. What a process says that has
-// ended tells nothing of the agent's state.
+// recordHeard updates the state of an agent from any of its messages. That of a former process tells
+// nothing of a planned stop.
 func (c *Core) recordHeard(now time.Duration, from netip.AddrPort, m *relay.Message) *agent {
 	a := c.agent(from)
-	process := a.processes.record(m.Process)
-	if process == processFormer {
-		return a
-	}
+	process := a.processes.record(now, m.Process)
 	if a.silent {
 		c.note(now, Note{
 			Decision: AgentBack,
@@ -154,7 +151,7 @@
 	a.silent = false
 	a.goneBy = EvidenceNone
 	a.port = portCheck{}
-	if process == processNew || a.stopUnattributed && now-a.stopAnnounced > maxMessageDelay {
+	if process == processNew || process != processFormer && a.stopUnattributed && now-a.stopAnnounced > maxMessageDelay {
 		c.awaitTable(now, a)
 		a.stopAnnounced = 0
 		a.targetEnded = false
@@ -164,7 +161,7 @@
 	a.flows = int(m.Flows)
 	a.unstable = m.Unstable
 	a.opened = 0
-	if m.AnnouncesStop() {
+	if m.AnnouncesStop() && process != processFormer {
 		c.recordStop(now, from, m, process)
 	}
 
--- a/core/steer/process_test.go
+++ b/core/steer/process_test.go
@@ -48,6 +48,18 @@
 			_, reset := synRecipients(c.Update(160*time.Millisecond, testPacket(1, segment.ACK)))
 			is.True(!reset)
 			is.Equal(len(c.flows), 1)
+
+			// The process that runs goes on to be heard.
+			for _, now := range []time.Duration{200 * time.Millisecond, 450 * time.Millisecond} {
+				receive(c, now, owner, fromProcess(secondProcess, relay.Message{
+					Kind: relay.Owned,
+					Key:  flowOne,
+				}))
+				is.Equal(c.agent(owner).heard, now)
+			}
+			is.True(!c.inPlannedStop(450*time.Millisecond, c.agent(owner)))
+			receive(c, time.Second, owner, fromProcess(secondProcess, stopMessage(relay.ReasonTargetDown)))
+			is.Equal(c.gone(time.Second, c.agent(owner)), TargetEnded)
 		})
 	}
 }
--- a/core/steer/stop.go
+++ b/core/steer/stop.go
@@ -11,7 +11,7 @@
 // message that shows it, as the process may run for a while after it announced the stop. That
 // the target has ended is not taken from a process of which nothing else was heard while another one
 // was: its announcement may be late, and the other one may serve another target.
-func (c *Core) recordStop(now time.Duration, from netip.AddrPort, m *relay.Message, process change) {
+func (c *Core) recordStop(now time.Duration, from netip.AddrPort, m *relay.Message, process processChange) {
 	a := c.agent(from)
 	if !c.inPlannedStop(now, a) {
 		c.note(now, Note{
--- a/proof/opaque_clock_test.go
+++ b/proof/opaque_clock_test.go
@@ -18,11 +18,11 @@
 		a.target.born = w.wall()
 	}
 	w.publish()
-	w.Run(2*time.Second - opaqueMinDowntime)
+	w.Run(2*time.Second - opaqueDowntime)
 	for _, a := range w.agents {
 		a.down = true
 	}
-	w.Run(opaqueMinDowntime)
+	w.Run(opaqueDowntime)
 	for _, a := range w.agents {
 		w.startAgent(a, false)
 		a.core.Started -= opaqueClockJump.Milliseconds()
--- a/proof/opaque_fuzz_test.go
+++ b/proof/opaque_fuzz_test.go
@@ -19,9 +19,9 @@
 	// each of the two phases without faults that follow.
 	opaqueFuzzTime = 12 * time.Second
 	opaqueCalmTime = 6 * time.Second
-	// opaqueMinDowntime is the time from the end of a process to its next start in worlds
+	// opaqueDowntime is the time from the end of a process to its next start in worlds
 	// that are not quick. Nothing may rest on it.
-	opaqueMinDowntime = 500 * time.Millisecond
+	opaqueDowntime = 500 * time.Millisecond
 )
 
 // opaqueFault is one injected failure or planned change in a world of opaque flows.
@@ -121,7 +121,7 @@
 				continue
 			}
 			w.After(at, func() { e.outOfRotation = true })
-			at += opaqueMinDowntime
+			at += opaqueDowntime
 			w.After(at, func() { e.outOfRotation = false })
 		}
 	}},
--- a/proof/opaque_list_test.go
+++ b/proof/opaque_list_test.go
@@ -176,7 +176,7 @@
 	w.publish()
 	for _, a := range missing {
 		w.Run(300 * time.Millisecond)
-		w.stopAgent(a, opaqueMinDowntime)
+		w.stopAgent(a, opaqueDowntime)
 	}
 	w.Run(2 * opaqueMaxUnlistedTime)
 	checkFlowsKept(t, w, callers)
--- a/proof/opaque_matrix_test.go
+++ b/proof/opaque_matrix_test.go
@@ -51,12 +51,12 @@
 	}},
 	{"entries are replaced in turn", func(w *opaqueWorld) {
 		for i, e := range w.entries {
-			at := time.Duration(i) * opaqueMinDowntime
+			at := time.Duration(i) * opaqueDowntime
 			w.After(at, func() {
 				e.down = true
 				e.outOfRotation = true
 			})
-			w.After(at+opaqueMinDowntime, func() {
+			w.After(at+opaqueDowntime, func() {
 				w.startEntry(e)
 				e.outOfRotation = false
 			})
@@ -64,9 +64,9 @@
 	}},
 	{"agents are replaced in turn", func(w *opaqueWorld) {
 		for i, a := range w.agents {
-			w.After(time.Duration(i)*opaqueMinDowntime/2, func() {
+			w.After(time.Duration(i)*opaqueDowntime/2, func() {
 				if !a.down {
-					w.stopAgent(a, opaqueMinDowntime)
+					w.stopAgent(a, opaqueDowntime)
 				}
 			})
 		}
--- a/proof/opaque_oracle_test.go
+++ b/proof/opaque_oracle_test.go
@@ -54,7 +54,7 @@
 	}{
 		{"misrouted", func(*opaqueWorld, *opaqueCaller, *opaqueAgent) {}, 1},
 		{"planned stop does not count as a fault", func(w *opaqueWorld, _ *opaqueCaller, owner *opaqueAgent) {
-			w.stopAgent(owner, opaqueMinDowntime)
+			w.stopAgent(owner, opaqueDowntime)
 		}, 1},
 		{"target reached", func(w *opaqueWorld, c *opaqueCaller, owner *opaqueAgent) {
 			w.recordArrival(owner, &segment.Segment{
--- a/proof/opaque_pause_test.go
+++ b/proof/opaque_pause_test.go
@@ -227,7 +227,7 @@
 	}},
 	{"agent stopped", func(w *opaqueWorld) {
 		if a := w.runningAgent(); a != nil {
-			w.stopAgent(a, opaqueMinDowntime)
+			w.stopAgent(a, opaqueDowntime)
 		}
 	}},
 	{"entry's relay socket is behind", func(w *opaqueWorld) {
--- a/proof/opaque_port_test.go
+++ b/proof/opaque_port_test.go
@@ -113,7 +113,7 @@
 	opaqueTotals(callers)
 	a := w.agents[0]
 	a.down = true
-	w.After(opaqueMinDowntime, func() { w.startAgent(a, false) })
+	w.After(opaqueDowntime, func() { w.startAgent(a, false) })
 	w.Run(2 * time.Second)
 	w.check()
 	_, _, resets, timeouts := opaqueTotals(callers)
--- a/proof/opaque_quick_test.go
+++ b/proof/opaque_quick_test.go
@@ -26,7 +26,7 @@
 // downtime returns the time from the end of a process to its next start.
 func (w *opaqueWorld) downtime() time.Duration {
 	if !w.quick {
-		return opaqueMinDowntime
+		return opaqueDowntime
 	}
 	limit := opaqueShortDowntime
 	if w.random.IntN(2) == 0 {
--- a/proof/opaque_rolling_test.go
+++ b/proof/opaque_rolling_test.go
@@ -15,7 +15,7 @@
 	// opaqueRollTime is how long processes are stopped in turn.
 	opaqueRollTime = 20 * time.Second
 	// opaqueAgentStopInterval and opaqueEntryKillInterval are the times between two stops.
-	// As each process is away for opaqueMinDowntime, three or four agents and one entry
+	// As each process is away for opaqueDowntime, three or four agents and one entry
 	// are away at any moment.
 	opaqueAgentStopInterval = 150 * time.Millisecond
 	opaqueEntryKillInterval = 600 * time.Millisecond
@@ -41,7 +41,7 @@
 		i++
 		w.After(at, func() {
 			if !a.down {
-				w.stopAgent(a, opaqueMinDowntime)
+				w.stopAgent(a, opaqueDowntime)
 			}
 		})
 	}
@@ -60,7 +60,7 @@
 			// Including packets that the routers have just sent to the entry.
 			w.forgetCopiesAt(e)
 		})
-		w.After(at+opaqueMinDowntime, func() {
+		w.After(at+opaqueDowntime, func() {
 			w.startEntry(e)
 			e.outOfRotation = false
 		})
@@ -96,7 +96,7 @@
 }
 
 // awaitShutdown ends a stopping entry as soon as its shutdown is done, and starts its next
-// process after opaqueMinDowntime.
+// process after opaqueDowntime.
 func (w *opaqueWorld) awaitShutdown(e *opaqueEntry, shutdown *steer.Shutdown) {
 	w.After(steer.TickTime, func() {
 		if !shutdown.Done(w.Now, e.lastPacket) {
@@ -106,7 +106,7 @@
 		}
 		w.log = append(w.log, fmt.Sprint(w.Now, " entry ", e.addr, " ends"))
 		e.down = true
-		w.After(opaqueMinDowntime, func() {
+		w.After(opaqueDowntime, func() {
 			w.startEntry(e)
 			e.outOfRotation = false
 		})
