Catalog: of two entries at one address the one that was changed last is in use

What callers could see: no new flows at a target, or flows at the rate of a warm one while it is cold, for up to three check-ins after it took the address of another one: the entry of the target that had gone told the later start, since the VM's clock was set back in between.

Cause: ComparePrecedence compared start times.

Change: entries carry the era and the revision of their last change. A target writes its entry only after all that had its address before have written theirs for the last time, and the store orders all writes. Start times decide only where a source of an earlier version does not tell. An entry that is written again with the same content, or listed in another era, changes nothing else.

Evidence: TestLaterEntryWinsWhateverItsClockSays and TestEntryWrittenAgainChangesNothing; without the revision, as before, the entry of the former target is in use (third case). Found by reading for rules that rest on clocks (decisions/0034); not seen in a run of the programs.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -67,6 +67,10 @@
 	// ColdUntil is the end of the warm-up on the clock of this process; zero until the
 	// target is added to a State.
 	ColdUntil time.Duration
-	// Born is the start time of the target, in Unix milliseconds.
+	// Born is the start time of the target, in Unix milliseconds on the clock of its VM. It tells
+	// starts apart; which of two is the later one it tells only as far as clocks agree.
 	Born int64
+	// Written is when the entry was last changed; zero if that is not known. A target writes its
+	// entry after all others that had its address before have written theirs for the last time.
+	Written Position `json:",omitzero"`
 }
--- a/core/catalog/precedence.go
+++ b/core/catalog/precedence.go
@@ -17,10 +17,20 @@
 // ComparePrecedence compares two listed targets of which only one can be in use, because they
 // share an address or the agent of a VM; the result is negative if a is the one. A target of a
 // declared service goes first, so that the entry of another writer hides none. Of two targets
-// that are both plausible the later start wins: the address of a target that is gone may be
-// used again, also by another service.
+// that are both plausible the one that came later wins: the address of a target that is gone may
+// be used again, also by another service.
 func (c *Config) ComparePrecedence(a, b *Target) int {
-	return cmp.Or(c.compareDeclared(a, b), cmp.Compare(b.Born, a.Born), cmp.Compare(b.ID, a.ID))
+	return cmp.Or(c.compareDeclared(a, b), compareWritten(b, a), cmp.Compare(b.Born, a.Born), cmp.Compare(b.ID, a.ID))
+}
+
+// compareWritten orders targets by the changes of their entries; zero if one of them is not known.
+// Clocks have no part in it.
+func compareWritten(a, b *Target) int {
+	if a.Written.Revision == 0 || b.Written.Revision == 0 {
+		return 0
+	}
+
+	return a.Written.Compare(b.Written)
 }
 
 // compareDeclared is negative if only a is of a declared service, and positive if only b is.
@@ -43,12 +53,13 @@
 }
 
 // sortDeparted sorts departed targets so that the one whose VM may hold flows longest comes
-// first: those of declared services, then those that left last, then those that started last.
+// first: those of declared services, then those that left last, then those that came last.
 func (c *Config) sortDeparted(list []TargetDeparted) {
 	slices.SortStableFunc(list, func(a, b TargetDeparted) int {
 		return cmp.Or(
 			c.compareDeclared(&a.Target, &b.Target),
 			cmp.Compare(a.Age, b.Age),
+			compareWritten(&b.Target, &a.Target),
 			cmp.Compare(b.Target.Born, a.Target.Born),
 		)
 	})
--- a/core/catalog/precedence_test.go
+++ b/core/catalog/precedence_test.go
@@ -55,6 +55,42 @@
 	return list
 }
 
+// Guards against a target that gets no flows because the clock of its VM was set back: the entry of
+// the one that had its address before tells a later start. Entries of sources of earlier versions do
+// not tell when they were written; then the start decides.
+func TestLaterEntryWinsWhateverItsClockSays(t *testing.T) {
+	for _, x := range []struct {
+		former, later Position
+		used          string
+	}{
+		{Position{Era: 1, Revision: 10}, Position{Era: 1, Revision: 20}, "later"},
+		{Position{Era: 1, Revision: 20}, Position{Era: 2, Revision: 10}, "later"},
+		{Position{Era: 1, Revision: 20}, Position{}, "former"},
+	} {
+		is := is.New(t)
+		former := target("former", vmAddress, 5000)
+		former.Target.Written = x.former
+		later := target("later", vmAddress, 2600)
+		later.Target.Written = x.later
+		is.Equal(usedIDs(newDeclaredState(former, later), "rufdienst"), []string{x.used})
+		is.Equal(usedIDs(newDeclaredState(later, former), "rufdienst"), []string{x.used})
+	}
+}
+
+// Guards against a warm-up that begins again, and an update to all entries, because an entry was
+// written again with the same content or listed in another era.
+func TestEntryWrittenAgainChangesNothing(t *testing.T) {
+	is := is.New(t)
+	entry := target("a", vmAddress, 1)
+	entry.Target.ColdLeft = time.Second
+	s := newDeclaredState(entry)
+	entry.Target.Written = Position{Era: 2, Revision: 7}
+	is.True(!s.Apply(500*time.Millisecond, entry))
+	m := s.Snapshot().Groups[ServiceID("rufdienst")][0]
+	is.Equal(m.ColdUntil, time.Second)
+	is.Equal(m.Written, entry.Target.Written)
+}
+
 // Guards against an entry of another writer that hides a living target: it has the target's
 // address, a later start and a service that no configuration names (review/9).
 func TestEntryOfUndeclaredServiceHidesNoTarget(t *testing.T) {
--- a/core/catalog/state.go
+++ b/core/catalog/state.go
@@ -98,7 +98,9 @@
 	delete(s.lapsed, t.ID)
 	old, ok := s.targets[t.ID]
 	t.ColdUntil = old.ColdUntil
-	if ok && old == t {
+	if ok && old.hasContentOf(t) {
+		s.targets[t.ID] = t
+
 		return false
 	}
 	if ok && old.Address != t.Address {
@@ -111,6 +113,13 @@
 	return true
 }
 
+// hasContentOf reports whether two states of a target differ at most in when the entry was written.
+func (t Target) hasContentOf(o Target) bool {
+	o.Written = t.Written
+
+	return t == o
+}
+
 func (s *State) removeTarget(now time.Duration, id string) bool {
 	delete(s.lapsed, id)
 	t, ok := s.targets[id]
