--- a/core/conntrack/handover_test.go
+++ b/core/conntrack/handover_test.go
@@ -123,7 +123,7 @@
 }
 
 // Guards against a flow that opens at the target after the table was written: the next
-// process would answer that the target does not hold it.
+// process would be unsure of it.
 func TestNothingOpensAfterStop(t *testing.T) {
 	is := is.New(t)
 	c := stoppingCore(5, 3)
