--- a/proof/opaque_quick_test.go
+++ b/proof/opaque_quick_test.go
@@ -231,6 +231,25 @@
 	}
 }
 
+// TestOpaqueLastPacketReachesOwner guards against a flow that counts as misrouted because of two searches
+// with probes, seconds apart, while it is idle: probes of the first one that arrived at other targets
+// after the owner's would add to those of the second one. Found by TestOpaqueFuzzQuick.
+func TestOpaqueLastPacketReachesOwner(t *testing.T) {
+	for seed := range uint64(10) {
+		w := opaqueSite(t, 370+seed, 4)
+		w.dedupe = true
+		w.addPersistentCallers(30, opaqueIdlePause)
+		w.Run(time.Second)
+		for range 3 {
+			w.restartProcesses()
+			w.Run(opaqueIdlePause)
+		}
+		if len(w.violations) > 0 {
+			t.Errorf("seed %d: %d violations, first: %s", 370+seed, len(w.violations), w.violations[0])
+		}
+	}
+}
+
 // splitQuick returns the kind without opaqueQuick and whether it began with it.
 func splitQuick(kind opaqueKind) (opaqueKind, bool) {
 	rest, quick := strings.CutPrefix(string(kind), opaqueQuick)
