Tests: TestDatagramThatFailsIsDropped waits until its core can place flows again

Its log has two dropped datagrams where the test makes one: the second SYN was handled before the function that gives the core its random numbers back, as Post only queues it and the loop takes what is ready in any order. The product did what it should. The test now waits for both functions (Call); it checks the same. 15 runs beside eight busy loops: green.

--- a/ibisfold-entry/early_process_test.go
+++ b/ibisfold-entry/early_process_test.go
@@ -126,16 +126,16 @@
 
 	// The core needs random numbers to place a flow.
 	random := p.core.Random
-	p.Post(func() {
+	is.True(p.Call(func() {
 		p.core.Random = nil
-	})
+	}))
 	sendTo(t, caller, p.settings.Packets, testPacket(segment.SYN))
 	is.True(await(3*time.Second, func() bool {
 		return p.Panics.Get() == 1
 	}))
-	p.Post(func() {
+	is.True(p.Call(func() {
 		p.core.Random = random
-	})
+	}))
 	sendTo(t, caller, p.settings.Packets, testPacket(segment.SYN))
 	awaitKind(t, agent, relay.Open)
 }
